Add the flow core: connection ids, targets, peers, requests, feeds, handover

Cause: the repository was empty.

Change: the library's data path as (now, event) -> actions; it compiles, nothing has been measured yet.

--- /dev/null
+++ b/src/balancer_core.cpp
@@ -0,0 +1,585 @@
+// SPDX-License-Identifier: MIT
+// Balancer core: implementation, instantiated for each slot policy.
+#include "balancer_core.h"
+
+#include "hash.h"
+#include "target_choice.h"
+
+#include <algorithm>
+
+namespace Robinrail {
+
+namespace {
+
+// A balancer without any live peer is ready after this time; else once a peer told it what it knows.
+constexpr Duration AloneReadyTime = GoneAfter;
+
+} // namespace
+
+template<SlotPolicy Policy>
+BalancerCore<Policy>::BalancerCore(const BalancerSettings &settings)
+    : m_context(settings)
+    , m_requests(m_context)
+    , m_feeds(m_context)
+    , m_gossip(m_context)
+    , m_handover(m_context, m_gossip)
+{
+}
+
+template<SlotPolicy Policy>
+bool BalancerCore<Policy>::applyBundle(TimePoint now, std::uint64_t version, std::span<const ServiceSettings> services)
+{
+    if (version <= m_context.bundleVersion) {
+        return false;
+    }
+    m_context.bundleVersion = version;
+    m_requests.applyServices(services);
+    m_context.observe({.kind = EventKind::BundleApplied, .at = now});
+    return true;
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::applyKeys(std::vector<VersionedMacKey> keys)
+{
+    m_context.sealer = ConnectionIdSealer(std::move(keys));
+}
+
+// ---- Packets of callers ----
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::handleCaller(TimePoint now, ServiceId service, Endpoint caller, const Message &message)
+{
+    dispatchCaller(now, {service, caller, 0, std::nullopt}, message);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::dispatchCaller(TimePoint now, const CallerPacket &packet, const Message &message)
+{
+    if (!m_requests.knowsService(packet.service)) {
+        return m_context.reject(now, RejectReason::UnknownService);
+    }
+    if (const auto *openFlow = std::get_if<OpenFlow>(&message)) {
+        open(now, packet, *openFlow);
+    } else if (const auto *request = std::get_if<Request>(&message)) {
+        onFlow(now, packet, *request);
+    } else if (const auto *cancel = std::get_if<CancelRequest>(&message)) {
+        onFlow(now, packet, *cancel);
+    } else if (const auto *poll = std::get_if<PollFeed>(&message)) {
+        onFlow(now, packet, *poll);
+    } else {
+        m_context.reject(now, RejectReason::UnexpectedType);
+    }
+}
+
+// Whoever gets the opening packet owns the flow: the fabric's spraying spreads ownership evenly without
+// a message. A duplicate opens a second flow elsewhere, which the caller never uses and which expires.
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::open(TimePoint now, const CallerPacket &packet, const OpenFlow &message)
+{
+    if (m_context.peers.stopping()) {
+        const std::optional<BalancerKey> other = m_context.peers.chooseSuccessor();
+        return other ? relay(now, packet, *other, message) : void();
+    }
+    const FlowId id = insertFlow(now, packet, TargetId{});
+    const Flow *flow = m_context.flows.find(id);
+    if (flow == nullptr) {
+        m_context.send(packet.caller, Refusal{FlowId{}, RequestId{}, Outcome::NotRun, RefusalReason::Overload, NoTargetRetryAfter});
+        return;
+    }
+    ++m_context.counters.flowsOpened;
+    m_context.send(packet.caller, FlowOpened{message.nonce, id, m_context.sealFor(id, *flow)});
+    m_context.observe({.kind = EventKind::FlowOpened, .at = now, .service = packet.service, .flow = id});
+}
+
+template<SlotPolicy Policy>
+FlowId BalancerCore<Policy>::insertFlow(TimePoint now, const CallerPacket &packet, TargetId target)
+{
+    const BalancerKey self = m_context.peers.self();
+    const FlowId id{hashPair(hashPair(value(self.id), value(self.incarnation)), ++m_context.lastSerial)};
+    Flow flow;
+    flow.service = packet.service;
+    flow.caller = packet.caller;
+    flow.target = target;
+    flow.lastActive = now;
+    m_context.flows.insert(id, flow);
+    return id;
+}
+
+template<SlotPolicy Policy>
+std::optional<ConnectionId> BalancerCore<Policy>::openId(TimePoint now, ServiceId service, const SealedConnectionId &sealed)
+{
+    const std::optional<ConnectionId> id = m_context.sealer.open(sealed);
+    if (!id) {
+        m_context.reject(now, RejectReason::ForgedId);
+        return std::nullopt;
+    }
+    if (id->service != service) {
+        m_context.reject(now, RejectReason::WrongService);
+        return std::nullopt;
+    }
+    return id;
+}
+
+template<SlotPolicy Policy>
+std::optional<BalancerKey> BalancerCore<Policy>::route(const SealedConnectionId &sealed, ServiceId service) const
+{
+    const std::optional<ConnectionId> id = m_context.sealer.open(sealed);
+    if (!id || id->service != service) {
+        return std::nullopt;
+    }
+    return m_context.peers.resolve(id->owner);
+}
+
+template<SlotPolicy Policy>
+template<typename Typed>
+void BalancerCore<Policy>::onFlow(TimePoint now, const CallerPacket &packet, const Typed &message)
+{
+    const std::optional<ConnectionId> id = openId(now, packet.service, message.connectionId);
+    if (!id) {
+        return;
+    }
+    if (const std::optional<BalancerKey> went = m_handover.destination(id->flow)) {
+        return onHandedOver(now, packet, *id, *went, message);
+    }
+    if (Flow *flow = m_context.flows.find(id->flow); flow != nullptr && flow->service == packet.service) {
+        flow->lastActive = now;
+        flow->caller = packet.caller;
+        return onOwnFlow(now, packet, *id, *flow, message);
+    }
+    const std::optional<BalancerKey> owner = m_context.peers.resolve(id->owner);
+    if (!owner || *owner == m_context.peers.self()) {
+        return onOwnerGone(now, packet, *id, message);
+    }
+    if (onOwnerStopping(now, packet, *id, message)) {
+        return;
+    }
+    relay(now, packet, *owner, message);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::onOwnFlow(TimePoint now, const CallerPacket &packet, const ConnectionId &id, Flow &flow, const Request &request)
+{
+    const auto previous = m_previousOwners.find(value(id.flow));
+    const bool received = previous != m_previousOwners.end() && packet.relay != previous->second.owner;
+    if (received && flow.window.look(request.request) != RequestAge::Fresh && !m_requests.isPending({id.flow, request.request})) {
+        // The previous owner may hold the answer; it stays a while for this.
+        if (m_context.peers.find(previous->second.owner.id) != nullptr && !m_requests.resend({id.flow, request.request}, packet.caller)) {
+            relay(now, packet, previous->second.owner, request);
+        }
+        return;
+    }
+    if (id.owner != m_context.peers.self()) {
+        sendMoved(packet, id.flow, id.flow);
+    }
+    m_requests.accept(now, {id.flow, id.flow, packet.caller, true}, request);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::onOwnFlow(TimePoint now, const CallerPacket &, const ConnectionId &id, Flow &, const CancelRequest &cancel)
+{
+    m_requests.cancel(now, {id.flow, cancel.request});
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::onOwnFlow(TimePoint now, const CallerPacket &packet, const ConnectionId &id, Flow &flow, const PollFeed &poll)
+{
+    const std::optional<BalancerKey> other = m_context.peers.stopping() ? m_context.peers.chooseSuccessor() : std::nullopt;
+    if (other) {
+        // The other one sees that this balancer stops, and adopts the flow.
+        return relay(now, packet, *other, poll);
+    }
+    if (id.owner != m_context.peers.self()) {
+        sendMoved(packet, id.flow, id.flow);
+    }
+    m_feeds.poll(now, id.flow, flow, poll.acknowledged);
+}
+
+// The flow is fenced off here. Only what was settled before is still answered; the rest goes after the flow.
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::onHandedOver(TimePoint now, const CallerPacket &packet, const ConnectionId &id, BalancerKey to, const Message &message)
+{
+    const auto *request = std::get_if<Request>(&message);
+    if (request != nullptr && m_requests.resend({id.flow, request->request}, packet.caller)) {
+        return;
+    }
+    if (packet.relay == to) {
+        if (request != nullptr) {
+            m_requests.refuseUncertain({id.flow, id.flow, packet.caller, false}, *request, RefusalReason::ForgottenFlow);
+        }
+        return;
+    }
+    relay(now, packet, to, message);
+}
+
+// The owner named in the id is gone, or has forgotten the flow. A request that must not be repeated may
+// have run there, so it is not run again and never called "not run". The flow goes on under a new id.
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::onOwnerGone(TimePoint now, const CallerPacket &packet, const ConnectionId &id, const Message &message)
+{
+    const std::optional<BalancerKey> other = m_context.peers.stopping() ? m_context.peers.chooseSuccessor() : std::nullopt;
+    if (other) {
+        return relay(now, packet, *other, message);
+    }
+    const FlowId flowId = adopt(now, packet, id);
+    Flow *flow = m_context.flows.find(flowId);
+    if (const auto *request = std::get_if<Request>(&message)) {
+        const Arrival arrival{flowId, id.flow, packet.caller, false};
+        if (request->repeatable && flow != nullptr) {
+            m_requests.accept(now, arrival, *request);
+        } else {
+            m_requests.refuseUncertain(arrival, *request, RefusalReason::OwnerGone);
+        }
+    } else if (const auto *poll = std::get_if<PollFeed>(&message); poll != nullptr && flow != nullptr) {
+        m_feeds.poll(now, flowId, *flow, poll->acknowledged);
+    }
+}
+
+// Moves a flow off an owner that stops. True if the packet needs no relaying to that owner any more.
+template<SlotPolicy Policy>
+bool BalancerCore<Policy>::onOwnerStopping(TimePoint now, const CallerPacket &packet, const ConnectionId &id, const Message &message)
+{
+    const Peer *peer = m_context.peers.find(id.owner.id);
+    if (m_context.peers.stopping() || peer == nullptr || !peer->stopping || peer->incarnation != id.owner.incarnation) {
+        return false;
+    }
+    const FlowId flowId = adopt(now, packet, id);
+    const auto *poll = std::get_if<PollFeed>(&message);
+    if (Flow *flow = m_context.flows.find(flowId); poll != nullptr && flow != nullptr) {
+        m_feeds.poll(now, flowId, *flow, poll->acknowledged);
+        return true;
+    }
+    return false;
+}
+
+template<SlotPolicy Policy>
+FlowId BalancerCore<Policy>::adopt(TimePoint now, const CallerPacket &packet, const ConnectionId &id)
+{
+    const auto known = m_adopted.find(value(id.flow));
+    if (known != m_adopted.end() && m_context.flows.find(known->second.flow) != nullptr) {
+        known->second.at = now;
+        Flow *flow = m_context.flows.find(known->second.flow);
+        flow->lastActive = now;
+        flow->caller = packet.caller;
+        sendMoved(packet, id.flow, known->second.flow);
+        return known->second.flow;
+    }
+    const FlowId flow = insertFlow(now, packet, id.target);
+    m_adopted[value(id.flow)] = {flow, now};
+    ++m_context.counters.flowsAdopted;
+    sendMoved(packet, id.flow, flow);
+    m_context.observe({.kind = EventKind::FlowAdopted, .at = now, .service = packet.service, .flow = flow, .peer = id.owner.id});
+    return flow;
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::sendMoved(const CallerPacket &packet, FlowId previous, FlowId id)
+{
+    if (const Flow *flow = m_context.flows.find(id); flow != nullptr) {
+        m_context.send(packet.caller, FlowMoved{previous, id, m_context.sealFor(id, *flow)});
+    }
+}
+
+// ---- Packets of targets ----
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::handleTarget(TimePoint now, Endpoint target, const Message &message)
+{
+    dispatchTarget(now, target, nullptr, message);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::dispatchTarget(TimePoint now, Endpoint target, const RelayedPacket *relayed, const Message &message)
+{
+    if (const auto *announcement = std::get_if<Announcement>(&message)) {
+        targetChanged(now, announcement->target, m_gossip.announce(now, *announcement));
+    } else if (const auto *part = std::get_if<RunPart>(&message)) {
+        if (ownAttempt(now, target, relayed, part->attempt, *part)) {
+            m_requests.takePart(now, *part);
+        }
+    } else if (const auto *refused = std::get_if<RunRefused>(&message)) {
+        if (ownAttempt(now, target, relayed, refused->attempt, *refused)) {
+            m_requests.takeRefusal(now, *refused);
+        }
+    } else if (const auto *push = std::get_if<FeedPush>(&message)) {
+        if (ownAttempt(now, target, relayed, push->attachment, *push)) {
+            m_feeds.push(now, target, *push);
+        }
+    } else {
+        m_context.reject(now, RejectReason::UnexpectedType);
+    }
+}
+
+// Whether the attempt is of this run of this balancer; passes the packet on to its maker if not.
+template<SlotPolicy Policy>
+template<typename Typed>
+bool BalancerCore<Policy>::ownAttempt(TimePoint now, Endpoint target, const RelayedPacket *relayed, const AttemptKey &attempt, const Typed &message)
+{
+    if (attempt.owner == m_context.peers.self()) {
+        return true;
+    }
+    relayTarget(now, target, relayed, attempt.owner, message);
+    return false;
+}
+
+// A feed pushed to a run that is gone would go on for ever, so the target is told to stop.
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::relayTarget(TimePoint now, Endpoint target, const RelayedPacket *relayed, BalancerKey owner, const Message &message)
+{
+    const Peer *peer = m_context.peers.find(owner.id);
+    if (peer == nullptr || !peer->alive || peer->incarnation != owner.incarnation) {
+        if (const auto *push = std::get_if<FeedPush>(&message)) {
+            m_context.send(target, DetachFeed{push->attachment});
+        }
+        return;
+    }
+    const auto hops = static_cast<std::uint8_t>(relayed != nullptr ? relayed->hops + 1 : 1);
+    if (hops > MaxRelayHops) {
+        return m_context.reject(now, RejectReason::TooManyHops);
+    }
+    ++m_context.counters.packetsRelayed;
+    m_context.send(peer->endpoint, RelayedPacket{m_context.peers.self(), ServiceId{}, target, hops, 0, encodeMessage(message)});
+}
+
+// ---- Packets of peers ----
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::handlePeer(TimePoint now, Endpoint peer, const Message &message)
+{
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+        takeHeartbeat(now, *heartbeat);
+    } else if (const auto *relayed = std::get_if<RelayedPacket>(&message)) {
+        takeRelayed(now, *relayed);
+    } else if (const auto *offload = std::get_if<OffloadRequest>(&message)) {
+        m_requests.takeOffload(now, peer, *offload);
+    } else if (const auto *part = std::get_if<RunPart>(&message)) {
+        m_requests.takePart(now, *part);
+    } else if (const auto *refused = std::get_if<RunRefused>(&message)) {
+        m_requests.takeRefusal(now, *refused);
+    } else if (const auto *cancel = std::get_if<CancelRun>(&message)) {
+        m_requests.cancelHosted(*cancel);
+    } else if (const auto *handover = std::get_if<HandoverFlows>(&message)) {
+        takeHandover(now, peer, *handover);
+    } else if (const auto *received = std::get_if<HandoverReceived>(&message)) {
+        m_handover.received(*received);
+    } else {
+        m_context.reject(now, RejectReason::UnexpectedType);
+    }
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::relay(TimePoint now, const CallerPacket &packet, BalancerKey to, const Message &message)
+{
+    const Peer *peer = m_context.peers.find(to.id);
+    if (peer == nullptr) {
+        return;
+    }
+    if (packet.hops >= MaxRelayHops) {
+        return m_context.reject(now, RejectReason::TooManyHops);
+    }
+    ++m_context.counters.packetsRelayed;
+    RelayedPacket relayed;
+    relayed.relay = m_context.peers.self();
+    relayed.service = packet.service;
+    relayed.caller = packet.caller;
+    relayed.hops = static_cast<std::uint8_t>(packet.hops + 1);
+    relayed.freeSlots = m_requests.spareSlots(packet.service, now);
+    relayed.packet = encodeMessage(message);
+    m_context.send(peer->endpoint, std::move(relayed));
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::takeRelayed(TimePoint now, const RelayedPacket &relayed)
+{
+    m_context.peers.noteAlive(now, relayed.relay);
+    const std::optional<Message> inner = decodeMessage<Message>(relayed.packet);
+    if (!inner) {
+        return m_context.reject(now, RejectReason::Malformed);
+    }
+    if (value(relayed.service) == 0) {
+        return dispatchTarget(now, relayed.caller, &relayed, *inner);
+    }
+    m_requests.noteFreeSlots(relayed.relay.id, relayed.service, relayed.freeSlots);
+    dispatchCaller(now, {relayed.service, relayed.caller, relayed.hops, relayed.relay}, *inner);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::takeHandover(TimePoint now, Endpoint peer, const HandoverFlows &handover)
+{
+    if (handover.to != m_context.peers.self()) {
+        return;
+    }
+    HandoverReceived received{handover.to, {}};
+    for (const FlowHandover &entry : handover.flows) {
+        received.flows.push_back(entry.flow);
+        Flow flow;
+        flow.window = RequestWindow(entry.highestRequest, entry.requestWindow);
+        flow.nextSequence = entry.nextSequence;
+        flow.lastActive = now;
+        flow.caller = entry.caller;
+        flow.target = entry.target;
+        flow.service = entry.service;
+        Flow *inserted = m_context.flows.insert(entry.flow, flow);
+        if (inserted == nullptr || m_handover.destination(entry.flow)) {
+            continue; // Sent again, or handed on already.
+        }
+        ++m_context.counters.flowsReceived;
+        m_previousOwners[value(entry.flow)] = {handover.from, now};
+        m_context.send(entry.caller, FlowMoved{entry.flow, entry.flow, m_context.sealFor(entry.flow, *inserted)});
+        if (entry.hasFeed) {
+            m_feeds.resume(now, entry.flow, *inserted);
+        }
+        m_context.observe({.kind = EventKind::FlowReceived, .at = now, .service = entry.service, .flow = entry.flow, .peer = handover.from.id});
+    }
+    m_context.send(peer, received);
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::takeHeartbeat(TimePoint now, const Heartbeat &heartbeat)
+{
+    const Gossip::Reception reception = m_gossip.receive(now, heartbeat);
+    m_sawPeer = true;
+    if (reception.effect == HeartbeatEffect::Joined) {
+        m_context.observe({.kind = EventKind::PeerJoined, .at = now, .peer = heartbeat.sender.id});
+    }
+    if (reception.effect == HeartbeatEffect::Stopping) {
+        m_context.observe({.kind = EventKind::PeerStopping, .at = now, .peer = heartbeat.sender.id});
+    }
+    for (const TargetId target : reception.joined) {
+        targetChanged(now, target, AnnouncementEffect::Joined);
+    }
+    for (const TargetId target : reception.drained) {
+        targetChanged(now, target, AnnouncementEffect::Drained);
+    }
+}
+
+// ---- Change and time ----
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::targetChanged(TimePoint now, TargetId target, AnnouncementEffect effect)
+{
+    if (effect == AnnouncementEffect::Drained) {
+        m_feeds.rebindFrom(now, target);
+        m_context.observe({.kind = EventKind::TargetDraining, .at = now, .target = target});
+    } else if (effect == AnnouncementEffect::Joined) {
+        m_context.observe({.kind = EventKind::TargetJoined, .at = now, .target = target});
+    }
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::tick(TimePoint now)
+{
+    if (!m_startedKnown) {
+        m_started = now;
+        m_startedKnown = true;
+    }
+    m_now = now;
+    for (const BalancerKey &gone : m_context.peers.expire(now)) {
+        m_requests.peerGone(now, gone);
+        m_context.observe({.kind = EventKind::PeerGone, .at = now, .peer = gone.id});
+    }
+    expireTargets(now);
+    m_requests.tick(now);
+    m_gossip.tick(now);
+    m_handover.tick(now, m_requests.idle());
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + SweepInterval;
+        sweep(now);
+    }
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::expireTargets(TimePoint now)
+{
+    std::vector<TargetId> serving;
+    for (const Target &target : m_context.targets.targets()) {
+        if (target.state != TargetState::Lost) {
+            serving.push_back(target.id());
+        }
+    }
+    if (!m_context.targets.expire(now)) {
+        return;
+    }
+    for (const TargetId id : serving) {
+        const Target *target = m_context.targets.find(id);
+        if (target == nullptr || target->state != TargetState::Lost) {
+            continue;
+        }
+        m_context.observe({.kind = EventKind::TargetLost, .at = now, .target = id});
+        m_requests.targetLost(now, id);
+        m_feeds.rebindFrom(now, id);
+    }
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::sweep(TimePoint now)
+{
+    std::vector<FlowId> expired;
+    m_context.flows.forEach([&](FlowId id, Flow &flow) {
+        if (flow.attachment != 0 && now - flow.lastActive >= FeedIdleTime) {
+            m_feeds.detach(flow);
+        }
+        if (flow.busy == 0 && now - flow.lastActive >= FlowIdleTime) {
+            expired.push_back(id);
+        }
+    });
+    for (const FlowId id : expired) {
+        m_context.flows.erase(id);
+        m_context.observe({.kind = EventKind::FlowExpired, .at = now, .flow = id});
+    }
+    std::erase_if(m_adopted, [now](const auto &entry) {
+        return now - entry.second.at >= FlowIdleTime;
+    });
+    std::erase_if(m_previousOwners, [now](const auto &entry) {
+        return now - entry.second.at >= AnswerCacheTime;
+    });
+}
+
+template<SlotPolicy Policy>
+void BalancerCore<Policy>::stop(TimePoint now, Duration linger)
+{
+    m_handover.begin(now, linger);
+}
+
+template<SlotPolicy Policy>
+bool BalancerCore<Policy>::finished(TimePoint now) const
+{
+    return m_handover.finished(now);
+}
+
+template<SlotPolicy Policy>
+bool BalancerCore<Policy>::ready() const
+{
+    const bool heard = m_sawPeer || (m_startedKnown && m_now - m_started >= AloneReadyTime);
+    return heard && m_context.bundleVersion > 0 && !m_context.peers.stopping();
+}
+
+template<SlotPolicy Policy>
+std::vector<Outgoing> BalancerCore<Policy>::takeOutbox()
+{
+    return std::exchange(m_context.outbox, {});
+}
+
+template<SlotPolicy Policy>
+BalancerContext &BalancerCore<Policy>::context()
+{
+    return m_context;
+}
+
+template<SlotPolicy Policy>
+const BalancerContext &BalancerCore<Policy>::context() const
+{
+    return m_context;
+}
+
+template<SlotPolicy Policy>
+std::size_t BalancerCore<Policy>::queued(ServiceId service) const
+{
+    return m_requests.queued(service);
+}
+
+template class BalancerCore<OwnCounts>;
+template class BalancerCore<DealtTargets>;
+template class BalancerCore<DealtSlotsAlone>;
+template class BalancerCore<DealtSlots>;
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/feed_engine.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: MIT
+// Feed engine: attachment, in-order passing on, resynchronization (go-back-N) and rebinding.
+#include "feed_engine.h"
+
+#include "target_choice.h"
+
+#include <algorithm>
+
+namespace Robinrail {
+
+FeedEngine::FeedEngine(BalancerContext &context)
+    : m_context(context)
+{
+}
+
+void FeedEngine::poll(TimePoint now, FlowId id, Flow &flow, std::uint64_t acknowledged)
+{
+    if (flow.attachment == 0) {
+        flow.nextSequence = acknowledged + 1;
+        attach(now, id, flow);
+        return;
+    }
+    if (now - flow.lastPush < FeedResyncPause) {
+        return;
+    }
+    // Nothing came for a while: either the feed is quiet, or an item or the attachment was lost.
+    flow.nextSequence = std::min(flow.nextSequence, acknowledged + 1);
+    resync(now, id, flow);
+}
+
+void FeedEngine::push(TimePoint now, Endpoint target, const FeedPush &push)
+{
+    Flow *flow = m_context.flows.find(push.flow);
+    if (flow == nullptr || flow->attachment != push.attachment.serial) {
+        m_context.send(target, DetachFeed{push.attachment});
+        return;
+    }
+    if (push.sequence > flow->nextSequence && now - flow->lastPush >= FeedResyncPause) {
+        resync(now, push.flow, *flow);
+    }
+    if (push.sequence != flow->nextSequence) {
+        return;
+    }
+    ++flow->nextSequence;
+    flow->lastPush = now;
+    ++m_context.counters.feedItems;
+    m_context.send(flow->caller, FeedItem{push.flow, push.sequence, push.body});
+}
+
+void FeedEngine::resume(TimePoint now, FlowId id, Flow &flow)
+{
+    attach(now, id, flow);
+}
+
+void FeedEngine::detach(Flow &flow)
+{
+    if (flow.attachment == 0) {
+        return;
+    }
+    if (Target *target = m_context.targets.find(flow.target); target != nullptr) {
+        target->feeds -= target->feeds > 0 ? 1 : 0;
+        m_context.send(target->announcement.endpoint, DetachFeed{{m_context.peers.self(), flow.attachment}});
+    }
+    flow.attachment = 0;
+}
+
+void FeedEngine::rebindFrom(TimePoint now, TargetId target)
+{
+    m_context.flows.forEach([&](FlowId id, Flow &flow) {
+        if (flow.target != target || flow.attachment == 0) {
+            return;
+        }
+        detach(flow);
+        if (attach(now, id, flow)) {
+            ++m_context.counters.feedRebinds;
+            m_context.observe({.kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target});
+        }
+    });
+}
+
+bool FeedEngine::attach(TimePoint now, FlowId id, Flow &flow)
+{
+    const std::size_t members = m_context.peers.members().size();
+    Target *target = chooseFeedTarget(m_context.targets.targets(), flow.service, id, members, now);
+    if (target == nullptr) {
+        return false; // The next poll tries again.
+    }
+    const AttemptKey attachment = m_context.nextAttempt();
+    flow.target = target->id();
+    flow.attachment = attachment.serial;
+    ++target->feeds;
+    resync(now, id, flow);
+    m_context.observe({.kind = EventKind::FeedAttached, .at = now, .service = flow.service, .flow = id, .target = flow.target});
+    return true;
+}
+
+void FeedEngine::resync(TimePoint now, FlowId id, Flow &flow)
+{
+    const Target *target = m_context.targets.find(flow.target);
+    if (target == nullptr) {
+        return;
+    }
+    flow.lastPush = now;
+    ++m_context.counters.feedResyncs;
+    const AttachFeed attach{{m_context.peers.self(), flow.attachment}, id, flow.nextSequence};
+    m_context.send(target->announcement.endpoint, attach);
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/gossip.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: MIT
+// Gossip: building and taking heartbeats.
+#include "gossip.h"
+
+#include <algorithm>
+
+namespace Robinrail {
+
+Gossip::Gossip(BalancerContext &context)
+    : m_context(context)
+{
+}
+
+AnnouncementEffect Gossip::announce(TimePoint now, const Announcement &announcement)
+{
+    const AnnouncementEffect effect = m_context.targets.announce(now, announcement);
+    if (effect == AnnouncementEffect::Joined || effect == AnnouncementEffect::Drained) {
+        spread(now, announcement.target);
+    }
+    return effect;
+}
+
+Gossip::Reception Gossip::receive(TimePoint now, const Heartbeat &heartbeat)
+{
+    Reception reception;
+    reception.effect = m_context.peers.heartbeat(now, heartbeat);
+    for (const TargetNews &news : heartbeat.news) {
+        const AnnouncementEffect effect = m_context.targets.announce(now, news.announcement, news.age, news.knownFor);
+        if (effect == AnnouncementEffect::Drained) {
+            reception.drained.push_back(news.announcement.target);
+        } else if (effect == AnnouncementEffect::Joined) {
+            reception.joined.push_back(news.announcement.target);
+        }
+    }
+    for (const TargetRenewal &renewal : heartbeat.renewals) {
+        m_context.targets.renew(now, renewal);
+    }
+    if (reception.effect == HeartbeatEffect::Joined) {
+        if (const Peer *peer = m_context.peers.find(heartbeat.sender.id); peer != nullptr) {
+            sendAllNews(now, *peer);
+        }
+    }
+    return reception;
+}
+
+void Gossip::tick(TimePoint now)
+{
+    if (now < m_nextBeat) {
+        return;
+    }
+    m_nextBeat = now + HeartbeatInterval;
+    beat(now);
+}
+
+void Gossip::beat(TimePoint now)
+{
+    Heartbeat common = header();
+    common.counter = ++m_counter;
+    for (News &news : m_news) {
+        const Target *target = m_context.targets.find(news.target);
+        if (target != nullptr && common.news.size() < MaxNewsPerHeartbeat) {
+            common.news.push_back(newsOf(now, *target));
+        }
+        --news.repeats;
+    }
+    std::erase_if(m_news, [](const News &news) {
+        return news.repeats <= 0;
+    });
+    const std::optional<BalancerId> gossipPeer = nextGossipPeer();
+    for (const Peer &peer : m_context.peers.peers()) {
+        if (peer.id != gossipPeer) {
+            m_context.send(peer.endpoint, common);
+            continue;
+        }
+        Heartbeat longer = common;
+        longer.renewals = takeRenewals(now);
+        const std::span<const Target> targets = std::as_const(m_context.targets).targets();
+        if (!targets.empty() && longer.news.empty()) {
+            // Anti-entropy: one full announcement in turn repairs whatever news was lost.
+            longer.news.push_back(newsOf(now, targets[m_rotation++ % targets.size()]));
+        }
+        m_context.send(peer.endpoint, longer);
+    }
+}
+
+void Gossip::setSuccessor(BalancerKey successor)
+{
+    m_successor = successor;
+}
+
+Heartbeat Gossip::header() const
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = m_context.peers.self();
+    heartbeat.dataCentre = m_context.peers.dataCentre();
+    heartbeat.stopping = m_context.peers.stopping();
+    heartbeat.successor = m_successor;
+    heartbeat.bundleVersion = m_context.bundleVersion;
+    return heartbeat;
+}
+
+TargetNews Gossip::newsOf(TimePoint now, const Target &target) const
+{
+    return {target.announcement, now - target.lastHeard, now - target.firstHeard};
+}
+
+void Gossip::spread(TimePoint now, TargetId target)
+{
+    std::erase_if(m_news, [target](const News &news) {
+        return news.target == target;
+    });
+    m_news.push_back({target, NewsRepeats});
+    Heartbeat urgent = header();
+    urgent.counter = ++m_counter;
+    urgent.news.push_back(newsOf(now, *m_context.targets.find(target)));
+    for (const Peer &peer : m_context.peers.peers()) {
+        m_context.send(peer.endpoint, urgent);
+    }
+}
+
+void Gossip::sendAllNews(TimePoint now, const Peer &peer)
+{
+    const std::span<const Target> targets = std::as_const(m_context.targets).targets();
+    for (std::size_t from = 0; from < targets.size(); from += MaxNewsPerHeartbeat) {
+        Heartbeat chunk = header();
+        chunk.counter = ++m_counter;
+        for (const Target &target : targets.subspan(from, std::min(MaxNewsPerHeartbeat, targets.size() - from))) {
+            chunk.news.push_back(newsOf(now, target));
+        }
+        m_context.send(peer.endpoint, chunk);
+    }
+}
+
+std::vector<TargetRenewal> Gossip::takeRenewals(TimePoint now)
+{
+    std::vector<TargetRenewal> renewals;
+    for (const Target &target : std::as_const(m_context.targets).targets()) {
+        std::uint64_t &gossiped = m_renewed[value(target.id())];
+        if (target.announcement.sequence > gossiped && renewals.size() < MaxRenewalsPerHeartbeat) {
+            gossiped = target.announcement.sequence;
+            renewals.push_back({target.id(), target.announcement.incarnation, target.announcement.sequence, now - target.lastHeard});
+        }
+    }
+    return renewals;
+}
+
+std::optional<BalancerId> Gossip::nextGossipPeer()
+{
+    const std::span<const Peer> peers = std::as_const(m_context.peers).peers();
+    for (std::size_t step = 0; step < peers.size(); ++step) {
+        const Peer &peer = peers[m_gossipTurn++ % peers.size()];
+        if (peer.alive) {
+            return peer.id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/hash.h
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: MIT
+// Hashing: XXH3 over identifiers, and weighted rendezvous scores.
+#pragma once
+
+#include "types.h"
+
+#include <cmath>
+#include <xxhash.h>
+
+namespace Robinrail {
+
+// Mixes two numbers into one well spread number.
+inline std::uint64_t hashPair(std::uint64_t first, std::uint64_t second)
+{
+    const std::uint64_t input[2] = {first, second};
+    return XXH3_64bits(input, sizeof(input));
+}
+
+// Score of one candidate in weighted rendezvous hashing (Thaler and Ravishankar 1998; logarithmic
+// weights after Schindelhauer and Schomaker 2005). The highest score wins, and a candidate that
+// comes or goes moves only the keys that it wins or held. A weight of 0 never wins.
+inline double rendezvousScore(std::uint64_t key, std::uint64_t candidate, double weight)
+{
+    constexpr double Scale = 0x1p-53;
+    const double uniform = (static_cast<double>(hashPair(key, candidate) >> 11) + 0.5) * Scale;
+    return weight / -std::log(uniform);
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/request_engine.h
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: MIT
+// Request engine: admission, queueing, attempts, retries and outcomes of the requests of owned flows.
+//
+// At most once: a request id is taken in its flow's window before anything else is done, only the owner
+// takes it, and each attempt ends as answered, explicitly refused, or unresolved. "Not run" is said only
+// with no unresolved attempt, and never followed by another one.
+#pragma once
+
+#include "answer_assembly.h"
+#include "balancer_context.h"
+#include "fair_queue.h"
+#include "retry_budget.h"
+#include "settled_answers.h"
+#include "slot_policy.h"
+
+#include <queue>
+#include <unordered_map>
+
+namespace Robinrail {
+
+// Longest deadline that is honoured; a longer one is cut to this.
+inline constexpr Duration MaxTimeLeft = std::chrono::seconds(60);
+
+// A repeatable attempt without its whole answer after this many usual service times is retried elsewhere.
+inline constexpr int AttemptTimeoutFactor = 8;
+inline constexpr Duration MinAttemptTimeout = std::chrono::milliseconds(500);
+
+// Peers that are asked in turn to run one request before it waits for a slot of its own balancer.
+inline constexpr int MaxOffloadTries = 3;
+
+// Shortest retry-after that a refusal names, and the one when no target serves at all.
+inline constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
+inline constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
+
+// Where a request came from.
+struct Arrival {
+    FlowId flow{}; // The owned flow.
+    FlowId replyFlow{}; // The flow id that the caller used, named in the answer.
+    Endpoint caller;
+    bool onlyOwner = true; // False if the named owner is gone: another balancer may take the same request.
+};
+
+template<SlotPolicy Policy>
+class RequestEngine
+{
+public:
+    explicit RequestEngine(BalancerContext &context);
+
+    // Takes the services of a bundle. Queues and budgets of services that stay are kept.
+    void applyServices(std::span<const ServiceSettings> services);
+    bool knowsService(ServiceId service) const;
+
+    // Takes a request of an owned flow; its answer or refusal goes to the outbox now or later.
+    void accept(TimePoint now, const Arrival &arrival, const Request &request);
+
+    // Sends the final answer of a settled request again; false if it is not held.
+    bool resend(RequestKey key, Endpoint caller);
+    bool isPending(RequestKey key) const;
+
+    // Refuses a request without any state, in the one way that is true whatever became of it.
+    void refuseUncertain(const Arrival &arrival, const Request &request, RefusalReason reason);
+
+    void cancel(TimePoint now, RequestKey key);
+
+    // Answers of targets and peers to attempts of this balancer.
+    void takePart(TimePoint now, const RunPart &part);
+    void takeRefusal(TimePoint now, const RunRefused &refusal);
+
+    // A peer asks to run an attempt here, or to stop one.
+    void takeOffload(TimePoint now, Endpoint peer, const OffloadRequest &offload);
+    void cancelHosted(const CancelRun &cancel);
+
+    void noteFreeSlots(BalancerId peer, ServiceId service, std::uint16_t freeSlots);
+    void peerGone(TimePoint now, BalancerKey peer);
+    void targetLost(TimePoint now, TargetId target);
+
+    // Deals slots anew if members or targets changed, and runs what was due.
+    void tick(TimePoint now);
+
+    // Free slots that a peer may ask for: none while requests of this balancer wait.
+    std::uint16_t spareSlots(ServiceId service, TimePoint now) const;
+
+    // Whether no request waits or runs here, for itself or for a peer.
+    bool idle() const;
+    std::size_t queued(ServiceId service) const;
+
+private:
+    struct ServiceLine {
+        ServiceSettings settings;
+        FairQueue<RequestKey> queue;
+        RetryBudget budget;
+        double serviceTime = InitialServiceTime; // Moving average, microseconds.
+    };
+
+    struct Pending {
+        ServiceId service{};
+        FlowId replyFlow{};
+        Endpoint caller;
+        TimePoint deadline;
+        bool repeatable = false;
+        bool onlyOwner = true;
+        int unresolvedAttempts = 0; // Sent and not explicitly refused.
+        int offloadTries = 0;
+        std::uint64_t attempt = 0; // The running one; 0 while queued.
+        std::vector<TargetId> avoid;
+        Bytes body;
+    };
+
+    enum class AttemptKind : std::uint8_t {
+        Local,
+        Offloaded, // Runs in a slot of `executor`.
+        Hosted, // Runs here for the attempt `origin` of a peer.
+    };
+
+    struct Attempt {
+        AttemptKind kind = AttemptKind::Local;
+        RequestKey request;
+        ServiceId service{};
+        TargetId target{};
+        BalancerKey executor;
+        AttemptKey origin;
+        Endpoint originEndpoint;
+        TimePoint started;
+        AnswerAssembly assembly;
+    };
+
+    // A request deadline (serial 0) or the end of an attempt.
+    struct Timer {
+        TimePoint at;
+        std::uint64_t serial = 0;
+        RequestKey request;
+
+        auto operator<=>(const Timer &) const = default;
+    };
+
+    // Attempts of one peer run that were taken or declined; each is taken at most once.
+    struct OffloadWindow {
+        std::unordered_map<std::uint64_t, TimePoint> seen;
+        std::uint64_t floor = 0; // Serials up to here count as seen.
+    };
+
+    static constexpr double InitialServiceTime = 50'000;
+    static constexpr double ServiceTimeGain = 0.05;
+
+    ServiceLine *lineOf(ServiceId service);
+    void queueOrShed(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
+    Duration estimateWait(const ServiceLine &line) const;
+    Duration retryAfter(const ServiceLine &line) const;
+    void pump(TimePoint now, ServiceLine &line);
+    bool place(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
+    void sendAttempt(TimePoint now, RequestKey key, Pending &pending, Target &target, const ServiceLine &line);
+    bool offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
+    Peer *choosePeer(ServiceId service, std::uint64_t salt, bool mayProbe);
+    bool firstTime(TimePoint now, const AttemptKey &attempt);
+
+    void answer(TimePoint now, std::uint64_t serial, Attempt &attempt);
+    void retryOrRefuse(TimePoint now, RequestKey key, Pending &pending, RefusalReason reason);
+    void giveUp(TimePoint now, RequestKey key, RefusalReason reason, Duration retryAfter);
+    void settle(TimePoint now, RequestKey key, std::vector<Message> messages);
+    void abandonAttempt(std::uint64_t serial);
+    void releaseSlot(const Attempt &attempt);
+    void attemptLost(TimePoint now, std::uint64_t serial);
+    void attemptExpired(TimePoint now, std::uint64_t serial);
+    void runTimers(TimePoint now);
+    void renewOffloadTries();
+    void deal(TimePoint now);
+
+    BalancerContext &m_context;
+    std::vector<ServiceLine> m_lines;
+    std::unordered_map<RequestKey, Pending, RequestKeyHash> m_pending;
+    std::unordered_map<std::uint64_t, Attempt> m_attempts;
+    std::unordered_map<std::uint64_t, OffloadWindow> m_offloads; // By hash of the peer run.
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    SettledAnswers m_settled;
+    std::uint64_t m_dealtTargets = 0;
+    std::uint64_t m_dealtPeers = 0;
+    TimePoint m_warmUntil;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/target_choice.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: MIT
+// Target choice: bounded rendezvous for flows, least filled slot for attempts.
+#include "target_choice.h"
+
+#include "hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Robinrail {
+
+namespace {
+
+// A target may hold this much more than its fair part before hashing passes it over.
+constexpr double LoadBound = 1.25;
+
+bool serves(const Target &target, ServiceId service)
+{
+    return target.state == TargetState::Serving && target.announcement.service == service;
+}
+
+bool hasFreeSlot(const Target &target, ServiceId service, TimePoint now)
+{
+    return serves(target, service) && target.running < target.share && acceptsWork(target, now);
+}
+
+// Fill of a target as a fraction of the whole host, so that hosts fill evenly also with uneven shares.
+double fill(const Target &target)
+{
+    return static_cast<double>(target.running) / target.announcement.slots;
+}
+
+} // namespace
+
+Target *chooseFeedTarget(std::span<Target> targets, ServiceId service, FlowId flow, std::size_t members, TimePoint now)
+{
+    double totalWeight = 0;
+    double totalFeeds = 1;
+    for (const Target &target : targets) {
+        if (serves(target, service)) {
+            totalWeight += usableSlots(target, now);
+            totalFeeds += target.feeds;
+        }
+    }
+    Target *best = nullptr;
+    double bestScore = 0;
+    for (Target &target : targets) {
+        if (!serves(target, service)) {
+            continue;
+        }
+        const double weight = usableSlots(target, now);
+        const double bound = std::ceil(LoadBound * totalFeeds * weight / totalWeight);
+        const std::size_t connectionShare = target.announcement.connections / std::max<std::size_t>(1, members);
+        const double score = rendezvousScore(value(flow), value(target.id()), weight);
+        if (target.feeds < bound && target.feeds < connectionShare && score > bestScore) {
+            best = &target;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+Target *chooseAttemptTarget(std::span<Target> targets, ServiceId service, std::span<const TargetId> avoid, TimePoint now)
+{
+    Target *best = nullptr;
+    for (Target &target : targets) {
+        const bool avoided = std::find(avoid.begin(), avoid.end(), target.id()) != avoid.end();
+        if (avoided || !hasFreeSlot(target, service, now)) {
+            continue;
+        }
+        if (best == nullptr || std::pair(fill(target), target.lastUse) < std::pair(fill(*best), best->lastUse)) {
+            best = &target;
+        }
+    }
+    return best;
+}
+
+std::uint32_t countFreeSlots(std::span<const Target> targets, ServiceId service, TimePoint now)
+{
+    std::uint32_t free = 0;
+    for (const Target &target : targets) {
+        if (hasFreeSlot(target, service, now)) {
+            free += target.share - target.running;
+        }
+    }
+    return free;
+}
+
+std::uint32_t countShare(std::span<const Target> targets, ServiceId service)
+{
+    std::uint32_t share = 0;
+    for (const Target &target : targets) {
+        share += serves(target, service) ? target.share : 0U;
+    }
+    return share;
+}
+
+bool anyServing(std::span<const Target> targets, ServiceId service)
+{
+    return std::any_of(targets.begin(), targets.end(), [service](const Target &target) {
+        return serves(target, service);
+    });
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/target_table.cpp
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: MIT
+// Target table: leases, incarnations, drain and slow start.
+#include "target_table.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Robinrail {
+
+namespace {
+
+auto orderOf(const Announcement &announcement)
+{
+    return std::pair(announcement.incarnation, announcement.sequence);
+}
+
+auto lowerBound(auto &targets, TargetId id)
+{
+    return std::lower_bound(targets.begin(), targets.end(), id, [](const Target &target, TargetId wanted) {
+        return target.id() < wanted;
+    });
+}
+
+} // namespace
+
+AnnouncementEffect TargetTable::announce(TimePoint now, const Announcement &announcement, Duration age, Duration knownFor)
+{
+    if (age >= TargetLease || age < Duration::zero() || knownFor < Duration::zero()) {
+        return AnnouncementEffect::Stale;
+    }
+    Target *known = find(announcement.target);
+    if (known != nullptr && known->announcement.incarnation == announcement.incarnation) {
+        // A balancer that joined late learns here that the target is warm already.
+        known->firstHeard = std::min(known->firstHeard, now - knownFor);
+    }
+    if (known != nullptr && orderOf(announcement) <= orderOf(known->announcement)) {
+        return AnnouncementEffect::Stale;
+    }
+    const bool sameRun = known != nullptr && known->announcement.incarnation == announcement.incarnation;
+    Target &target = known != nullptr ? *known : insert(announcement);
+    const bool wasDraining = sameRun && target.announcement.draining;
+    const TargetState before = target.state;
+    if (!sameRun) {
+        target.firstHeard = now - knownFor;
+        target.pausedUntil = now;
+        target.refusalPause = RefusalPause;
+        target.silentAttempts = 0;
+    }
+    target.announcement = announcement;
+    target.announcement.draining = announcement.draining || wasDraining;
+    target.lastHeard = std::max(target.lastHeard, now - age);
+    target.state = target.announcement.draining ? TargetState::Draining : TargetState::Serving;
+    if (target.state == TargetState::Draining) {
+        const bool news = !wasDraining || before == TargetState::Lost;
+        m_version += news ? 1 : 0;
+        return news ? AnnouncementEffect::Drained : AnnouncementEffect::Renewed;
+    }
+    const bool joined = !sameRun || before != TargetState::Serving;
+    m_version += joined ? 1 : 0;
+    return joined ? AnnouncementEffect::Joined : AnnouncementEffect::Renewed;
+}
+
+bool TargetTable::renew(TimePoint now, const TargetRenewal &renewal)
+{
+    Target *target = find(renewal.target);
+    if (target == nullptr || target->announcement.incarnation != renewal.incarnation || renewal.age < Duration::zero()) {
+        return false;
+    }
+    if (renewal.sequence <= target->announcement.sequence || renewal.age >= TargetLease) {
+        return true;
+    }
+    if (target->state == TargetState::Lost) {
+        return false;
+    }
+    target->announcement.sequence = renewal.sequence;
+    target->lastHeard = std::max(target->lastHeard, now - renewal.age);
+    return true;
+}
+
+bool TargetTable::expire(TimePoint now)
+{
+    bool changed = false;
+    for (Target &target : m_targets) {
+        if (target.state != TargetState::Lost && now - target.lastHeard >= TargetLease) {
+            target.state = TargetState::Lost;
+            changed = true;
+        }
+    }
+    std::erase_if(m_targets, [now](const Target &target) {
+        return target.state == TargetState::Lost && target.running == 0 && target.feeds == 0 && now - target.lastHeard >= TombstoneTime;
+    });
+    m_version += changed ? 1 : 0;
+    return changed;
+}
+
+Target *TargetTable::find(TargetId id)
+{
+    const auto at = lowerBound(m_targets, id);
+    return at != m_targets.end() && at->id() == id ? &*at : nullptr;
+}
+
+const Target *TargetTable::find(TargetId id) const
+{
+    const auto at = lowerBound(m_targets, id);
+    return at != m_targets.end() && at->id() == id ? &*at : nullptr;
+}
+
+std::span<Target> TargetTable::targets()
+{
+    return m_targets;
+}
+
+std::span<const Target> TargetTable::targets() const
+{
+    return m_targets;
+}
+
+std::uint64_t TargetTable::version() const
+{
+    return m_version;
+}
+
+Target &TargetTable::insert(const Announcement &announcement)
+{
+    Target fresh;
+    fresh.announcement = announcement;
+    return *m_targets.insert(lowerBound(m_targets, announcement.target), fresh);
+}
+
+std::uint16_t usableSlots(const Target &target, TimePoint now)
+{
+    if (target.state != TargetState::Serving || target.announcement.slots == 0) {
+        return 0;
+    }
+    const Duration age = now - target.firstHeard;
+    if (age >= SlowStartTime) {
+        return target.announcement.slots;
+    }
+    const auto grown = static_cast<std::uint16_t>(target.announcement.slots * age / SlowStartTime);
+    return std::max<std::uint16_t>(1, grown);
+}
+
+bool acceptsWork(const Target &target, TimePoint now)
+{
+    const bool probing = target.silentAttempts >= SilentAttemptLimit && target.running > 0;
+    return target.state == TargetState::Serving && now >= target.pausedUntil && !probing;
+}
+
+void noteRefusal(Target &target, TimePoint now)
+{
+    target.pausedUntil = now + target.refusalPause;
+    target.refusalPause = std::min(target.refusalPause * 2, MaxRefusalPause);
+}
+
+void noteAnswer(Target &target)
+{
+    target.silentAttempts = 0;
+    target.refusalPause = RefusalPause;
+}
+
+void noteSilence(Target &target)
+{
+    ++target.silentAttempts;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: MIT
+// Small value types shared by every module: identifiers, time, addresses, bytes.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <type_traits>
+#include <vector>
+
+namespace Robinrail {
+
+// A service of the bundle, as numbered by its operators.
+enum class ServiceId : std::uint16_t {};
+
+// A target, numbered by itself; unique within the whole deployment.
+enum class TargetId : std::uint32_t {};
+
+// A balancer or control replica, numbered in its settings.
+enum class BalancerId : std::uint16_t {};
+enum class ReplicaId : std::uint16_t {};
+
+// One run of a process: a restart always takes a larger number.
+enum class Incarnation : std::uint64_t {};
+
+// A flow, numbered by the balancer that opened it.
+enum class FlowId : std::uint64_t {};
+
+// A request within its flow, numbered upward by the caller from 1.
+enum class RequestId : std::uint32_t {};
+
+// A data centre, numbered in the order in which the bundle declares them.
+enum class DataCentreId : std::uint8_t {};
+
+// The plain number inside an identifier, for hashing, printing and arithmetic.
+template<typename Id>
+constexpr auto value(Id id)
+{
+    return static_cast<std::underlying_type_t<Id>>(id);
+}
+
+// Time is always passed in; daemons take it from the monotonic clock, tests and
+// benchmarks from a virtual one. Microseconds are the unit throughout.
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using Bytes = std::vector<std::uint8_t>;
+using BytesView = std::span<const std::uint8_t>;
+
+// An IPv4 address and UDP or TCP port, both in host byte order.
+struct Endpoint {
+    std::uint32_t address = 0;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+// One run of one balancer; the unit of ownership and of fencing.
+struct BalancerKey {
+    BalancerId id{};
+    Incarnation incarnation{};
+
+    auto operator<=>(const BalancerKey &) const = default;
+};
+
+} // namespace Robinrail
