--- /dev/null
+++ b/src/balancer_daemon.h
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: MIT
+// Balancer daemon: sockets, files and timers around a balancer core.
+#pragma once
+
+#include "balancer_core.h"
+#include "datagram_guard.h"
+#include "http.h"
+#include "metrics.h"
+#include "rollout.h"
+#include "secure_links.h"
+#include "settings.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <deque>
+#include <memory>
+#include <set>
+
+namespace Robinrail {
+
+// Events that are kept for watchers.
+inline constexpr std::size_t MaxKeptEvents = 20'000;
+
+// Datagrams that are read from one socket before other work has its turn.
+inline constexpr int MaxReadsPerTurn = 256;
+
+// What a balancer keeps in its data folder.
+struct BalancerMemory {
+    Incarnation incarnation{};
+    std::uint64_t bundleVersion = 0;
+    std::string bundle;
+
+    auto fields()
+    {
+        return std::tie(incarnation, bundleVersion, bundle);
+    }
+};
+
+class BalancerDaemon
+{
+public:
+    // `memory` is what was kept from the run before, with this run's incarnation.
+    BalancerDaemon(boost::asio::io_context &io, std::filesystem::path settingsPath, BalancerFile file, BalancerMemory memory, bool testFaults);
+
+    // Binds and begins; false if an address can't be bound.
+    bool start();
+
+private:
+    // One UDP socket and what arrives on it.
+    struct Port {
+        enum class Kind : std::uint8_t {
+            Callers,
+            Targets,
+            Peers,
+        };
+        boost::asio::ip::udp::socket socket;
+        Kind kind = Kind::Callers;
+        std::string service; // For callers.
+    };
+
+    bool bind(Endpoint endpoint, Port::Kind kind, std::string service);
+    void receive(Port &port);
+    void take(Port &port, Endpoint from, BytesView bytes);
+    void takePeer(TimePoint now, Endpoint from, BytesView bytes);
+    void flush();
+    void sendDatagram(boost::asio::ip::udp::socket &socket, Endpoint to, BytesView bytes);
+    void tick();
+    void stop();
+    void reloadKeys();
+    void awaitSignal();
+
+    void onEstablished(LinkHandle link, const Hello &peer);
+    void onMessage(LinkHandle link, const LinkMessage &message);
+    void takeOffer(LinkHandle link, const BundleOffer &offer);
+    void applyBundle();
+    bool keep();
+    void subscribe(LinkHandle link);
+
+    void observe(const Event &event);
+    void handleHttp(const HttpRequest &request, const HttpRespond &respond);
+    HttpReply read(const HttpRequest &request);
+    HttpReply drain(const HttpRequest &request);
+    HttpReply explainFlow(std::string_view id);
+    HttpReply events(const HttpRequest &request) const;
+    HttpReply status();
+    HttpReply metrics();
+    HttpReply setTestFaults(const HttpRequest &request);
+
+    boost::asio::io_context &m_io;
+    std::filesystem::path m_settingsPath;
+    BalancerFile m_file;
+    BalancerMemory m_memory;
+    bool m_testFaults;
+    BalancerCore<DealtSlots> m_core;
+    DatagramGuard m_guard;
+    RolloutAgent m_rollout;
+    SecureLinks m_links;
+    HttpServer m_http;
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    std::vector<std::unique_ptr<Port>> m_ports;
+    Port *m_targetPort = nullptr;
+    Port *m_peerPort = nullptr;
+    Port *m_callerPort = nullptr;
+    std::map<std::string, ServiceId> m_serviceIds;
+    std::map<Endpoint, BalancerId> m_peerEndpoints;
+    std::set<BalancerId> m_droppedPeers; // For tests of failures.
+    std::deque<Event> m_events;
+    std::uint64_t m_lastEvent = 0;
+    LatencyHistogram m_latency;
+    std::uint64_t m_controlBytes = 0;
+    std::uint64_t m_relayBytes = 0;
+};
+
+// Reads what the run before kept and takes a higher incarnation, synced before it is used.
+boost::leaf::result<BalancerMemory> openBalancerMemory(const std::filesystem::path &folder);
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/control_command.cpp
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+// Control commands: signing and names.
+#include "control_command.h"
+
+namespace Robinrail {
+
+namespace {
+
+// Keeps a signature for one purpose from being used for another.
+constexpr std::string_view Domain = "robinrail-change-v1";
+
+} // namespace
+
+Bytes signedBytes(const SignedChange &change)
+{
+    Bytes bytes(Domain.begin(), Domain.end());
+    bytes.insert(bytes.end(), change.change.begin(), change.change.end());
+    bytes.push_back(static_cast<std::uint8_t>(change.operatorName.size()));
+    bytes.insert(bytes.end(), change.operatorName.begin(), change.operatorName.end());
+    bytes.insert(bytes.end(), change.content.begin(), change.content.end());
+    return bytes;
+}
+
+SignedChange makeChange(const ChangeId &id, std::string operatorName, const ControlChange &content, const SecretKey &key)
+{
+    SignedChange change;
+    change.change = id;
+    change.operatorName = std::move(operatorName);
+    change.content = encodeMessage(content);
+    change.signature = sign(signedBytes(change), key);
+    return change;
+}
+
+std::string_view nameOf(ChangeRefusal refusal)
+{
+    switch (refusal) {
+    case ChangeRefusal::None:
+        return "none";
+    case ChangeRefusal::UnknownOperator:
+        return "unknown-operator";
+    case ChangeRefusal::RevokedOperator:
+        return "revoked-operator";
+    case ChangeRefusal::BadSignature:
+        return "bad-signature";
+    case ChangeRefusal::NotPermitted:
+        return "not-permitted";
+    case ChangeRefusal::Malformed:
+        return "malformed";
+    case ChangeRefusal::InvalidBundle:
+        return "invalid-bundle";
+    case ChangeRefusal::VersionConflict:
+        return "version-conflict";
+    case ChangeRefusal::UnknownProposal:
+        return "unknown-proposal";
+    case ChangeRefusal::AlreadyApproved:
+        return "already-approved";
+    case ChangeRefusal::NoSuchRollout:
+        return "no-such-rollout";
+    case ChangeRefusal::LastAdministrator:
+        return "last-administrator";
+    }
+    return "unknown";
+}
+
+std::string_view kindOf(const ControlChange &change)
+{
+    static constexpr std::string_view Names[] = {"propose-bundle", "approve-bundle", "steer-rollout", "set-operator"};
+    return Names[change.index()];
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/control_daemon.cpp
@@ -0,0 +1,478 @@
+// SPDX-License-Identifier: MIT
+// Control daemon: implementation.
+#include "control_daemon.h"
+
+#include "api_json.h"
+#include "metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr unsigned HttpBadRequest = 400;
+constexpr unsigned HttpUnauthorized = 401;
+constexpr unsigned HttpNotFound = 404;
+constexpr unsigned HttpConflict = 409;
+constexpr unsigned HttpUnavailable = 503;
+
+std::int64_t wallClockSeconds()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+TimePoint monotonicNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+ControlDaemon::ControlDaemon(boost::asio::io_context &io, ControlFile file, RaftStorage storage, bool testFaults)
+    : m_io(io)
+    , m_file(std::move(file))
+    , m_storage(std::move(storage))
+    , m_testFaults(testFaults)
+    , m_core({m_file.replica, m_storage.identity().disk}, m_storage.takeDurable(), monotonicNow(), std::random_device()())
+    , m_links(io,
+              m_file.clusterKey,
+              PeerRole::Control,
+              value(m_file.replica),
+              {[](LinkHandle, const Hello &) {},
+               [this](LinkHandle link, const Hello &peer, const LinkMessage &message) {
+                   onMessage(link, peer, message);
+               },
+               [this](LinkHandle link, const Hello &peer) {
+                   m_offered.erase(link);
+                   if (peer.role == PeerRole::Balancer) {
+                       m_tracker.disconnect(BalancerId{peer.id});
+                   }
+               }})
+    , m_http(io,
+             [this](const HttpRequest &request, const HttpRespond &respond) {
+                 handleHttp(request, respond);
+             })
+    , m_timer(io)
+    , m_signals(io, SIGINT, SIGTERM)
+{
+}
+
+bool ControlDaemon::start()
+{
+    if (!m_links.listen(m_file.listen) || !m_http.listen(m_file.adminListen)) {
+        return false;
+    }
+    for (const ReplicaAddress &replica : m_file.replicas) {
+        if (replica.id != m_file.replica) {
+            m_links.maintain(replica.endpoint);
+        }
+    }
+    m_signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            LogLine(LogLevel::Info, "stopping");
+            m_io.stop();
+        }
+    });
+    LogLine(LogLevel::Info, "started").with("replica", value(m_file.replica)).with("links", toText(m_file.listen)).with("admin", toText(m_file.adminListen));
+    tick();
+    return true;
+}
+
+// ---- The driver's loop: tick, persist, send, apply ----
+
+void ControlDaemon::tick()
+{
+    const TimePoint now = monotonicNow();
+    m_core.tick(now);
+    join(now);
+    beat(now);
+    flush();
+    m_timer.expires_after(ControlTick);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+// Everything that arrives in one turn of the event loop shares one sync.
+void ControlDaemon::scheduleFlush()
+{
+    if (m_flushScheduled) {
+        return;
+    }
+    m_flushScheduled = true;
+    boost::asio::post(m_io, [this] {
+        m_flushScheduled = false;
+        flush();
+    });
+}
+
+void ControlDaemon::flush()
+{
+    const RaftOutput output = m_core.takeOutput();
+    if (output.mustSync() && !persist(output)) {
+        // A replica whose disk fails must not acknowledge anything any more.
+        m_io.stop();
+        return;
+    }
+    for (const RaftSend &send : output.sends) {
+        sendRaft(send);
+    }
+    m_core.apply(output);
+    if (m_core.compactIfDue()) {
+        RaftOutput compacted;
+        compacted.snapshot = m_core.raft().snapshot();
+        compacted.hard = m_core.raft().hardState();
+        compacted.entries.assign(m_core.raft().log().begin(), m_core.raft().log().end());
+        if (!persist(compacted)) {
+            m_io.stop();
+            return;
+        }
+    }
+    for (const ControlReply &answer : m_core.takeReplies()) {
+        reply(answer);
+    }
+    offerVersions();
+}
+
+bool ControlDaemon::persist(const RaftOutput &output)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(m_storage.persist(output));
+            return true;
+        },
+        [](const StorageContext &context) {
+            LogLine(LogLevel::Error, "storage-failed").with("file", context.file).with("detail", context.detail);
+            return false;
+        },
+        [] {
+            LogLine(LogLevel::Error, "storage-failed");
+            return false;
+        });
+}
+
+void ControlDaemon::sendRaft(const RaftSend &send)
+{
+    const RaftEnvelope envelope{m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
+    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, value(send.to.id), true)) {
+        m_links.send(link, envelope);
+    }
+}
+
+void ControlDaemon::join(TimePoint now)
+{
+    if (m_core.raft().role() != RaftRole::Joining || now < m_nextJoin) {
+        return;
+    }
+    m_nextJoin = now + JoinInterval;
+    for (const ReplicaAddress &replica : m_file.replicas) {
+        if (replica.id != m_file.replica) {
+            sendRaft({{replica.id, 0}, JoinRequest{m_core.raft().self()}});
+        }
+    }
+}
+
+void ControlDaemon::onMessage(LinkHandle link, const Hello &peer, const LinkMessage &message)
+{
+    const TimePoint now = monotonicNow();
+    if (const auto *envelope = std::get_if<RaftEnvelope>(&message); envelope != nullptr && peer.role == PeerRole::Control) {
+        if (value(envelope->from.id) == peer.id) {
+            onRaft(*envelope);
+        }
+        return;
+    }
+    if (peer.role != PeerRole::Balancer) {
+        return;
+    }
+    if (const auto *subscribe = std::get_if<Subscribe>(&message); subscribe != nullptr && value(subscribe->balancer.id) == peer.id) {
+        m_tracker.subscribe(now, *subscribe);
+        m_offered.erase(link);
+        offerTo(link, subscribe->balancer.id);
+    } else if (const auto *report = std::get_if<VersionReport>(&message); report != nullptr && value(report->balancer.id) == peer.id) {
+        m_tracker.report(now, *report);
+    }
+}
+
+void ControlDaemon::onRaft(const RaftEnvelope &envelope)
+{
+    const std::optional<RaftMessage> message = decodeMessage<RaftMessage>(envelope.message);
+    if (!message) {
+        return;
+    }
+    const bool joins = std::holds_alternative<JoinRequest>(*message);
+    if (!joins && envelope.to != m_core.raft().self()) {
+        return;
+    }
+    const std::uint64_t cluster = m_storage.identity().cluster;
+    if (!joins && cluster != 0 && envelope.cluster != cluster) {
+        LogLine(LogLevel::Warning, "foreign-cluster").with("replica", value(envelope.from.id));
+        return;
+    }
+    if (!joins && cluster == 0 && envelope.cluster != 0) {
+        const bool joined = leaf::try_handle_all(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(m_storage.setCluster(envelope.cluster));
+                return true;
+            },
+            [] {
+                return false;
+            });
+        if (!joined) {
+            m_io.stop();
+            return;
+        }
+        LogLine(LogLevel::Info, "joined-cluster").with("cluster", envelope.cluster);
+    }
+    m_core.handle(monotonicNow(), envelope.from, *message);
+    scheduleFlush();
+}
+
+// ---- Balancers ----
+
+void ControlDaemon::offerVersions()
+{
+    const std::uint64_t applied = value(m_core.raft().commitIndex());
+    if (applied == m_seenVersion) {
+        return;
+    }
+    m_seenVersion = applied;
+    for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
+        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
+            offerTo(link, subscriber.balancer.id);
+        }
+    }
+}
+
+void ControlDaemon::offerTo(LinkHandle link, BalancerId balancer)
+{
+    const BundleVersion *version = m_core.state().versionFor(balancer);
+    if (version == nullptr || m_offered[link] >= version->version) {
+        return;
+    }
+    std::uint64_t has = m_offered[link];
+    for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
+        has = subscriber.balancer.id == balancer ? std::max(has, subscriber.version) : has;
+    }
+    m_offered[link] = version->version;
+    m_links.send(link, makeOffer(m_core.state().find(has), *version, m_core.state().operators()));
+}
+
+void ControlDaemon::beat(TimePoint now)
+{
+    if (now < m_nextBeat) {
+        return;
+    }
+    m_nextBeat = now + ControlBeatInterval;
+    for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
+        const BundleVersion *version = m_core.state().versionFor(subscriber.balancer.id);
+        const ControlBeat message{version != nullptr ? version->version : 0, m_core.raft().inContact(now)};
+        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
+            m_links.send(link, message);
+        }
+    }
+}
+
+// ---- Administration API ----
+
+void ControlDaemon::handleHttp(const HttpRequest &request, const HttpRespond &respond)
+{
+    if (request.path == "/healthz") {
+        return respond(jsonReply({{"status", "ok"}}));
+    }
+    if (request.path == "/readyz") {
+        const bool ready = m_core.raft().inContact(monotonicNow());
+        return respond(jsonReply({{"ready", ready}}, ready ? 200 : HttpUnavailable));
+    }
+    if (request.path == "/metrics") {
+        return respond(metrics());
+    }
+    if (request.token != m_file.adminToken) {
+        return respond(errorReply(HttpUnauthorized, "unauthorized", "send the admin token as a bearer token"));
+    }
+    if (request.path == "/v1/status") {
+        return respond(status());
+    }
+    if (request.path == "/v1/changes" && request.method == "POST") {
+        return submitChange(request, respond);
+    }
+    if (request.path == "/v1/test/drop" && request.method == "POST" && m_testFaults) {
+        return respond(setTestFaults(request));
+    }
+    if (request.method == "GET") {
+        return handleRead(request, respond);
+    }
+    respond(errorReply(HttpNotFound, "not-found", request.path));
+}
+
+void ControlDaemon::submitChange(const HttpRequest &request, const HttpRespond &respond)
+{
+    std::optional<SignedChange> change = signedChangeFromApi(request.body);
+    if (!change) {
+        return respond(errorReply(HttpBadRequest, "malformed-change", "see docs/API.md"));
+    }
+    change->receivedAt = wallClockSeconds();
+    m_open[++m_lastTicket] = {respond, {}};
+    m_core.submit(monotonicNow(), m_lastTicket, *change);
+    scheduleFlush();
+}
+
+// Reads are linearizable: they are answered only once a quorum confirmed that this replica still leads.
+void ControlDaemon::handleRead(const HttpRequest &request, const HttpRespond &respond)
+{
+    if (queryValue(request.query, "stale") == "true") {
+        return respond(readState(request));
+    }
+    m_open[++m_lastTicket] = {respond, [this, request] {
+                                  return readState(request);
+                              }};
+    m_core.read(monotonicNow(), m_lastTicket);
+    scheduleFlush();
+}
+
+void ControlDaemon::reply(const ControlReply &answer)
+{
+    const auto at = m_open.find(answer.ticket);
+    if (at == m_open.end()) {
+        return;
+    }
+    const OpenRequest open = std::move(at->second);
+    m_open.erase(at);
+    switch (answer.status) {
+    case ControlStatus::NotLeader:
+        return open.respond(notLeader());
+    case ControlStatus::Unknown:
+        return open.respond(errorReply(HttpUnavailable, "outcome-unknown", "send the same change again"));
+    case ControlStatus::Done:
+        break;
+    }
+    if (open.answer) {
+        return open.respond(open.answer());
+    }
+    const bool refused = answer.result.refusal != ChangeRefusal::None;
+    open.respond(jsonReply(toApi(answer.result), refused ? HttpConflict : 200));
+}
+
+HttpReply ControlDaemon::notLeader() const
+{
+    Json body = {{"error", "not-leader"}, {"detail", "ask the leader"}};
+    for (const ReplicaAddress &replica : m_file.replicas) {
+        if (replica.id == m_core.raft().leader().id) {
+            body["leader"] = toText(replica.admin);
+        }
+    }
+    return jsonReply(body, HttpUnavailable);
+}
+
+HttpReply ControlDaemon::readState(const HttpRequest &request) const
+{
+    const ControlState &state = m_core.state();
+    Json body = Json::array();
+    if (request.path == "/v1/bundle") {
+        const std::string wanted = queryValue(request.query, "version");
+        const std::uint64_t number = wanted.empty() ? state.latestVersion() : std::strtoull(wanted.c_str(), nullptr, 10);
+        const BundleVersion *version = state.find(number);
+        return version != nullptr ? jsonReply(toApi(*version, true)) : errorReply(HttpNotFound, "no-such-version");
+    }
+    if (request.path == "/v1/history") {
+        for (const BundleVersion &version : state.history()) {
+            body.push_back(toApi(version, false));
+        }
+        return jsonReply(body);
+    }
+    if (request.path == "/v1/audit") {
+        const std::uint64_t after = std::strtoull(queryValue(request.query, "after").c_str(), nullptr, 10);
+        for (const AuditRecord &record : state.audit()) {
+            if (record.number > after) {
+                body.push_back(toApi(record));
+            }
+        }
+        return jsonReply(body);
+    }
+    if (request.path == "/v1/operators") {
+        for (const OperatorRecord &record : state.operators()) {
+            body.push_back(toApi(record));
+        }
+        return jsonReply(body);
+    }
+    if (request.path == "/v1/proposals") {
+        for (const Proposal &proposal : state.proposals()) {
+            body.push_back(toApi(proposal));
+        }
+        return jsonReply(body);
+    }
+    if (request.path == "/v1/rollout") {
+        if (state.history().empty()) {
+            return errorReply(HttpNotFound, "no-such-version");
+        }
+        const BundleVersion &newest = state.history().back();
+        const RolloutTracker::Progress progress = m_tracker.progress(newest);
+        return jsonReply(
+            {{"version", newest.version}, {"stage", nameOf(newest.stage)}, {"inForce", progress.inForce}, {"expected", progress.expected}});
+    }
+    return errorReply(HttpNotFound, "not-found", request.path);
+}
+
+HttpReply ControlDaemon::status() const
+{
+    const RaftCore &raft = m_core.raft();
+    Json members = Json::array();
+    for (const ReplicaMember &member : raft.config().members) {
+        members.push_back({{"replica", value(member.key.id)}, {"disk", member.key.disk}, {"voter", member.voter}});
+    }
+    Json balancers = Json::array();
+    for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
+        balancers.push_back({{"balancer", value(subscriber.balancer.id)},
+                             {"incarnation", value(subscriber.balancer.incarnation)},
+                             {"version", subscriber.version},
+                             {"connected", subscriber.connected}});
+    }
+    return jsonReply({{"replica", value(m_file.replica)},
+                      {"disk", raft.self().disk},
+                      {"role", nameOf(raft.role())},
+                      {"leader", value(raft.leader().id)},
+                      {"term", value(raft.term())},
+                      {"commitIndex", value(raft.commitIndex())},
+                      {"lastIndex", value(raft.lastIndex())},
+                      {"inContact", raft.inContact(monotonicNow())},
+                      {"version", m_core.state().latestVersion()},
+                      {"members", members},
+                      {"balancers", balancers}});
+}
+
+HttpReply ControlDaemon::metrics() const
+{
+    const RaftCore &raft = m_core.raft();
+    MetricsText text;
+    text.gauge("robinrail_control_term", "Consensus term.", static_cast<double>(value(raft.term())));
+    text.gauge("robinrail_control_leader", "1 on the leader.", raft.role() == RaftRole::Leader ? 1 : 0);
+    text.gauge("robinrail_control_in_contact", "1 while in contact with a quorum.", raft.inContact(monotonicNow()) ? 1 : 0);
+    text.gauge("robinrail_control_commit_index", "Committed log index.", static_cast<double>(value(raft.commitIndex())));
+    text.gauge("robinrail_control_bundle_version", "Newest accepted bundle version.", static_cast<double>(m_core.state().latestVersion()));
+    text.counter("robinrail_control_link_bytes_sent_total", "Bytes sent on links.", static_cast<double>(m_links.bytesSent()));
+    text.counter("robinrail_control_links_rejected_total", "Links closed for a failed proof.", static_cast<double>(m_links.rejected()));
+    return {200, "text/plain; version=0.0.4", text.text()};
+}
+
+HttpReply ControlDaemon::setTestFaults(const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body, nullptr, false);
+    if (!body.is_object()) {
+        return errorReply(HttpBadRequest, "malformed");
+    }
+    m_links.dropTraffic(PeerRole::Control, body.value("replicas", std::set<std::uint16_t>()));
+    m_links.dropTraffic(PeerRole::Balancer, body.value("balancers", std::set<std::uint16_t>()));
+    return jsonReply({{"status", "ok"}});
+}
+
+} // namespace Robinrail
--- a/src/event.h
+++ b/src/event.h
@@ -41,6 +41,7 @@
     RequestId request{};
     TargetId target{};
     BalancerId peer{};
+    Duration took{}; // From the attempt to its whole answer, for RequestAnswered.
     std::uint8_t detail = 0; // An Outcome for RequestRefused, a RejectReason for PacketRejected.
 };
 
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: MIT
+// HTTP: the small server behind the administration API, and the client that the operator's tool uses.
+#pragma once
+
+#include "types.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Robinrail {
+
+// Largest request body, bytes, and how long a connection may take for one request.
+inline constexpr std::size_t MaxHttpBody = std::size_t{2} << 20U;
+inline constexpr std::chrono::seconds HttpTimeout{10};
+
+// Most open connections; one more is closed at once.
+inline constexpr std::size_t MaxHttpConnections = 128;
+
+struct HttpRequest {
+    std::string method;
+    std::string path; // Without the query.
+    std::string query;
+    std::string token; // Of "Authorization: Bearer".
+    std::string body;
+};
+
+struct HttpReply {
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+using HttpRespond = std::function<void(HttpReply)>;
+using HttpHandler = std::function<void(const HttpRequest &, HttpRespond)>;
+
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &io, HttpHandler handler);
+
+    // Binds an address; false if it can't be bound.
+    bool listen(Endpoint endpoint);
+
+private:
+    void accept();
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    HttpHandler m_handler;
+    std::shared_ptr<std::size_t> m_open;
+};
+
+// Sends one request and waits for the answer; empty if the server can't be reached in time.
+std::optional<HttpReply> httpCall(Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout);
+
+// The value of a key in a query; empty without it.
+std::string queryValue(std::string_view query, std::string_view key);
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+// Log: easylogging++ set-up and quoting.
+#include "log.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace Robinrail {
+
+namespace {
+
+LogLevel lowestLevel = LogLevel::Info; // NOLINT(readability-identifier-naming): set once at the start
+
+// Values with white space, quotes or equals signs are quoted, so that a line can always be split again.
+std::string quoted(const std::string &text)
+{
+    if (!text.empty() && text.find_first_of(" \t\n\r\"=") == std::string::npos) {
+        return text;
+    }
+    std::string result = "\"";
+    for (const char character : text) {
+        if (character == '"' || character == '\\') {
+            result += '\\';
+        }
+        result += character == '\n' || character == '\r' ? ' ' : character;
+    }
+    return result + "\"";
+}
+
+} // namespace
+
+void configureLog(const LogSettings &settings)
+{
+    lowestLevel = settings.level;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::ToFile, settings.file.empty() ? "false" : "true");
+    if (settings.file.empty()) {
+        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    } else {
+        configuration.setGlobally(el::ConfigurationType::Filename, settings.file);
+    }
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+LogLine::LogLine(LogLevel level, std::string_view event)
+    : m_level(level)
+    , m_line("event=" + quoted(std::string(event)))
+{
+}
+
+LogLine::~LogLine()
+{
+    if (m_level < lowestLevel) {
+        return;
+    }
+    switch (m_level) {
+    case LogLevel::Debug:
+        LOG(DEBUG) << m_line;
+        break;
+    case LogLevel::Info:
+        LOG(INFO) << m_line;
+        break;
+    case LogLevel::Warning:
+        LOG(WARNING) << m_line;
+        break;
+    case LogLevel::Error:
+        LOG(ERROR) << m_line;
+        break;
+    }
+}
+
+void LogLine::add(std::string_view key, const std::string &text)
+{
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    m_line += quoted(text);
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/main_balancer.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+// robinrail-balancer: the daemon of one entry VM.
+#include "balancer_daemon.h"
+#include "durable_file.h"
+#include "version.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <docopt/docopt.h>
+#include <sodium.h>
+
+#include <iostream>
+
+namespace leaf = boost::leaf;
+using namespace Robinrail;
+
+namespace {
+
+constexpr const char *Usage = R"(robinrail-balancer: routes the flows of callers to targets.
+
+Usage:
+  robinrail-balancer --settings=FILE [--check] [--test-faults]
+  robinrail-balancer (-h | --help)
+  robinrail-balancer --version
+
+Options:
+  --settings=FILE  Settings, JSON (schemas/balancer.schema.json).
+  --check          Check the settings, bind nothing, and end.
+  --test-faults    Let the administration API drop traffic by peer, for tests.
+  -h --help        Show this text.
+  --version        Show the version.
+
+SIGTERM begins a planned stop; SIGHUP reads the connection id keys again.
+
+Exit codes: 0 stopped as planned, 1 failed while running, 2 settings are wrong.
+)";
+
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+leaf::result<int> run(const std::string &path, bool checkOnly, bool testFaults)
+{
+    BOOST_LEAF_AUTO(file, loadBalancerFile(path));
+    if (checkOnly) {
+        std::cout << path << ": ok\n";
+        return 0;
+    }
+    configureLog(file.log);
+    BOOST_LEAF_AUTO(memory, openBalancerMemory(file.dataFolder));
+    boost::asio::io_context io;
+    BalancerDaemon daemon(io, path, std::move(file), std::move(memory), testFaults);
+    if (!daemon.start()) {
+        return ExitFailed;
+    }
+    io.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, VersionText);
+    if (sodium_init() < 0) {
+        return ExitFailed;
+    }
+    return leaf::try_handle_all(
+        [&] {
+            return run(arguments.at("--settings").asString(), arguments.at("--check").asBool(), arguments.at("--test-faults").asBool());
+        },
+        [](const SettingsFault &fault) {
+            std::cerr << fault.text() << '\n';
+            return ExitBadSettings;
+        },
+        [](const FileErrorContext &context) {
+            std::cerr << context.path << ": " << std::strerror(context.errorNumber) << '\n';
+            return ExitFailed;
+        },
+        [] {
+            std::cerr << "failed\n";
+            return ExitFailed;
+        });
+}
--- /dev/null
+++ b/src/raft_storage.cpp
@@ -0,0 +1,353 @@
+// SPDX-License-Identifier: MIT
+// Raft storage: record format, recovery and replacement of files.
+#include "raft_storage.h"
+
+#include "codec.h"
+#include "durable_file.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <cstring>
+#include <fcntl.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+// A record: magic, length of the payload, checksum over length and payload, payload.
+constexpr std::uint32_t RecordMagic = 0x52524c31;
+constexpr std::size_t RecordHeader = 16;
+constexpr std::uint32_t MaxRecord = std::uint32_t{64} << 20U;
+
+constexpr const char *IdentityFile = "identity";
+constexpr const char *LogFile = "log";
+constexpr const char *SnapshotFile = "snapshot";
+
+// The log holds hard states and entries; an entry cuts whatever had its index or a higher one.
+using LogRecord = std::variant<HardState, LogEntry>;
+
+template<typename Integer>
+void storeInteger(Bytes &bytes, Integer number)
+{
+    std::uint8_t raw[sizeof(Integer)];
+    std::memcpy(raw, &number, sizeof(Integer));
+    bytes.insert(bytes.end(), raw, raw + sizeof(Integer));
+}
+
+template<typename Integer>
+Integer loadInteger(BytesView bytes, std::size_t at)
+{
+    Integer number{};
+    std::memcpy(&number, bytes.data() + at, sizeof(Integer));
+    return number;
+}
+
+std::uint64_t checksum(std::uint32_t length, BytesView payload)
+{
+    return XXH3_64bits_withSeed(payload.data(), payload.size(), length);
+}
+
+void appendRecord(Bytes &bytes, BytesView payload)
+{
+    const auto length = static_cast<std::uint32_t>(payload.size());
+    storeInteger(bytes, RecordMagic);
+    storeInteger(bytes, length);
+    storeInteger(bytes, checksum(length, payload));
+    bytes.insert(bytes.end(), payload.begin(), payload.end());
+}
+
+// The payload of a sound record at `at`; empty if there is none.
+std::optional<BytesView> recordAt(BytesView bytes, std::size_t at)
+{
+    if (at + RecordHeader > bytes.size() || loadInteger<std::uint32_t>(bytes, at) != RecordMagic) {
+        return std::nullopt;
+    }
+    const auto length = loadInteger<std::uint32_t>(bytes, at + 4);
+    if (length > MaxRecord || at + RecordHeader + length > bytes.size()) {
+        return std::nullopt;
+    }
+    const BytesView payload = bytes.subspan(at + RecordHeader, length);
+    if (loadInteger<std::uint64_t>(bytes, at + 8) != checksum(length, payload)) {
+        return std::nullopt;
+    }
+    return payload;
+}
+
+// Whether a sound record follows somewhere after `at`: then what is at `at` was damaged, not torn.
+bool soundRecordAfter(BytesView bytes, std::size_t at)
+{
+    for (std::size_t probe = at + 1; probe + RecordHeader <= bytes.size(); ++probe) {
+        if (recordAt(bytes, probe)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+leaf::error_id failure(StorageError error, const std::filesystem::path &file, std::string detail)
+{
+    return leaf::new_error(error, StorageContext{file.string(), std::move(detail)});
+}
+
+// Turns an error of the file layer into one of this layer.
+template<typename Function>
+auto asStorage(Function function) -> decltype(function())
+{
+    using Result = decltype(function());
+    return leaf::try_handle_some(
+        function,
+        [](FileError, const FileErrorContext &context) -> Result {
+            return failure(StorageError::Io, context.path, std::strerror(context.errorNumber));
+        });
+}
+
+template<typename T>
+Bytes sealedFile(const T &object)
+{
+    Bytes bytes;
+    appendRecord(bytes, detail::Json::to_cbor(detail::toJson(object)));
+    return bytes;
+}
+
+template<typename T>
+bool openSealedFile(const Bytes &bytes, T &object)
+{
+    const std::optional<BytesView> payload = recordAt(bytes, 0);
+    if (!payload || RecordHeader + payload->size() != bytes.size()) {
+        return false;
+    }
+    return detail::fromJson(detail::Json::from_cbor(payload->begin(), payload->end(), true, false), object);
+}
+
+// Takes an entry into a log, cutting what it replaces.
+void takeEntry(std::vector<LogEntry> &log, LogEntry entry)
+{
+    while (!log.empty() && log.back().index >= entry.index) {
+        log.pop_back();
+    }
+    log.push_back(std::move(entry));
+}
+
+} // namespace
+
+RaftStorage::RaftStorage(RaftStorage &&other) noexcept
+    : m_folder(std::move(other.m_folder))
+    , m_identity(other.m_identity)
+    , m_durable(std::move(other.m_durable))
+    , m_hard(other.m_hard)
+    , m_fresh(other.m_fresh)
+    , m_log(std::exchange(other.m_log, -1))
+    , m_logBytes(other.m_logBytes)
+{
+}
+
+RaftStorage &RaftStorage::operator=(RaftStorage &&other) noexcept
+{
+    std::swap(m_folder, other.m_folder);
+    std::swap(m_identity, other.m_identity);
+    std::swap(m_durable, other.m_durable);
+    std::swap(m_hard, other.m_hard);
+    std::swap(m_fresh, other.m_fresh);
+    std::swap(m_log, other.m_log);
+    std::swap(m_logBytes, other.m_logBytes);
+    return *this;
+}
+
+RaftStorage::~RaftStorage()
+{
+    if (m_log >= 0) {
+        ::close(m_log);
+    }
+}
+
+leaf::result<RaftStorage> RaftStorage::open(const std::filesystem::path &folder, ReplicaId replica, std::uint64_t freshDisk)
+{
+    RaftStorage storage;
+    storage.m_folder = folder;
+    std::error_code ignored;
+    std::filesystem::create_directories(folder, ignored);
+    const std::filesystem::path identityPath = folder / IdentityFile;
+    BOOST_LEAF_AUTO(found, asStorage([&] {
+                        return readFile(identityPath);
+                    }));
+    if (!found) {
+        if (std::filesystem::exists(folder / LogFile) || std::filesystem::exists(folder / SnapshotFile)) {
+            return failure(StorageError::DamagedIdentity, identityPath, "missing beside a log or snapshot");
+        }
+        storage.m_fresh = true;
+        storage.m_identity = {StorageFormat, 0, replica, freshDisk};
+        BOOST_LEAF_CHECK(asStorage([&] {
+            return replaceFile(identityPath, sealedFile(storage.m_identity));
+        }));
+    } else if (!openSealedFile(*found, storage.m_identity)) {
+        return failure(StorageError::DamagedIdentity, identityPath, "checksum or content is wrong");
+    }
+    if (storage.m_identity.format > StorageFormat) {
+        return failure(StorageError::NewerFormat, identityPath, "format " + std::to_string(storage.m_identity.format));
+    }
+    if (storage.m_identity.replica != replica) {
+        return failure(StorageError::ForeignFolder, identityPath, "folder of replica " + std::to_string(value(storage.m_identity.replica)));
+    }
+    BOOST_LEAF_CHECK(storage.load());
+    return storage;
+}
+
+leaf::result<void> RaftStorage::load()
+{
+    const std::filesystem::path snapshotPath = m_folder / SnapshotFile;
+    BOOST_LEAF_AUTO(found, asStorage([&] {
+                        return readFile(snapshotPath);
+                    }));
+    if (found && !openSealedFile(*found, m_durable.snapshot.emplace())) {
+        return failure(StorageError::DamagedSnapshot, snapshotPath, "checksum or content is wrong");
+    }
+    BOOST_LEAF_CHECK(loadLog());
+    return openLog();
+}
+
+leaf::result<void> RaftStorage::loadLog()
+{
+    const std::filesystem::path path = m_folder / LogFile;
+    BOOST_LEAF_AUTO(found, asStorage([&] {
+                        return readFile(path);
+                    }));
+    const Bytes bytes = found ? std::move(*found) : Bytes();
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const std::optional<BytesView> payload = recordAt(bytes, at);
+        if (!payload) {
+            break;
+        }
+        std::optional<LogRecord> record = decodeMessage<LogRecord>(*payload);
+        if (!record) {
+            return failure(StorageError::DamagedLog, path, "unreadable record at byte " + std::to_string(at));
+        }
+        if (const auto *hard = std::get_if<HardState>(&*record)) {
+            m_durable.hard = *hard;
+        } else {
+            takeEntry(m_durable.log, std::get<LogEntry>(std::move(*record)));
+        }
+        at += RecordHeader + payload->size();
+    }
+    if (at < bytes.size()) {
+        if (soundRecordAfter(bytes, at)) {
+            return failure(StorageError::DamagedLog, path, "damaged record at byte " + std::to_string(at));
+        }
+        // A torn tail was never synced, hence never acknowledged.
+        std::error_code error;
+        std::filesystem::resize_file(path, at, error);
+        if (error) {
+            return failure(StorageError::Io, path, error.message());
+        }
+    }
+    m_logBytes = at;
+    const LogIndex covered = m_durable.snapshot ? m_durable.snapshot->index : LogIndex{0};
+    std::erase_if(m_durable.log, [covered](const LogEntry &entry) {
+        return entry.index <= covered;
+    });
+    for (std::size_t i = 0; i < m_durable.log.size(); ++i) {
+        if (value(m_durable.log[i].index) != value(covered) + 1 + i) {
+            return failure(StorageError::DamagedLog, path, "entry missing at index " + std::to_string(value(covered) + 1 + i));
+        }
+    }
+    m_hard = m_durable.hard;
+    return {};
+}
+
+leaf::result<void> RaftStorage::openLog()
+{
+    const std::filesystem::path path = m_folder / LogFile;
+    if (m_log >= 0) {
+        ::close(m_log);
+    }
+    constexpr int OwnerOnly = 0600;
+    m_log = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, OwnerOnly);
+    if (m_log < 0) {
+        return failure(StorageError::Io, path, std::strerror(errno));
+    }
+    return asStorage([&] {
+        return syncFolder(m_folder);
+    });
+}
+
+const StorageIdentity &RaftStorage::identity() const
+{
+    return m_identity;
+}
+
+RaftDurable RaftStorage::takeDurable()
+{
+    return std::exchange(m_durable, {});
+}
+
+bool RaftStorage::fresh() const
+{
+    return m_fresh;
+}
+
+leaf::result<void> RaftStorage::setCluster(std::uint64_t cluster)
+{
+    if (m_identity.cluster != 0 && m_identity.cluster != cluster) {
+        return failure(StorageError::ForeignFolder, m_folder / IdentityFile, "folder of another cluster");
+    }
+    m_identity.cluster = cluster;
+    return asStorage([&] {
+        return replaceFile(m_folder / IdentityFile, sealedFile(m_identity));
+    });
+}
+
+leaf::result<void> RaftStorage::persist(const RaftOutput &output)
+{
+    if (output.snapshot) {
+        const HardState hard = output.hard.value_or(m_hard);
+        BOOST_LEAF_CHECK(compact(*output.snapshot, hard, output.entries));
+        return {};
+    }
+    Bytes bytes;
+    if (output.hard) {
+        m_hard = *output.hard;
+        appendRecord(bytes, encodeMessage(LogRecord(*output.hard)));
+    }
+    for (const LogEntry &entry : output.entries) {
+        appendRecord(bytes, encodeMessage(LogRecord(entry)));
+    }
+    return bytes.empty() ? leaf::result<void>() : append(bytes);
+}
+
+leaf::result<void> RaftStorage::compact(const Snapshot &snapshot, const HardState &hard, std::span<const LogEntry> rest)
+{
+    m_hard = hard;
+    BOOST_LEAF_CHECK(asStorage([&] {
+        return replaceFile(m_folder / SnapshotFile, sealedFile(snapshot));
+    }));
+    Bytes bytes;
+    appendRecord(bytes, encodeMessage(LogRecord(hard)));
+    for (const LogEntry &entry : rest) {
+        appendRecord(bytes, encodeMessage(LogRecord(entry)));
+    }
+    BOOST_LEAF_CHECK(asStorage([&] {
+        return replaceFile(m_folder / LogFile, bytes);
+    }));
+    m_logBytes = bytes.size();
+    return openLog();
+}
+
+std::uint64_t RaftStorage::logBytes() const
+{
+    return m_logBytes;
+}
+
+leaf::result<void> RaftStorage::append(BytesView bytes)
+{
+    BOOST_LEAF_CHECK(asStorage([&] {
+        return appendAndSync(m_log, m_folder / LogFile, bytes);
+    }));
+    m_logBytes += bytes.size();
+    return {};
+}
+
+} // namespace Robinrail
--- a/src/request_engine.cpp
+++ b/src/request_engine.cpp
@@ -392,7 +392,8 @@
                            .service = attempt.service,
                            .flow = key.flow,
                            .request = key.request,
-                           .target = attempt.target});
+                           .target = attempt.target,
+                           .took = now - attempt.started});
         settle(now, key, std::move(messages));
     }
     m_attempts.erase(serial);
--- /dev/null
+++ b/src/secure_links.cpp
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: MIT
+// Secure links: sessions over the websocket hub.
+#include "secure_links.h"
+
+#include "settings.h"
+
+namespace Robinrail {
+
+SecureLinks::SecureLinks(boost::asio::io_context &io, const ClusterKey &key, PeerRole role, std::uint16_t id, SecureLinkCallbacks callbacks)
+    : m_io(io)
+    , m_key(key)
+    , m_role(role)
+    , m_id(id)
+    , m_callbacks(std::move(callbacks))
+    , m_hub(io,
+            MaxLinkMessage,
+            {[this](LinkHandle handle, std::uint64_t tag) {
+                 opened(handle, tag);
+             },
+             [this](LinkHandle handle, const std::vector<std::uint8_t> &bytes) {
+                 received(handle, bytes);
+             },
+             [this](LinkHandle handle, std::uint64_t tag) {
+                 closed(handle, tag);
+             }})
+{
+}
+
+bool SecureLinks::listen(Endpoint endpoint)
+{
+    return m_hub.listen(addressText(endpoint), endpoint.port);
+}
+
+void SecureLinks::maintain(Endpoint endpoint)
+{
+    m_maintained.push_back(endpoint);
+    m_timers.push_back(std::make_unique<boost::asio::steady_timer>(m_io));
+    m_hub.connect(addressText(endpoint), endpoint.port, m_maintained.size());
+}
+
+void SecureLinks::opened(LinkHandle handle, std::uint64_t tag)
+{
+    if (m_links.size() >= MaxLinks) {
+        m_hub.close(handle);
+        return;
+    }
+    const bool dialled = tag != 0;
+    const auto [at, added] = m_links.emplace(handle, Link{SecureSession(m_key, m_role, m_id, dialled), dialled});
+    m_hub.send(handle, at->second.session.hello());
+}
+
+void SecureLinks::received(LinkHandle handle, const std::vector<std::uint8_t> &bytes)
+{
+    const auto at = m_links.find(handle);
+    if (at == m_links.end()) {
+        return;
+    }
+    SecureSession &session = at->second.session;
+    switch (session.receive(bytes)) {
+    case SecureSession::Event::SendProof:
+        m_hub.send(handle, session.proof());
+        break;
+    case SecureSession::Event::Established:
+        m_callbacks.established(handle, session.peer());
+        break;
+    case SecureSession::Event::Payload:
+        if (const auto message = decodeMessage<LinkMessage>(session.payload()); message && !dropped(session.peer())) {
+            const Hello peer = session.peer();
+            m_callbacks.received(handle, peer, *message);
+        }
+        break;
+    case SecureSession::Event::Failed:
+        ++m_rejected;
+        m_hub.close(handle);
+        break;
+    }
+}
+
+void SecureLinks::closed(LinkHandle handle, std::uint64_t tag)
+{
+    const auto at = m_links.find(handle);
+    if (at != m_links.end()) {
+        const Hello peer = at->second.session.peer();
+        const bool established = at->second.session.established();
+        m_links.erase(at);
+        if (established) {
+            m_callbacks.closed(handle, peer);
+        }
+    }
+    if (tag != 0) {
+        redial(tag);
+    }
+}
+
+void SecureLinks::redial(std::uint64_t tag)
+{
+    boost::asio::steady_timer &timer = *m_timers[tag - 1];
+    timer.expires_after(RedialPause);
+    timer.async_wait([this, tag](const boost::system::error_code &error) {
+        if (!error) {
+            const Endpoint endpoint = m_maintained[tag - 1];
+            m_hub.connect(addressText(endpoint), endpoint.port, tag);
+        }
+    });
+}
+
+void SecureLinks::send(LinkHandle link, const LinkMessage &message)
+{
+    const auto at = m_links.find(link);
+    if (at == m_links.end() || !at->second.session.established() || dropped(at->second.session.peer())) {
+        return;
+    }
+    m_hub.send(link, at->second.session.seal(encodeMessage(message)));
+}
+
+std::vector<LinkHandle> SecureLinks::linksTo(PeerRole role, std::uint16_t id, bool dialled) const
+{
+    std::vector<LinkHandle> handles;
+    for (const auto &[handle, link] : m_links) {
+        const Hello &peer = link.session.peer();
+        if (link.session.established() && link.dialled == dialled && peer.role == role && peer.id == id) {
+            handles.push_back(handle);
+        }
+    }
+    return handles;
+}
+
+std::vector<LinkHandle> SecureLinks::links(PeerRole role) const
+{
+    std::vector<LinkHandle> handles;
+    for (const auto &[handle, link] : m_links) {
+        if (link.session.established() && link.session.peer().role == role) {
+            handles.push_back(handle);
+        }
+    }
+    return handles;
+}
+
+void SecureLinks::dropTraffic(PeerRole role, std::set<std::uint16_t> ids)
+{
+    m_dropped[role] = std::move(ids);
+}
+
+bool SecureLinks::dropped(const Hello &peer) const
+{
+    const auto at = m_dropped.find(peer.role);
+    return at != m_dropped.end() && at->second.contains(peer.id);
+}
+
+std::uint64_t SecureLinks::bytesSent() const
+{
+    return m_hub.bytesSent();
+}
+
+std::uint64_t SecureLinks::rejected() const
+{
+    return m_rejected;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,250 @@
+// SPDX-License-Identifier: MIT
+// Settings: schema check first, then the checks that a schema can't express.
+#include "settings.h"
+
+#include "durable_file.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+leaf::error_id invalid(const std::filesystem::path &path, JsonFault fault)
+{
+    return leaf::new_error(SettingsError::Invalid, SettingsFault{path.string(), std::move(fault)});
+}
+
+leaf::result<Json> loadDocument(const std::filesystem::path &path, std::string_view schema)
+{
+    BOOST_LEAF_AUTO(bytes, leaf::try_handle_some([&] { return readFile(path); }, [&](FileError) -> leaf::result<std::optional<Bytes>> {
+                        return std::optional<Bytes>();
+                    }));
+    if (!bytes) {
+        return leaf::new_error(SettingsError::Unreadable, SettingsFault{path.string(), {"", "no readable file", "a settings file"}});
+    }
+    JsonFault fault;
+    const std::optional<Json> document = parseStrictJson({reinterpret_cast<const char *>(bytes->data()), bytes->size()}, fault);
+    if (!document || !matchesSchema(*document, schema, fault)) {
+        return invalid(path, std::move(fault));
+    }
+    return *document;
+}
+
+// Reads values out of a checked document and keeps the first fault.
+class Reader
+{
+public:
+    explicit Reader(const Json &document)
+        : m_document(document)
+    {
+    }
+
+    const Json &at(const std::string &pointer) const
+    {
+        return m_document.at(Json::json_pointer(pointer));
+    }
+
+    Endpoint endpoint(const std::string &pointer)
+    {
+        const std::optional<Endpoint> parsed = parseEndpoint(at(pointer).get<std::string>());
+        if (!parsed) {
+            fail(pointer, at(pointer).dump(), "an IPv4 address and port such as \"127.0.0.1:4000\"");
+        }
+        return parsed.value_or(Endpoint{});
+    }
+
+    template<std::size_t N>
+    std::array<std::uint8_t, N> key(const std::string &pointer)
+    {
+        std::array<std::uint8_t, N> bytes{};
+        if (!fromHex(at(pointer).get<std::string>(), bytes)) {
+            fail(pointer, "a text that is not a key", std::to_string(N * 2) + " hexadecimal digits");
+        }
+        return bytes;
+    }
+
+    void fail(const std::string &pointer, std::string found, std::string expected)
+    {
+        if (!m_fault) {
+            m_fault = JsonFault{pointer, std::move(found), std::move(expected)};
+        }
+    }
+
+    const std::optional<JsonFault> &fault() const
+    {
+        return m_fault;
+    }
+
+private:
+    const Json &m_document;
+    std::optional<JsonFault> m_fault;
+};
+
+std::string indexed(const char *list, std::size_t index, const char *key)
+{
+    return std::string(list) + "/" + std::to_string(index) + "/" + key;
+}
+
+LogSettings readLog(const Json &document)
+{
+    LogSettings log;
+    if (!document.contains("log")) {
+        return log;
+    }
+    const std::string level = document["log"].value("level", "info");
+    log.level = level == "debug" ? LogLevel::Debug : level == "warning" ? LogLevel::Warning : level == "error" ? LogLevel::Error : LogLevel::Info;
+    log.file = document["log"].value("file", "");
+    return log;
+}
+
+void readDataCentre(Reader &reader, BalancerFile &file)
+{
+    const auto declared = reader.at("/dataCentres").get<std::vector<std::string>>();
+    file.dataCentre = reader.at("/dataCentre").get<std::string>();
+    const auto at = std::find(declared.begin(), declared.end(), file.dataCentre);
+    if (at == declared.end()) {
+        reader.fail("/dataCentre", "\"" + file.dataCentre + "\"", "one of the data centres in /dataCentres");
+    }
+    file.dataCentreId = DataCentreId{static_cast<std::uint8_t>(at - declared.begin() + 1)};
+}
+
+void readPeers(Reader &reader, BalancerFile &file)
+{
+    std::set<BalancerId> seen;
+    for (std::size_t i = 0; i < reader.at("/peers").size(); ++i) {
+        PeerAddress peer;
+        peer.id = BalancerId{reader.at(indexed("/peers", i, "balancer")).get<std::uint16_t>()};
+        peer.endpoint = reader.endpoint(indexed("/peers", i, "address"));
+        if (!seen.insert(peer.id).second) {
+            reader.fail(indexed("/peers", i, "balancer"), std::to_string(value(peer.id)) + " twice", "each balancer once");
+        }
+        file.peers.push_back(peer);
+    }
+}
+
+void readConnectionIdKeys(Reader &reader, BalancerFile &file)
+{
+    std::set<std::uint8_t> seen;
+    for (std::size_t i = 0; i < reader.at("/keys/connectionIds").size(); ++i) {
+        VersionedMacKey key;
+        key.version = reader.at(indexed("/keys/connectionIds", i, "version")).get<std::uint8_t>();
+        key.key = reader.key<16>(indexed("/keys/connectionIds", i, "key"));
+        if (!seen.insert(key.version).second) {
+            reader.fail(indexed("/keys/connectionIds", i, "version"), std::to_string(key.version) + " twice", "each key version once");
+        }
+        file.connectionIdKeys.push_back(key);
+    }
+}
+
+} // namespace
+
+std::string SettingsFault::text() const
+{
+    return file + ": " + fault.text();
+}
+
+leaf::result<BalancerFile> loadBalancerFile(const std::filesystem::path &path)
+{
+    BOOST_LEAF_AUTO(document, loadDocument(path, balancerSettingsSchema()));
+    Reader reader(document);
+    BalancerFile file;
+    file.balancer = BalancerId{reader.at("/balancer").get<std::uint16_t>()};
+    readDataCentre(reader, file);
+    for (std::size_t i = 0; i < reader.at("/services").size(); ++i) {
+        file.services.push_back({reader.at(indexed("/services", i, "name")).get<std::string>(), reader.endpoint(indexed("/services", i, "listen"))});
+    }
+    file.peerListen = reader.endpoint("/listen/peers");
+    file.targetListen = reader.endpoint("/listen/targets");
+    file.adminListen = reader.endpoint("/listen/admin");
+    readPeers(reader, file);
+    for (std::size_t i = 0; i < reader.at("/control").size(); ++i) {
+        file.control.push_back(reader.endpoint("/control/" + std::to_string(i)));
+    }
+    file.clusterKey = reader.key<32>("/keys/cluster");
+    readConnectionIdKeys(reader, file);
+    file.adminToken = reader.at("/adminToken").get<std::string>();
+    file.dataFolder = document.value("dataFolder", "");
+    file.linger = std::chrono::milliseconds(document.value("lingerMs", 8000));
+    file.log = readLog(document);
+    if (reader.fault()) {
+        return invalid(path, *reader.fault());
+    }
+    return file;
+}
+
+leaf::result<ControlFile> loadControlFile(const std::filesystem::path &path)
+{
+    BOOST_LEAF_AUTO(document, loadDocument(path, controlSettingsSchema()));
+    Reader reader(document);
+    ControlFile file;
+    file.replica = ReplicaId{reader.at("/replica").get<std::uint16_t>()};
+    file.listen = reader.endpoint("/listen/links");
+    file.adminListen = reader.endpoint("/listen/admin");
+    bool selfListed = false;
+    for (std::size_t i = 0; i < reader.at("/replicas").size(); ++i) {
+        ReplicaAddress address;
+        address.id = ReplicaId{reader.at(indexed("/replicas", i, "replica")).get<std::uint16_t>()};
+        address.endpoint = reader.endpoint(indexed("/replicas", i, "links"));
+        address.admin = reader.endpoint(indexed("/replicas", i, "admin"));
+        selfListed = selfListed || address.id == file.replica;
+        file.replicas.push_back(address);
+    }
+    if (!selfListed) {
+        reader.fail("/replica", std::to_string(value(file.replica)), "one of the replicas in /replicas");
+    }
+    file.clusterKey = reader.key<32>("/keys/cluster");
+    file.adminToken = reader.at("/adminToken").get<std::string>();
+    file.dataFolder = reader.at("/dataFolder").get<std::string>();
+    for (std::size_t i = 0; i < reader.at("/firstOperators").size(); ++i) {
+        OperatorRecord record;
+        record.name = reader.at(indexed("/firstOperators", i, "name")).get<std::string>();
+        record.key = reader.key<32>(indexed("/firstOperators", i, "key"));
+        const bool administrator = reader.at(indexed("/firstOperators", i, "role")).get<std::string>() == "administrator";
+        record.role = administrator ? OperatorRole::Administrator : OperatorRole::Author;
+        file.firstOperators.push_back(record);
+    }
+    file.log = readLog(document);
+    if (reader.fault()) {
+        return invalid(path, *reader.fault());
+    }
+    return file;
+}
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, parseError] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error || parseError != std::errc() || end != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    return Endpoint{static_cast<std::uint32_t>(address.to_uint()), port};
+}
+
+std::string addressText(Endpoint endpoint)
+{
+    return boost::asio::ip::address_v4(endpoint.address).to_string();
+}
+
+std::string toText(Endpoint endpoint)
+{
+    return addressText(endpoint) + ":" + std::to_string(endpoint.port);
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/signature.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+// Signatures: Ed25519 keys of operators, and hex for keys in files.
+#pragma once
+
+#include "types.h"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Robinrail {
+
+using PublicKey = std::array<std::uint8_t, 32>;
+using SecretKey = std::array<std::uint8_t, 64>;
+using Signature = std::array<std::uint8_t, 64>;
+
+struct KeyPair {
+    PublicKey publicKey{};
+    SecretKey secretKey{};
+};
+
+KeyPair generateKeyPair();
+
+Signature sign(BytesView message, const SecretKey &key);
+bool verify(BytesView message, const Signature &signature, const PublicKey &key);
+
+// Lower-case hex, and back; empty if the text is not hex of just that size.
+std::string toHex(BytesView bytes);
+bool fromHex(std::string_view text, std::span<std::uint8_t> bytes);
+
+} // namespace Robinrail
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -34,7 +34,15 @@
         known->firstHeard = std::min(known->firstHeard, now - knownFor);
     }
     if (known != nullptr && orderOf(announcement) <= orderOf(known->announcement)) {
-        return AnnouncementEffect::Stale;
+        // Draining is taken at any sequence of the incarnation: an operator may have asked for it at a peer.
+        const bool drains = announcement.draining && !known->announcement.draining && known->state == TargetState::Serving;
+        if (!drains || announcement.incarnation != known->announcement.incarnation) {
+            return AnnouncementEffect::Stale;
+        }
+        known->announcement.draining = true;
+        known->state = TargetState::Draining;
+        ++m_version;
+        return AnnouncementEffect::Drained;
     }
     const bool sameRun = known != nullptr && known->announcement.incarnation == announcement.incarnation;
     Target &target = known != nullptr ? *known : insert(announcement);
