Run the whole path as separate processes: demonstration and operator's command

Cause: nothing had been run yet; the path from a signed bundle to an answered request had to be seen working before anything else is built on it.

Ruled out: docopt's own exit code for a wrong argument is 255, while the help text promises 2; arguments are now parsed without its exit.

--- a/src/balancer_daemon.cpp
+++ b/src/balancer_daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "api_json.h"
 #include "durable_file.h"
+#include "net.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -26,21 +27,6 @@
 constexpr const char *MemoryFile = "balancer";
 constexpr int SocketBuffer = 4 << 20;
 
-TimePoint clockNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-Udp::endpoint toUdp(Endpoint endpoint)
-{
-    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
-}
-
-Endpoint fromUdp(const Udp::endpoint &endpoint)
-{
-    return {static_cast<std::uint32_t>(endpoint.address().to_v4().to_uint()), endpoint.port()};
-}
-
 BalancerSettings coreSettings(const BalancerFile &file, Incarnation incarnation)
 {
     BalancerSettings settings;
@@ -51,17 +37,6 @@
     return settings;
 }
 
-// What an operator signs to drain something on one run of one balancer.
-struct DrainOrder {
-    BalancerKey balancer;
-    TargetId target{}; // 0: the balancer itself.
-
-    auto fields()
-    {
-        return std::tie(balancer, target);
-    }
-};
-
 bool isControl(const Message &message)
 {
     return std::holds_alternative<Heartbeat>(message) || std::holds_alternative<HandoverFlows>(message)
@@ -173,7 +148,7 @@
 void BalancerDaemon::stop()
 {
     LogLine(LogLevel::Info, "stopping").with("flows", m_core.context().flows.size());
-    m_core.stop(clockNow(), m_file.linger);
+    m_core.stop(monotonicNow(), m_file.linger);
     flush();
 }
 
@@ -243,7 +218,7 @@
 
 void BalancerDaemon::take(Port &port, Endpoint from, BytesView bytes)
 {
-    const TimePoint now = clockNow();
+    const TimePoint now = monotonicNow();
     BalancerContext &context = m_core.context();
     if (port.kind == Port::Kind::Peers) {
         return takePeer(now, from, bytes);
@@ -309,7 +284,7 @@
 
 void BalancerDaemon::tick()
 {
-    const TimePoint now = clockNow();
+    const TimePoint now = monotonicNow();
     m_core.tick(now);
     flush();
     if (m_core.finished(now)) {
@@ -344,7 +319,7 @@
     if (const auto *offer = std::get_if<BundleOffer>(&message)) {
         takeOffer(link, *offer);
     } else if (const auto *beat = std::get_if<ControlBeat>(&message)) {
-        m_rollout.noteBeat(clockNow(), *beat);
+        m_rollout.noteBeat(monotonicNow(), *beat);
     }
 }
 
@@ -376,7 +351,7 @@
     for (const ServiceSettings &service : m_rollout.bundle().services) {
         m_serviceIds[service.name] = service.id;
     }
-    m_core.applyBundle(clockNow(), m_rollout.version(), m_rollout.bundle().services);
+    m_core.applyBundle(monotonicNow(), m_rollout.version(), m_rollout.bundle().services);
     LogLine(LogLevel::Info, "bundle-applied").with("version", m_rollout.version()).with("services", m_rollout.bundle().services.size());
 }
 
@@ -454,7 +429,7 @@
 HttpReply BalancerDaemon::read(const HttpRequest &request)
 {
     constexpr std::string_view FlowPrefix = "/v1/flows/";
-    const TimePoint now = clockNow();
+    const TimePoint now = monotonicNow();
     Json list = Json::array();
     if (request.path == "/v1/status") {
         return status();
@@ -498,7 +473,7 @@
                       {"ready", m_core.ready()},
                       {"stopping", context.peers.stopping()},
                       {"version", m_rollout.version()},
-                      {"confirmed", m_rollout.confirmed(clockNow())},
+                      {"confirmed", m_rollout.confirmed(monotonicNow())},
                       {"flows", context.flows.size()},
                       {"flowsOpened", counters.flowsOpened},
                       {"flowsAdopted", counters.flowsAdopted},
@@ -589,7 +564,7 @@
     }
     Announcement announcement = target->announcement;
     announcement.draining = true;
-    m_core.handleTarget(clockNow(), announcement.endpoint, announcement);
+    m_core.handleTarget(monotonicNow(), announcement.endpoint, announcement);
     flush();
     return jsonReply({{"draining", value(drain.target)}});
 }
@@ -608,7 +583,7 @@
     text.counter("robinrail_feed_rebinds_total", "Feeds moved from a leaving target.", static_cast<double>(counters.feedRebinds));
     text.counter("robinrail_control_bytes_total", "Control bytes sent to peers.", static_cast<double>(m_controlBytes));
     text.gauge("robinrail_bundle_version", "Bundle version in force.", static_cast<double>(m_rollout.version()));
-    text.gauge("robinrail_bundle_confirmed", "1 if a quorum confirmed the version lately.", m_rollout.confirmed(clockNow()) ? 1 : 0);
+    text.gauge("robinrail_bundle_confirmed", "1 if a quorum confirmed the version lately.", m_rollout.confirmed(monotonicNow()) ? 1 : 0);
     for (std::size_t i = 0; i < counters.outcomes.size(); ++i) {
         const std::string label = "outcome=\"" + std::string(nameOf(static_cast<Outcome>(i))) + "\"";
         text.counter("robinrail_requests_total", "Requests by outcome.", static_cast<double>(counters.outcomes[i]), label);
--- a/src/control_command.cpp
+++ b/src/control_command.cpp
@@ -21,16 +21,21 @@
     return bytes;
 }
 
-SignedChange makeChange(const ChangeId &id, std::string operatorName, const ControlChange &content, const SecretKey &key)
+SignedChange signContent(const ChangeId &id, std::string operatorName, Bytes content, const SecretKey &key)
 {
     SignedChange change;
     change.change = id;
     change.operatorName = std::move(operatorName);
-    change.content = encodeMessage(content);
+    change.content = std::move(content);
     change.signature = sign(signedBytes(change), key);
     return change;
 }
 
+SignedChange makeChange(const ChangeId &id, std::string operatorName, const ControlChange &content, const SecretKey &key)
+{
+    return signContent(id, std::move(operatorName), encodeMessage(content), key);
+}
+
 std::string_view nameOf(ChangeRefusal refusal)
 {
     switch (refusal) {
--- a/src/control_command.h
+++ b/src/control_command.h
@@ -117,6 +117,18 @@
 // What the replicated log carries.
 using ControlCommand = std::variant<Genesis, SignedChange>;
 
+// What an operator signs to drain something on one run of one balancer. It goes to that balancer and not
+// through the log, as a stop must work without a quorum.
+struct DrainOrder {
+    BalancerKey balancer;
+    TargetId target{}; // 0: the balancer itself.
+
+    auto fields()
+    {
+        return std::tie(balancer, target);
+    }
+};
+
 // Why a change was refused.
 enum class ChangeRefusal : std::uint8_t {
     None,
@@ -153,7 +165,8 @@
 // The bytes that an operator signs: a domain separator, the change id, the name and the content.
 Bytes signedBytes(const SignedChange &change);
 
-// Packs and signs a change.
+// Signs any content under a change id, and a change or a drain order in particular.
+SignedChange signContent(const ChangeId &id, std::string operatorName, Bytes content, const SecretKey &key);
 SignedChange makeChange(const ChangeId &id, std::string operatorName, const ControlChange &content, const SecretKey &key);
 
 // Names for output, in lower case with dashes.
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "api_json.h"
 #include "metrics.h"
+#include "net.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -32,11 +33,6 @@
 
 } // namespace
 
-TimePoint monotonicNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 ControlDaemon::ControlDaemon(boost::asio::io_context &io, ControlFile file, RaftStorage storage, bool testFaults)
     : m_io(io)
     , m_file(std::move(file))
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -79,7 +79,4 @@
     TimePoint m_nextBeat;
 };
 
-// The monotonic clock as the library wants it.
-TimePoint monotonicNow();
-
 } // namespace Robinrail
--- a/src/main_balancer.cpp
+++ b/src/main_balancer.cpp
@@ -2,11 +2,10 @@
 // robinrail-balancer: the daemon of one entry VM.
 #include "balancer_daemon.h"
 #include "durable_file.h"
-#include "version.h"
+#include "arguments.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <docopt/docopt.h>
 #include <sodium.h>
 
 #include <iostream>
@@ -60,7 +59,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, VersionText);
+    const auto arguments = Robinrail::parseArguments(Usage, argc, argv);
     if (sodium_init() < 0) {
         return ExitFailed;
     }
--- a/src/main_control.cpp
+++ b/src/main_control.cpp
@@ -1,11 +1,10 @@
 // SPDX-License-Identifier: MIT
 // robinrail-control: the daemon of one VM with a disk.
 #include "control_daemon.h"
-#include "version.h"
+#include "arguments.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <docopt/docopt.h>
 #include <sodium.h>
 
 #include <iostream>
@@ -89,7 +88,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, VersionText);
+    const auto arguments = Robinrail::parseArguments(Usage, argc, argv);
     if (sodium_init() < 0) {
         return ExitFailed;
     }
--- /dev/null
+++ b/src/operator_client.cpp
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: MIT
+// Operator client: implementation.
+#include "operator_client.h"
+
+#include "api_json.h"
+#include "bundle.h"
+#include "durable_file.h"
+#include "settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <sodium.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds CallTimeout{2500};
+constexpr std::chrono::milliseconds RetryPause{100};
+
+// Long enough for an election and the client's own time-outs.
+constexpr std::chrono::seconds GiveUpAfter{15};
+
+constexpr unsigned HttpUnavailable = 503;
+constexpr unsigned HttpErrorFrom = 400;
+
+leaf::error_id fault(ClientError error, std::string text)
+{
+    return leaf::new_error(error, ClientFault{std::move(text)});
+}
+
+leaf::result<std::string> readText(const std::filesystem::path &path)
+{
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_AUTO(bytes, readFile(path));
+            if (!bytes) {
+                return fault(ClientError::BadInput, path.string() + ": no such file");
+            }
+            return std::string(bytes->begin(), bytes->end());
+        },
+        [&](FileError) -> leaf::result<std::string> {
+            return fault(ClientError::BadInput, path.string() + ": can't be read");
+        });
+}
+
+} // namespace
+
+leaf::result<ClientConfig> loadClientConfig(const std::filesystem::path &path)
+{
+    BOOST_LEAF_AUTO(text, readText(path));
+    JsonFault jsonFault;
+    const std::optional<Json> document = parseStrictJson(text, jsonFault);
+    if (!document) {
+        return fault(ClientError::BadConfig, path.string() + ": " + jsonFault.text());
+    }
+    try {
+        ClientConfig config;
+        for (const Json &entry : document->at("control")) {
+            config.control.push_back(parseEndpoint(entry.get<std::string>()).value());
+        }
+        for (const Json &entry : document->at("balancers")) {
+            config.balancers.push_back({BalancerId{entry.at("balancer").get<std::uint16_t>()}, parseEndpoint(entry.at("admin").get<std::string>()).value()});
+        }
+        config.token = document->at("token").get<std::string>();
+        config.operatorName = document->value("operator", "");
+        config.keyFile = document->value("keyFile", "");
+        return config;
+    } catch (const std::exception &error) {
+        return fault(ClientError::BadConfig, path.string() + ": " + error.what());
+    }
+}
+
+leaf::result<PublicKey> writeKeyFile(const std::filesystem::path &path)
+{
+    if (std::filesystem::exists(path)) {
+        return fault(ClientError::BadInput, path.string() + ": exists already");
+    }
+    const KeyPair pair = generateKeyPair();
+    const std::string text = toHex(pair.secretKey) + "\n";
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<PublicKey> {
+            BOOST_LEAF_CHECK(replaceFile(std::filesystem::absolute(path), {reinterpret_cast<const std::uint8_t *>(text.data()), text.size()}));
+            return pair.publicKey;
+        },
+        [&](FileError) -> leaf::result<PublicKey> {
+            return fault(ClientError::BadInput, path.string() + ": can't be written");
+        });
+}
+
+leaf::result<SecretKey> readKeyFile(const std::filesystem::path &path)
+{
+    BOOST_LEAF_AUTO(text, readText(path));
+    while (!text.empty() && (text.back() == '\n' || text.back() == ' ')) {
+        text.pop_back();
+    }
+    SecretKey key{};
+    if (!fromHex(text, key)) {
+        return fault(ClientError::BadInput, path.string() + ": not a key file");
+    }
+    return key;
+}
+
+ChangeId randomChangeId()
+{
+    ChangeId id{};
+    randombytes_buf(id.data(), id.size());
+    return id;
+}
+
+OperatorClient::OperatorClient(ClientConfig config)
+    : m_config(std::move(config))
+{
+}
+
+const ClientConfig &OperatorClient::config() const
+{
+    return m_config;
+}
+
+leaf::result<Json> OperatorClient::readControl(const std::string &path, const std::string &query)
+{
+    return callControl({"GET", path, query, m_config.token, {}});
+}
+
+leaf::result<Json> OperatorClient::submit(const Json &signedChange)
+{
+    return callControl({"POST", "/v1/changes", {}, m_config.token, signedChange.dump()});
+}
+
+// "Not leader" and "outcome unknown" are both answered by asking again: a read has no effect, and a
+// change has its id.
+leaf::result<Json> OperatorClient::callControl(const HttpRequest &request)
+{
+    const auto giveUpAt = std::chrono::steady_clock::now() + GiveUpAfter;
+    std::string last = "no control replica answers";
+    while (std::chrono::steady_clock::now() < giveUpAt) {
+        for (const Endpoint &endpoint : m_config.control) {
+            const std::optional<HttpReply> reply = httpCall(endpoint, request, CallTimeout);
+            if (!reply || reply->status == HttpUnavailable) {
+                last = reply ? reply->body : last;
+                continue;
+            }
+            if (reply->status >= HttpErrorFrom) {
+                return fault(ClientError::Refused, reply->body);
+            }
+            return Json::parse(reply->body, nullptr, false);
+        }
+        std::this_thread::sleep_for(RetryPause);
+    }
+    return fault(ClientError::Unreachable, last);
+}
+
+leaf::result<Json> OperatorClient::callBalancer(const BalancerAddress &balancer,
+                                                const std::string &method,
+                                                const std::string &path,
+                                                const std::string &query,
+                                                const std::string &body)
+{
+    const std::optional<HttpReply> reply = httpCall(balancer.admin, {method, path, query, m_config.token, body}, CallTimeout);
+    if (!reply) {
+        return fault(ClientError::Unreachable, "balancer " + std::to_string(value(balancer.id)) + " does not answer");
+    }
+    if (reply->status >= HttpErrorFrom) {
+        return fault(ClientError::Refused, reply->body);
+    }
+    return Json::parse(reply->body, nullptr, false);
+}
+
+leaf::result<SignedChange> OperatorClient::signAs(Bytes content)
+{
+    BOOST_LEAF_AUTO(key, readKeyFile(m_config.keyFile));
+    return signContent(randomChangeId(), m_config.operatorName, std::move(content), key);
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/operator_commands.cpp
@@ -0,0 +1,473 @@
+// SPDX-License-Identifier: MIT
+// Operator commands: one small function for each verb.
+#include "operator_commands.h"
+
+#include "api_json.h"
+#include "bundle.h"
+#include "operator_client.h"
+#include "standin.h"
+#include "standin_verify.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchPause{200};
+
+leaf::error_id badInput(std::string text)
+{
+    return leaf::new_error(ClientError::BadInput, ClientFault{std::move(text)});
+}
+
+bool given(const CommandArguments &arguments, const std::string &name)
+{
+    const auto at = arguments.find(name);
+    return at != arguments.end() && at->second && (!at->second.isBool() || at->second.asBool());
+}
+
+std::string textOf(const CommandArguments &arguments, const std::string &name, const std::string &otherwise = {})
+{
+    return given(arguments, name) ? arguments.at(name).asString() : otherwise;
+}
+
+leaf::result<std::uint64_t> numberOf(const CommandArguments &arguments, const std::string &name)
+{
+    const std::string text = textOf(arguments, name);
+    std::size_t used = 0;
+    std::uint64_t number = 0;
+    try {
+        number = std::stoull(text, &used);
+    } catch (const std::exception &) {
+        used = 0;
+    }
+    if (text.empty() || used != text.size()) {
+        return badInput(name + ": found \"" + text + "\", expected a number");
+    }
+    return number;
+}
+
+leaf::result<std::string> readInput(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return badInput(path + ": can't be read");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+leaf::result<OperatorClient> makeClient(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(config, loadClientConfig(textOf(arguments, "--config", "robinrail.json")));
+    return OperatorClient(std::move(config));
+}
+
+// Prints a value as JSON, or as one line of key=value pairs for each entry.
+void print(const CommandArguments &arguments, const Json &json)
+{
+    if (given(arguments, "--json")) {
+        std::cout << json.dump(2) << '\n';
+        return;
+    }
+    const Json rows = json.is_array() ? json : Json::array({json});
+    for (const Json &row : rows) {
+        std::string line;
+        for (const auto &[key, content] : row.items()) {
+            line += (line.empty() ? "" : " ") + key + "=" + (content.is_string() ? content.get<std::string>() : content.dump());
+        }
+        std::cout << line << '\n';
+    }
+}
+
+// ---- Keys and bundles ----
+
+leaf::result<int> keygen(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(key, writeKeyFile(textOf(arguments, "--out")));
+    print(arguments, {{"publicKey", toHex(key)}});
+    return ExitOk;
+}
+
+leaf::result<std::string> checkedBundle(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readInput(path));
+    JsonFault fault;
+    if (!parseBundle(text, fault)) {
+        return badInput(path + ": " + fault.text());
+    }
+    return text;
+}
+
+leaf::result<int> bundleCheck(const CommandArguments &arguments)
+{
+    BOOST_LEAF_CHECK(checkedBundle(textOf(arguments, "FILE")));
+    print(arguments, {{"bundle", textOf(arguments, "FILE")}, {"valid", true}});
+    return ExitOk;
+}
+
+leaf::result<int> bundleSign(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(text, checkedBundle(textOf(arguments, "FILE")));
+    BOOST_LEAF_AUTO(base, numberOf(arguments, "--base"));
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(ControlChange(ProposeBundle{base, text}))));
+    std::ofstream out(textOf(arguments, "--out"));
+    out << toApi(change).dump() << '\n';
+    if (!out) {
+        return badInput(textOf(arguments, "--out") + ": can't be written");
+    }
+    print(arguments, {{"change", changeIdJson(change.change)}, {"baseVersion", base}});
+    return ExitOk;
+}
+
+leaf::result<int> bundlePropose(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(text, readInput(textOf(arguments, "SIGNED")));
+    const Json change = Json::parse(text, nullptr, false);
+    if (!signedChangeFromApi(text)) {
+        return badInput(textOf(arguments, "SIGNED") + ": not a signed change");
+    }
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answer, client.submit(change));
+    print(arguments, answer);
+    return ExitOk;
+}
+
+leaf::result<int> submitChange(const CommandArguments &arguments, const ControlChange &content)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(content)));
+    BOOST_LEAF_AUTO(answer, client.submit(toApi(change)));
+    print(arguments, answer);
+    return ExitOk;
+}
+
+leaf::result<int> bundleApprove(const CommandArguments &arguments)
+{
+    ApproveBundle approve;
+    if (!fromHex(textOf(arguments, "CHANGE"), approve.proposal)) {
+        return badInput("CHANGE: expected 32 hexadecimal digits");
+    }
+    return submitChange(arguments, approve);
+}
+
+leaf::result<int> read(const CommandArguments &arguments, const std::string &path, const std::string &query = {})
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answer, client.readControl(path, query));
+    print(arguments, answer);
+    return ExitOk;
+}
+
+leaf::result<int> bundleShow(const CommandArguments &arguments)
+{
+    const std::string version = textOf(arguments, "--at");
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answer, client.readControl("/v1/bundle", version.empty() ? "" : "version=" + version));
+    std::cout << (given(arguments, "--json") ? answer : answer["bundle"]).dump(2) << '\n';
+    return ExitOk;
+}
+
+leaf::result<int> bundleDiff(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(from, client.readControl("/v1/bundle", "version=" + textOf(arguments, "FROM")));
+    BOOST_LEAF_AUTO(to, client.readControl("/v1/bundle", "version=" + textOf(arguments, "TO")));
+    print(arguments, Json::diff(from["bundle"], to["bundle"]));
+    return ExitOk;
+}
+
+// ---- Rollout and operators ----
+
+leaf::result<int> rolloutWatch(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(seconds, numberOf(arguments, "--timeout"));
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    const auto started = std::chrono::steady_clock::now();
+    for (;;) {
+        BOOST_LEAF_AUTO(progress, client.readControl("/v1/rollout"));
+        const std::chrono::duration<double> waited = std::chrono::steady_clock::now() - started;
+        progress["watchedSeconds"] = waited.count();
+        const bool done = progress["inForce"] == progress["expected"] && progress["expected"] > 0;
+        if (done || waited.count() > static_cast<double>(seconds)) {
+            print(arguments, progress);
+            return done ? ExitOk : ExitFailed;
+        }
+        std::this_thread::sleep_for(WatchPause / 4);
+    }
+}
+
+leaf::result<int> rolloutSteer(const CommandArguments &arguments, RolloutAction action)
+{
+    BOOST_LEAF_AUTO(version, numberOf(arguments, "VERSION"));
+    return submitChange(arguments, SteerRollout{version, action});
+}
+
+leaf::result<int> operatorSet(const CommandArguments &arguments)
+{
+    SetOperator set;
+    set.name = textOf(arguments, "NAME");
+    set.revoked = given(arguments, "--revoked");
+    if (!fromHex(textOf(arguments, "KEY"), set.key)) {
+        return badInput("KEY: expected 64 hexadecimal digits");
+    }
+    const std::string role = textOf(arguments, "ROLE");
+    if (role != "author" && role != "administrator") {
+        return badInput("ROLE: found \"" + role + "\", expected author or administrator");
+    }
+    set.role = role == "administrator" ? OperatorRole::Administrator : OperatorRole::Author;
+    return submitChange(arguments, set);
+}
+
+// ---- Status ----
+
+// Asks every balancer; one that does not answer gets a row that says so.
+leaf::result<Json> askBalancers(OperatorClient &client, const std::string &path, const std::string &query = {})
+{
+    Json rows = Json::array();
+    for (const BalancerAddress &balancer : client.config().balancers) {
+        Json row = leaf::try_handle_all(
+            [&] {
+                return client.callBalancer(balancer, "GET", path, query);
+            },
+            [](const ClientFault &fault) {
+                return Json({{"error", fault.text}});
+            },
+            [] {
+                return Json({{"error", "failed"}});
+            });
+        rows.push_back({{"balancer", value(balancer.id)}, {"answer", std::move(row)}});
+    }
+    return rows;
+}
+
+leaf::result<int> status(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    Json rows = Json::array();
+    for (const Endpoint &endpoint : client.config().control) {
+        const std::optional<HttpReply> reply = httpCall(endpoint, {"GET", "/v1/status", {}, client.config().token, {}}, std::chrono::seconds(1));
+        Json row = reply ? Json::parse(reply->body, nullptr, false) : Json({{"error", "does not answer"}});
+        row.erase("balancers");
+        rows.push_back(std::move(row));
+    }
+    BOOST_LEAF_AUTO(balancers, askBalancers(client, "/v1/status"));
+    for (Json &row : balancers) {
+        rows.push_back(std::move(row["answer"]));
+    }
+    print(arguments, rows);
+    return ExitOk;
+}
+
+// One row a target: shares and running attempts are summed over the balancers.
+leaf::result<int> targets(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answers, askBalancers(client, "/v1/targets"));
+    std::map<std::uint64_t, Json> rows;
+    for (const Json &answer : answers) {
+        for (const Json &target : answer["answer"]) {
+            if (!target.contains("target")) {
+                continue;
+            }
+            Json &row = rows[target["target"].get<std::uint64_t>()];
+            if (row.is_null()) {
+                row = target;
+                continue;
+            }
+            for (const char *summed : {"share", "running", "feeds"}) {
+                row[summed] = row[summed].get<std::uint64_t>() + target[summed].get<std::uint64_t>();
+            }
+            row["state"] = target["state"] == "draining" ? target["state"] : row["state"];
+        }
+    }
+    Json list = Json::array();
+    for (auto &[id, row] : rows) {
+        list.push_back(std::move(row));
+    }
+    print(arguments, list);
+    return ExitOk;
+}
+
+leaf::result<int> flowsExplain(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answers, askBalancers(client, "/v1/flows/" + textOf(arguments, "ID")));
+    print(arguments, answers);
+    return ExitOk;
+}
+
+leaf::result<int> auditTail(const CommandArguments &arguments)
+{
+    return read(arguments, "/v1/audit", "after=" + textOf(arguments, "--after", "0"));
+}
+
+leaf::result<int> auditVerify(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(answer, client.readControl("/v1/audit"));
+    std::vector<AuditRecord> records;
+    for (const Json &row : answer) {
+        const std::optional<AuditRecord> record = auditRecordFromApi(row);
+        if (!record) {
+            return badInput("the server sent a malformed record");
+        }
+        records.push_back(*record);
+    }
+    const std::optional<std::uint64_t> broken = firstBrokenRecord(records);
+    print(arguments, {{"records", records.size()}, {"sound", !broken}, {"firstBroken", broken ? Json(*broken) : Json(nullptr)}});
+    return broken ? ExitFailed : ExitOk;
+}
+
+// ---- Drain and watch ----
+
+leaf::result<int> drain(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(id, numberOf(arguments, "ID"));
+    const bool vm = given(arguments, "vm");
+    bool ordered = false;
+    for (const BalancerAddress &balancer : client.config().balancers) {
+        if (vm && value(balancer.id) != id) {
+            continue;
+        }
+        BOOST_LEAF_AUTO(balancerStatus, client.callBalancer(balancer, "GET", "/v1/status"));
+        const BalancerKey key{balancer.id, Incarnation{balancerStatus["incarnation"].get<std::uint64_t>()}};
+        const DrainOrder order{key, TargetId{vm ? 0 : static_cast<std::uint32_t>(id)}};
+        BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(std::variant<DrainOrder>(order))));
+        BOOST_LEAF_AUTO(answer, client.callBalancer(balancer, "POST", "/v1/drain", {}, toApi(change).dump()));
+        print(arguments, answer);
+        ordered = true;
+        break; // Gossip tells the others about a target.
+    }
+    return ordered ? leaf::result<int>(ExitOk) : badInput("ID: no such balancer in the configuration");
+}
+
+leaf::result<int> watch(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(client, makeClient(arguments));
+    BOOST_LEAF_AUTO(seconds, numberOf(arguments, "--timeout"));
+    std::map<std::uint64_t, std::uint64_t> seen;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (std::chrono::steady_clock::now() < end) {
+        for (const BalancerAddress &balancer : client.config().balancers) {
+            std::uint64_t &after = seen[value(balancer.id)];
+            const Json events = leaf::try_handle_all(
+                [&] {
+                    return client.callBalancer(balancer, "GET", "/v1/events", "after=" + std::to_string(after));
+                },
+                [] {
+                    return Json(Json::array());
+                });
+            for (Json event : events) {
+                after = event["number"].get<std::uint64_t>();
+                event["balancer"] = value(balancer.id);
+                print(arguments, event);
+            }
+        }
+        std::this_thread::sleep_for(WatchPause);
+    }
+    return ExitOk;
+}
+
+// ---- Stand-ins ----
+
+leaf::result<int> standin(const CommandArguments &arguments)
+{
+    BOOST_LEAF_AUTO(text, readInput(textOf(arguments, "OPTIONS")));
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return badInput(textOf(arguments, "OPTIONS") + ": not a JSON object");
+    }
+    try {
+        if (given(arguments, "target")) {
+            return runStandinTarget(json.get<StandinTargetOptions>());
+        }
+        if (given(arguments, "caller")) {
+            return runStandinCaller(json.get<StandinCallerOptions>());
+        }
+        if (given(arguments, "verify")) {
+            return verifyReports(json.get<StandinVerifyOptions>());
+        }
+        return runStandinFabric(json.get<StandinFabricOptions>());
+    } catch (const std::exception &error) {
+        return badInput(textOf(arguments, "OPTIONS") + ": " + error.what());
+    }
+}
+
+leaf::result<int> dispatch(const CommandArguments &arguments)
+{
+    if (given(arguments, "standin")) {
+        return standin(arguments);
+    }
+    if (given(arguments, "keygen")) {
+        return keygen(arguments);
+    }
+    if (given(arguments, "bundle")) {
+        return given(arguments, "check") ? bundleCheck(arguments)
+            : given(arguments, "sign")   ? bundleSign(arguments)
+            : given(arguments, "propose") ? bundlePropose(arguments)
+            : given(arguments, "approve") ? bundleApprove(arguments)
+            : given(arguments, "show")    ? bundleShow(arguments)
+            : given(arguments, "diff")    ? bundleDiff(arguments)
+            : given(arguments, "pending") ? read(arguments, "/v1/proposals")
+                                          : read(arguments, "/v1/history");
+    }
+    if (given(arguments, "rollout")) {
+        return given(arguments, "watch") ? rolloutWatch(arguments)
+                                         : rolloutSteer(arguments, given(arguments, "stop") ? RolloutAction::Stop : RolloutAction::Continue);
+    }
+    if (given(arguments, "operator")) {
+        return given(arguments, "set") ? operatorSet(arguments) : read(arguments, "/v1/operators");
+    }
+    if (given(arguments, "audit")) {
+        return given(arguments, "verify") ? auditVerify(arguments) : auditTail(arguments);
+    }
+    if (given(arguments, "drain")) {
+        return drain(arguments);
+    }
+    return given(arguments, "status") ? status(arguments)
+        : given(arguments, "targets") ? targets(arguments)
+        : given(arguments, "flows")   ? flowsExplain(arguments)
+                                      : watch(arguments);
+}
+
+} // namespace
+
+int runCommand(const CommandArguments &arguments)
+{
+    return leaf::try_handle_all(
+        [&] {
+            return dispatch(arguments);
+        },
+        [](ClientError error, const ClientFault &fault) {
+            std::cerr << fault.text << (fault.text.ends_with('\n') ? "" : "\n");
+            switch (error) {
+            case ClientError::Unreachable:
+                return ExitUnreachable;
+            case ClientError::Refused:
+                return ExitRefused;
+            case ClientError::BadConfig:
+            case ClientError::BadInput:
+                break;
+            }
+            return ExitBadInput;
+        },
+        [] {
+            std::cerr << "failed\n";
+            return ExitFailed;
+        });
+}
+
+} // namespace Robinrail
--- a/src/standin.h
+++ b/src/standin.h
@@ -2,6 +2,8 @@
 // Stand-ins: small programs in place of targets, callers and the platform's fabric, for demonstration.
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <string>
 #include <vector>
 
@@ -47,6 +49,22 @@
     double drop = 0; // Part of the packets that are lost.
 };
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StandinTargetOptions,
+                                                id,
+                                                service,
+                                                dataCentre,
+                                                listen,
+                                                announceTo,
+                                                slots,
+                                                connections,
+                                                serviceMs,
+                                                parts,
+                                                feedMs,
+                                                report)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StandinCallerOptions, rateDesk, docVault, feeds, clients, seconds, thinkMs, seed, report)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StandinRoute, listen, balancers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StandinFabricOptions, routes, seed, duplicate, drop)
+
 // Each runs until SIGTERM, or until its time is over, and answers an exit code.
 int runStandinTarget(const StandinTargetOptions &options);
 int runStandinCaller(const StandinCallerOptions &options);
--- /dev/null
+++ b/src/standin_common.h
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: MIT
+// Stand-in common: what the stand-ins share: bodies, reports and a UDP socket with callbacks.
+#pragma once
+
+#include "codec.h"
+#include "message.h"
+#include "net.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <fstream>
+#include <functional>
+#include <string>
+
+namespace Robinrail {
+
+// The body of a stand-in's request, and of each part of its answer. It names one request of one caller,
+// so that reports can be compared.
+struct StandinBody {
+    std::uint32_t caller = 0;
+    std::uint32_t number = 0;
+    bool repeatable = false;
+    std::uint16_t part = 0;
+
+    auto fields()
+    {
+        return std::tie(caller, number, repeatable, part);
+    }
+};
+
+inline Bytes packBody(const StandinBody &body)
+{
+    return encodeMessage(std::variant<StandinBody>(body));
+}
+
+inline std::optional<StandinBody> unpackBody(BytesView bytes)
+{
+    const auto body = decodeMessage<std::variant<StandinBody>>(bytes);
+    return body ? std::optional(std::get<StandinBody>(*body)) : std::nullopt;
+}
+
+// A name for one request in reports.
+inline std::string tagOf(const StandinBody &body)
+{
+    return std::to_string(body.caller) + "/" + std::to_string(body.number);
+}
+
+inline void writeReport(const std::string &path, const nlohmann::json &report)
+{
+    if (!path.empty()) {
+        std::ofstream(path) << report.dump() << '\n';
+    }
+}
+
+// A UDP socket that hands every datagram to a callback.
+class DatagramSocket
+{
+public:
+    using Receive = std::function<void(Endpoint from, BytesView bytes)>;
+
+    DatagramSocket(boost::asio::io_context &io, Endpoint local, Receive receive)
+        : m_socket(io)
+        , m_receive(std::move(receive))
+    {
+        constexpr int Buffer = 1 << 20;
+        m_socket.open(boost::asio::ip::udp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(Buffer));
+        m_socket.bind(toUdp(local));
+        m_socket.non_blocking(true);
+        wait();
+    }
+
+    void send(Endpoint to, BytesView bytes)
+    {
+        boost::system::error_code ignored;
+        m_socket.send_to(boost::asio::buffer(bytes.data(), bytes.size()), toUdp(to), 0, ignored);
+    }
+
+    void send(Endpoint to, const Message &message)
+    {
+        send(to, BytesView(encodeMessage(message)));
+    }
+
+private:
+    void wait()
+    {
+        m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            drain();
+            wait();
+        });
+    }
+
+    void drain()
+    {
+        std::array<std::uint8_t, 2048> buffer{};
+        for (;;) {
+            boost::asio::ip::udp::endpoint from;
+            boost::system::error_code error;
+            const std::size_t size = m_socket.receive_from(boost::asio::buffer(buffer), from, 0, error);
+            if (error == boost::asio::error::would_block) {
+                return;
+            }
+            if (!error) {
+                m_receive(fromUdp(from), {buffer.data(), size});
+            }
+        }
+    }
+
+    boost::asio::ip::udp::socket m_socket;
+    Receive m_receive;
+};
+
+} // namespace Robinrail
