Add the simulation in virtual time with baselines and an ideal queue

Change: bench/simulation drives the library's balancers, caller sessions and fake targets from one seeded queue of events.

--- /dev/null
+++ b/bench/simulation.cpp
@@ -0,0 +1,836 @@
+// SPDX-License-Identifier: MIT
+// Simulation: implementation.
+#include "simulation.h"
+
+#include "hash.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+
+namespace Robinrail {
+
+namespace {
+
+constexpr std::uint32_t BalancerNetwork = 0x0a000000;
+constexpr std::uint32_t TargetNetwork = 0x0b000000;
+constexpr std::uint32_t CallerNetwork = 0x0c000000;
+constexpr std::uint32_t NetworkMask = 0xff000000;
+
+constexpr Duration AnnounceInterval = std::chrono::seconds(1);
+constexpr Duration FeedInterval = std::chrono::milliseconds(200);
+constexpr Duration CallerTick = std::chrono::milliseconds(50);
+constexpr Duration OccupancySample = std::chrono::milliseconds(50);
+constexpr Duration InsideDataCentre = std::chrono::microseconds(100);
+constexpr Duration FabricCheck = std::chrono::milliseconds(200);
+
+// The fabric goes on handing packets to a dead VM for this long.
+constexpr Duration FabricNotices = std::chrono::seconds(1);
+
+constexpr Duration DrainGrace = std::chrono::seconds(3);
+constexpr Duration BrokenAfter = std::chrono::seconds(8);
+
+// After the last arrival, so that every request comes to its end.
+constexpr Duration CoolDown = std::chrono::seconds(10);
+
+constexpr std::size_t GuardBytes = 34;
+constexpr int OccupancyBins = 21;
+
+Bytes packTag(std::uint64_t tag)
+{
+    Bytes bytes(sizeof(tag));
+    std::memcpy(bytes.data(), &tag, sizeof(tag));
+    return bytes;
+}
+
+std::uint64_t unpackTag(const Bytes &bytes)
+{
+    std::uint64_t tag = 0;
+    std::memcpy(&tag, bytes.data(), std::min(bytes.size(), sizeof(tag)));
+    return tag;
+}
+
+template<typename Random>
+double uniformOf(Random &random)
+{
+    boost::random::uniform_real_distribution<double> distribution(0, 1);
+    return distribution(random);
+}
+
+template<typename Random>
+std::size_t below(Random &random, std::size_t count)
+{
+    boost::random::uniform_int_distribution<std::size_t> distribution(0, count - 1);
+    return distribution(random);
+}
+
+template<typename Random>
+Duration exponentialOf(Random &random, Duration mean)
+{
+    boost::random::exponential_distribution<double> distribution(1.0 / static_cast<double>(mean.count()));
+    return Duration(1 + static_cast<std::int64_t>(distribution(random)));
+}
+
+double ratio(Duration part, double whole)
+{
+    return whole > 0 ? static_cast<double>(part.count()) / whole : 0;
+}
+
+} // namespace
+
+SimulatedDeployment kathmandu()
+{
+    SimulatedDeployment deployment;
+    deployment.services.push_back({ServiceId{1}, 14, 3, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 3, std::chrono::milliseconds(150), 5, true});
+    return deployment;
+}
+
+SimulatedDeployment bogota()
+{
+    SimulatedDeployment deployment;
+    deployment.dataCentres = 4;
+    deployment.betweenDataCentres = std::chrono::microseconds(500);
+    deployment.toCallers = std::chrono::milliseconds(1);
+    deployment.services.push_back({ServiceId{1}, 14, 2, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 2, std::chrono::milliseconds(150), 5, true});
+    return deployment;
+}
+
+std::uint64_t SimulationResult::signature() const
+{
+    std::uint64_t mixed = 0;
+    const auto mix = [&mixed](std::uint64_t number) {
+        mixed = hashPair(mixed, number);
+    };
+    for (const std::uint64_t figure : {sent, unanswered, brokenFlows, runTwice, falseNotRun, wrongAnswers, crossDeliveries, lateWork, feedItems}) {
+        mix(figure);
+    }
+    for (const std::uint64_t outcome : outcomes) {
+        mix(outcome);
+    }
+    for (const std::uint64_t figure : {retries, refusedAttempts, offloaded, stoppedBalancers}) {
+        mix(figure);
+    }
+    mix(static_cast<std::uint64_t>(p50.count()));
+    mix(static_cast<std::uint64_t>(p99.count()));
+    return mixed;
+}
+
+template<SlotPolicy Policy>
+Simulation<Policy>::Simulation(const SimulationOptions &options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_now(std::chrono::hours(1))
+    , m_measureFrom(m_now + options.warmUp)
+    , m_end(m_measureFrom + options.duration)
+    , m_occupancy(OccupancyBins)
+{
+    const SimulatedDeployment &deployment = m_options.deployment;
+    for (int i = 1; i <= deployment.balancers; ++i) {
+        BalancerNode node;
+        node.id = BalancerId{static_cast<std::uint16_t>(i)};
+        node.dataCentre = (i - 1) % deployment.dataCentres + 1;
+        node.endpoint = {BalancerNetwork + static_cast<std::uint32_t>(i), 5000};
+        m_balancers.push_back(std::move(node));
+    }
+    std::uint32_t number = 0;
+    for (const SimulatedService &service : deployment.services) {
+        for (int host = 0; host < service.hosts; ++host) {
+            TargetNode target;
+            target.id = TargetId{++number};
+            target.service = &service;
+            target.dataCentre = static_cast<int>(number) % deployment.dataCentres + 1;
+            target.endpoint = {TargetNetwork + number, 9000};
+            m_targets.push_back(std::move(target));
+        }
+    }
+    const std::size_t callers = deployment.services.size() * static_cast<std::size_t>(m_options.callers) + static_cast<std::size_t>(m_options.feeds);
+    for (std::size_t i = 0; i < callers; ++i) {
+        CallerNode caller;
+        caller.endpoint = {CallerNetwork + static_cast<std::uint32_t>(i) + 1, 4000};
+        caller.feed = i < static_cast<std::size_t>(m_options.feeds);
+        const std::size_t service = caller.feed ? 0 : (i - static_cast<std::size_t>(m_options.feeds)) % deployment.services.size();
+        caller.service = &deployment.services[service];
+        caller.session = std::make_unique<CallerSession>(i + 1, caller.feed);
+        m_callers.push_back(std::move(caller));
+    }
+    for (CallerNode &caller : m_callers) {
+        if (!caller.feed) {
+            m_askers[value(caller.service->id)].push_back(&caller);
+        }
+    }
+}
+
+template<SlotPolicy Policy>
+SimulationResult Simulation<Policy>::run()
+{
+    for (BalancerNode &node : m_balancers) {
+        startBalancer(node);
+    }
+    for (TargetNode &target : m_targets) {
+        startTarget(target);
+    }
+    for (CallerNode &caller : m_callers) {
+        every(CallerTick, [this, &caller] {
+            caller.session->tick(m_now);
+            collect(caller);
+            return true;
+        });
+    }
+    for (const SimulatedService &service : m_options.deployment.services) {
+        arrive(service);
+    }
+    every(OccupancySample, [this] {
+        sampleOccupancy();
+        return true;
+    });
+    for (const Fault &fault : m_options.faults) {
+        at(m_measureFrom + fault.at, [this, fault] {
+            apply(fault);
+        });
+    }
+    while (!m_events.empty() && m_events.top().at <= m_end + CoolDown) {
+        Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.action();
+    }
+    return summarize();
+}
+
+template<SlotPolicy Policy>
+BalancerCore<Policy> &Simulation<Policy>::balancer(int number)
+{
+    return *m_balancers[static_cast<std::size_t>(number - 1)].core;
+}
+
+template<SlotPolicy Policy>
+TimePoint Simulation<Policy>::now() const
+{
+    return m_now;
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::at(TimePoint time, std::function<void()> action)
+{
+    m_events.push({time, ++m_order, std::move(action)});
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::after(Duration delay, std::function<void()> action)
+{
+    at(m_now + delay, std::move(action));
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::every(Duration interval, std::function<bool()> action)
+{
+    // The first turn is spread, so that not everything happens at once.
+    const Duration first(static_cast<std::int64_t>(uniform() * static_cast<double>(interval.count())));
+    const auto turn = std::make_shared<std::function<void()>>();
+    *turn = [this, interval, action = std::move(action), weak = std::weak_ptr(turn)] {
+        if (action()) {
+            after(interval, [self = weak.lock()] {
+                (*self)();
+            });
+        }
+    };
+    after(first, [turn] {
+        (*turn)();
+    });
+}
+
+template<SlotPolicy Policy>
+double Simulation<Policy>::uniform()
+{
+    return uniformOf(m_random);
+}
+
+template<SlotPolicy Policy>
+Duration Simulation<Policy>::exponential(Duration mean)
+{
+    return exponentialOf(m_random, mean);
+}
+
+template<SlotPolicy Policy>
+bool Simulation<Policy>::measuring() const
+{
+    return m_now >= m_measureFrom && m_now < m_end;
+}
+
+// ---- Balancers ----
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::startBalancer(BalancerNode &node)
+{
+    BalancerSettings settings;
+    settings.self = {node.id, Incarnation{++node.run}};
+    settings.dataCentre = DataCentreId{static_cast<std::uint8_t>(node.dataCentre)};
+    settings.connectionIdKeys = {{1, {1, 2, 3}}};
+    for (const BalancerNode &peer : m_balancers) {
+        settings.peers.push_back({peer.id, peer.endpoint});
+    }
+    node.core = std::make_unique<BalancerCore<Policy>>(settings);
+    node.alive = true;
+    node.frozen = false;
+    std::vector<ServiceSettings> services;
+    for (const SimulatedService &service : m_options.deployment.services) {
+        ServiceSettings entry;
+        entry.id = service.id;
+        services.push_back(entry);
+    }
+    node.core->applyBundle(m_now, 1, services);
+    const std::uint64_t run = node.run;
+    every(TickInterval, [this, &node, run] {
+        tickBalancer(node, run);
+        return node.alive && node.run == run;
+    });
+    every(FabricCheck, [this, &node, run] {
+        if (node.run != run) {
+            return false;
+        }
+        if (node.alive) {
+            node.inFabric = node.core->ready();
+            return true;
+        }
+        after(FabricNotices, [&node, run] {
+            node.inFabric = node.inFabric && node.run != run;
+        });
+        return false;
+    });
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::tickBalancer(BalancerNode &node, std::uint64_t run)
+{
+    if (!node.alive || node.frozen || node.run != run) {
+        return;
+    }
+    node.core->tick(m_now);
+    flush(node);
+    if (node.core->finished(m_now)) {
+        node.alive = false;
+        ++m_result.stoppedBalancers;
+    }
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::onBalancer(BalancerNode &node, const std::function<void()> &action)
+{
+    if (!node.alive) {
+        return;
+    }
+    if (node.frozen) {
+        node.whileFrozen.push_back(action); // Waits in the socket.
+        return;
+    }
+    action();
+    flush(node);
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::flush(BalancerNode &node)
+{
+    for (const Outgoing &outgoing : node.core->takeOutbox()) {
+        route(node, outgoing);
+    }
+}
+
+template<SlotPolicy Policy>
+bool Simulation<Policy>::connected(int one, int other) const
+{
+    return one == other || (!m_cut.contains(one) && !m_cut.contains(other));
+}
+
+template<SlotPolicy Policy>
+Duration Simulation<Policy>::latency(int one, int other) const
+{
+    return one == other ? InsideDataCentre : m_options.deployment.betweenDataCentres;
+}
+
+// Loses, repeats and delays a packet as the options say.
+template<SlotPolicy Policy>
+template<typename Deliver>
+void Simulation<Policy>::carry(Duration delay, bool mayDuplicate, Deliver deliver)
+{
+    const int copies = mayDuplicate && uniform() < m_options.duplicate ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (uniform() < m_options.drop) {
+            continue;
+        }
+        const bool late = uniform() < m_options.late;
+        const Duration extra = late ? Duration(static_cast<std::int64_t>(uniform() * static_cast<double>(LateBy.count()))) : Duration(0);
+        after(delay + extra, deliver);
+    }
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::route(BalancerNode &from, const Outgoing &outgoing)
+{
+    const std::uint32_t network = outgoing.to.address & NetworkMask;
+    const std::size_t index = (outgoing.to.address & ~NetworkMask) - 1;
+    if (network == BalancerNetwork) {
+        BalancerNode &to = m_balancers[index];
+        const bool control = std::holds_alternative<Heartbeat>(outgoing.message) || std::holds_alternative<HandoverFlows>(outgoing.message)
+            || std::holds_alternative<HandoverReceived>(outgoing.message);
+        if (control && measuring()) {
+            from.controlBytes += encodeMessage(outgoing.message).size() + GuardBytes;
+        }
+        if (!connected(from.dataCentre, to.dataCentre)) {
+            return;
+        }
+        carry(latency(from.dataCentre, to.dataCentre), true, [this, &to, peer = from.endpoint, message = outgoing.message] {
+            onBalancer(to, [this, &to, peer, message] {
+                to.core->handlePeer(m_now, peer, message);
+            });
+        });
+    } else if (network == TargetNetwork) {
+        TargetNode &to = m_targets[index];
+        if (connected(from.dataCentre, to.dataCentre)) {
+            carry(latency(from.dataCentre, to.dataCentre), false, [this, &to, &from, message = outgoing.message] {
+                takeTarget(to, from, message);
+            });
+        }
+    } else if (network == CallerNetwork) {
+        CallerNode &to = m_callers[index];
+        carry(m_options.deployment.toCallers, true, [this, &to, message = outgoing.message] {
+            to.session->receive(m_now, message);
+            collect(to);
+        });
+    }
+}
+
+// Any balancer may get any packet.
+template<SlotPolicy Policy>
+void Simulation<Policy>::toFabric(std::function<void(BalancerNode &)> deliver)
+{
+    std::vector<BalancerNode *> open;
+    for (BalancerNode &node : m_balancers) {
+        if (node.inFabric) {
+            open.push_back(&node);
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    BalancerNode &node = *open[below(m_random, open.size())];
+    onBalancer(node, [&node, deliver = std::move(deliver)] {
+        deliver(node);
+    });
+}
+
+// ---- Targets ----
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::startTarget(TargetNode &target)
+{
+    ++target.run;
+    target.alive = true;
+    target.silent = false;
+    target.draining = false;
+    target.sequence = 0;
+    target.running.clear();
+    target.feeds.clear();
+    const std::uint64_t run = target.run;
+    every(AnnounceInterval, [this, &target, run] {
+        announce(target, run);
+        return target.alive && target.run == run;
+    });
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::announce(TargetNode &target, std::uint64_t run)
+{
+    if (!target.alive || target.run != run) {
+        return;
+    }
+    Announcement announcement;
+    announcement.target = target.id;
+    announcement.service = target.service->id;
+    announcement.dataCentre = DataCentreId{static_cast<std::uint8_t>(target.dataCentre)};
+    announcement.endpoint = target.endpoint;
+    announcement.incarnation = Incarnation{run};
+    announcement.sequence = ++target.sequence;
+    announcement.slots = target.service->slots;
+    announcement.connections = 2000;
+    announcement.draining = target.draining;
+    announcement.reportedRunning = static_cast<std::uint16_t>(target.running.size());
+    carry(m_options.deployment.betweenDataCentres, true, [this, &target, announcement] {
+        toFabric([this, &target, announcement](BalancerNode &node) {
+            if (connected(node.dataCentre, target.dataCentre)) {
+                node.core->handleTarget(m_now, target.endpoint, announcement);
+            }
+        });
+    });
+}
+
+template<SlotPolicy Policy>
+bool Simulation<Policy>::isLate(const TargetNode &target) const
+{
+    return target.draining && m_now - target.drainedAt > DrainGrace;
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::takeTarget(TargetNode &target, BalancerNode &from, const Message &message)
+{
+    if (!target.alive || target.silent) {
+        return;
+    }
+    if (const auto *request = std::get_if<RunRequest>(&message)) {
+        runRequest(target, from, *request);
+    } else if (const auto *cancel = std::get_if<CancelRun>(&message)) {
+        setRunning(target, cancel->attempt, false);
+    } else if (const auto *attach = std::get_if<AttachFeed>(&message)) {
+        const bool known = target.feeds.contains(attach->attachment);
+        m_result.lateWork += !known && isLate(target) ? 1 : 0;
+        if (!known && target.draining) {
+            return;
+        }
+        target.feeds[attach->attachment] = {from.endpoint, attach->flow, attach->nextSequence};
+        if (!known) {
+            pushFeed(target, attach->attachment, target.run);
+        }
+    } else if (const auto *detach = std::get_if<DetachFeed>(&message)) {
+        target.feeds.erase(detach->attachment);
+    }
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::runRequest(TargetNode &target, BalancerNode &from, const RunRequest &request)
+{
+    m_result.lateWork += isLate(target) ? 1 : 0;
+    const std::uint64_t tag = unpackTag(request.body);
+    // The tag's lowest byte names the service that the caller asked.
+    m_result.crossDeliveries += (tag & 0xffU) != value(target.service->id) ? 1 : 0;
+    if (target.draining || target.running.size() >= target.service->slots) {
+        return answerFrom(target, from.endpoint, RunRefused{request.attempt});
+    }
+    ++m_tally[tag].executions;
+    setRunning(target, request.attempt, true);
+    const Duration took = exponential(target.service->serviceTime);
+    after(took, [this, &target, run = target.run, balancer = from.endpoint, request, took] {
+        if (!target.alive || target.run != run || !target.running.contains(request.attempt)) {
+            return;
+        }
+        setRunning(target, request.attempt, false);
+        m_answeredWork += measuring() ? took : Duration(0);
+        const auto count = static_cast<std::uint16_t>(target.service->parts);
+        for (std::uint16_t part = 0; part < count; ++part) {
+            answerFrom(target, balancer, RunPart{request.attempt, part, count, request.body});
+        }
+    });
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::setRunning(TargetNode &target, const AttemptKey &attempt, bool running)
+{
+    const TimePoint from = std::max(target.busySince, m_measureFrom);
+    const TimePoint until = std::min(m_now, m_end);
+    if (until > from) {
+        target.busy += (until - from) * static_cast<std::int64_t>(target.running.size());
+    }
+    target.busySince = m_now;
+    if (running) {
+        target.running.insert(attempt);
+    } else {
+        target.running.erase(attempt);
+    }
+}
+
+// A target answers to where the packet came from.
+template<SlotPolicy Policy>
+void Simulation<Policy>::answerFrom(TargetNode &target, Endpoint balancer, const Message &message)
+{
+    BalancerNode &to = m_balancers[(balancer.address & ~NetworkMask) - 1];
+    if (!connected(target.dataCentre, to.dataCentre)) {
+        return;
+    }
+    carry(latency(target.dataCentre, to.dataCentre), true, [this, &to, &target, message] {
+        onBalancer(to, [this, &to, &target, message] {
+            to.core->handleTarget(m_now, target.endpoint, message);
+        });
+    });
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::pushFeed(TargetNode &target, AttemptKey attachment, std::uint64_t run)
+{
+    const auto at = target.feeds.find(attachment);
+    if (!target.alive || target.run != run || at == target.feeds.end()) {
+        return;
+    }
+    Feed &feed = at->second;
+    answerFrom(target, feed.balancer, FeedPush{attachment, feed.flow, feed.next, packTag(feed.next)});
+    ++feed.next;
+    after(FeedInterval, [this, &target, attachment, run] {
+        pushFeed(target, attachment, run);
+    });
+}
+
+// ---- Callers ----
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::arrive(const SimulatedService &service)
+{
+    const double slots = service.hosts * service.slots;
+    const double perMicrosecond = m_options.load * slots / static_cast<double>(service.serviceTime.count());
+    if (perMicrosecond <= 0) {
+        return;
+    }
+    after(exponential(Duration(static_cast<std::int64_t>(1.0 / perMicrosecond))), [this, &service] {
+        const std::vector<CallerNode *> &askers = m_askers[value(service.id)];
+        CallerNode &caller = *askers[below(m_random, askers.size())];
+        if (m_now < m_end && caller.session->opened()) {
+            const std::uint64_t tag = ++m_lastTag << 8U | value(service.id);
+            m_tally[tag].repeatable = service.repeatable;
+            m_result.sent += measuring() ? 1 : 0;
+            caller.asked[caller.session->request(m_now, service.repeatable, m_options.deadline, packTag(tag))] = tag;
+            collect(caller);
+        }
+        arrive(service);
+    });
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::collect(CallerNode &caller)
+{
+    for (const Message &message : caller.session->takeOutbox()) {
+        carry(m_options.deployment.toCallers, true, [this, &caller, message] {
+            toFabric([this, &caller, message](BalancerNode &node) {
+                node.core->handleCaller(m_now, caller.service->id, caller.endpoint, message);
+            });
+        });
+    }
+    for (const FeedItem &item : caller.session->takeItems()) {
+        caller.wrongItem = caller.wrongItem || unpackTag(item.body) != item.sequence;
+        ++m_result.feedItems;
+    }
+    if (caller.feed && caller.session->opened()) {
+        caller.longestStall = std::max(caller.longestStall, Duration(m_now - caller.session->lastItemAt()));
+    }
+    for (const CallResult &result : caller.session->takeResults()) {
+        settle(caller, result);
+    }
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::settle(CallerNode &caller, const CallResult &result)
+{
+    const std::uint64_t tag = caller.asked.at(result.request);
+    caller.asked.erase(result.request);
+    m_tally[tag].saidNotRun = result.outcome == Outcome::NotRun;
+    const bool counted = m_now - result.took >= m_measureFrom;
+    if (counted) {
+        ++m_result.outcomes[static_cast<std::size_t>(result.outcome)];
+        m_result.unanswered += result.timedOut ? 1 : 0;
+    }
+    if (result.outcome != Outcome::Answered) {
+        return;
+    }
+    if (counted) {
+        m_latency.record(result.took);
+    }
+    const bool whole = result.parts.size() == static_cast<std::size_t>(caller.service->parts);
+    const bool own = std::all_of(result.parts.begin(), result.parts.end(), [tag](const Bytes &part) {
+        return unpackTag(part) == tag;
+    });
+    m_result.wrongAnswers += whole && own ? 0 : 1;
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::sampleOccupancy()
+{
+    if (!measuring()) {
+        return;
+    }
+    for (const TargetNode &target : m_targets) {
+        const std::size_t bin = target.running.size() * (OccupancyBins - 1) / target.service->slots;
+        ++m_occupancy[std::min<std::size_t>(bin, OccupancyBins - 1)];
+    }
+}
+
+template<SlotPolicy Policy>
+void Simulation<Policy>::apply(const Fault &fault)
+{
+    const auto index = static_cast<std::size_t>(fault.index - 1);
+    switch (fault.kind) {
+    case FaultKind::StopBalancer:
+        onBalancer(m_balancers[index], [this, index] {
+            m_balancers[index].core->stop(m_now, m_options.linger);
+        });
+        break;
+    case FaultKind::KillBalancer:
+        m_balancers[index].alive = false;
+        break;
+    case FaultKind::StartBalancer:
+        startBalancer(m_balancers[index]);
+        break;
+    case FaultKind::FreezeBalancer:
+        m_balancers[index].frozen = true;
+        break;
+    case FaultKind::ThawBalancer: {
+        BalancerNode &node = m_balancers[index];
+        node.frozen = false;
+        for (const auto &action : std::exchange(node.whileFrozen, {})) {
+            onBalancer(node, action);
+        }
+        break;
+    }
+    case FaultKind::DrainTarget:
+        m_targets[index].draining = true;
+        m_targets[index].drainedAt = m_now;
+        announce(m_targets[index], m_targets[index].run);
+        break;
+    case FaultKind::KillTarget:
+        m_targets[index].alive = false;
+        break;
+    case FaultKind::StartTarget:
+        startTarget(m_targets[index]);
+        break;
+    case FaultKind::SilenceTarget:
+        m_targets[index].silent = true;
+        break;
+    case FaultKind::CutDataCentre:
+        m_cut.insert(fault.index);
+        break;
+    case FaultKind::JoinDataCentre:
+        m_cut.erase(fault.index);
+        break;
+    }
+}
+
+template<SlotPolicy Policy>
+SimulationResult Simulation<Policy>::summarize()
+{
+    SimulationResult &result = m_result;
+    for (const auto &[tag, tally] : m_tally) {
+        result.runTwice += tally.executions > 1 && !tally.repeatable ? 1 : 0;
+        result.falseNotRun += tally.executions > 0 && tally.saidNotRun ? 1 : 0;
+    }
+    for (const CallerNode &caller : m_callers) {
+        const bool stalled = caller.longestStall >= BrokenAfter;
+        result.brokenFlows += !caller.session->opened() || caller.wrongItem || stalled ? 1 : 0;
+        result.longestStall = std::max(result.longestStall, caller.longestStall);
+    }
+    double available = 0;
+    for (const SimulatedService &service : m_options.deployment.services) {
+        double sum = 0;
+        double highest = 0;
+        for (const TargetNode &target : m_targets) {
+            if (target.service == &service) {
+                sum += static_cast<double>(target.busy.count());
+                highest = std::max(highest, static_cast<double>(target.busy.count()));
+            }
+        }
+        result.imbalance = sum > 0 ? std::max(result.imbalance, highest * service.hosts / sum) : result.imbalance;
+        available += static_cast<double>(m_options.duration.count()) * service.hosts * service.slots;
+    }
+    result.goodput = ratio(m_answeredWork, available);
+    std::uint64_t samples = 0;
+    for (const std::uint64_t bin : m_occupancy) {
+        samples += bin;
+    }
+    std::uint64_t seen = 0;
+    for (std::size_t bin = 0; bin < m_occupancy.size(); ++bin) {
+        seen += m_occupancy[bin];
+        if (static_cast<double>(seen) >= 0.99 * static_cast<double>(samples)) {
+            result.occupancyP99 = static_cast<double>(bin) / (OccupancyBins - 1);
+            break;
+        }
+    }
+    for (const BalancerNode &node : m_balancers) {
+        const Counters &counters = node.core->context().counters;
+        result.retries += counters.retries;
+        result.refusedAttempts += counters.attemptsRefused;
+        result.offloaded += counters.attemptsOffloaded;
+        const double perSecond = static_cast<double>(node.controlBytes) * 1e6 / static_cast<double>(m_options.duration.count());
+        result.controlBytesPerSecond = std::max(result.controlBytesPerSecond, perSecond);
+    }
+    result.p50 = m_latency.quantile(0.5);
+    result.p99 = m_latency.quantile(0.99);
+    return result;
+}
+
+template class Simulation<OwnCounts>;
+template class Simulation<DealtTargets>;
+template class Simulation<DealtSlotsAlone>;
+template class Simulation<DealtSlots>;
+
+// ---- The ideal and the baselines ----
+
+IdealResult simulateIdeal(const SimulatedService &service, double load, Duration duration, Duration maxWait, std::uint64_t seed)
+{
+    pcg64 random(seed);
+    const int slots = service.hosts * service.slots;
+    std::priority_queue<Duration, std::vector<Duration>, std::greater<>> freeAt;
+    for (int i = 0; i < slots; ++i) {
+        freeAt.push(Duration(0));
+    }
+    LatencyHistogram latency;
+    Duration work{};
+    const Duration between(static_cast<std::int64_t>(static_cast<double>(service.serviceTime.count()) / (load * slots)));
+    for (Duration now = exponentialOf(random, between); now < duration; now += exponentialOf(random, between)) {
+        const Duration start = std::max(now, freeAt.top());
+        if (start - now > maxWait) {
+            continue;
+        }
+        const Duration took = exponentialOf(random, service.serviceTime);
+        freeAt.pop();
+        freeAt.push(start + took);
+        work += took;
+        latency.record(start + took - now);
+    }
+    return {ratio(work, static_cast<double>(duration.count()) * slots), latency.quantile(0.5), latency.quantile(0.99)};
+}
+
+BaselineResult simulateBaseline(BaselineKind kind, const SimulatedService &service, double load, Duration duration, int feeds, std::uint64_t seed)
+{
+    constexpr std::size_t BalancerCount = 8;
+    pcg64 random(seed);
+    const auto hosts = static_cast<std::size_t>(service.hosts);
+    std::vector<std::vector<Duration>> runningUntil(hosts);
+    std::vector<double> busy(hosts);
+    std::array<std::size_t, BalancerCount> turn{};
+    BaselineResult result;
+    double work = 0;
+    const auto pick = [&](std::uint64_t flow, std::size_t count) {
+        switch (kind) {
+        case BaselineKind::PlainHash:
+            return static_cast<std::size_t>(hashPair(flow, 0) % count);
+        case BaselineKind::RoundRobin:
+            return turn[below(random, BalancerCount)]++ % count;
+        case BaselineKind::Random:
+            break;
+        }
+        return below(random, count);
+    };
+    const Duration between(static_cast<std::int64_t>(static_cast<double>(service.serviceTime.count()) / (load * service.hosts * service.slots)));
+    for (Duration now = exponentialOf(random, between); now < duration; now += exponentialOf(random, between)) {
+        constexpr std::size_t FlowCount = 60;
+        const std::size_t host = pick(below(random, FlowCount), hosts);
+        std::vector<Duration> &running = runningUntil[host];
+        std::erase_if(running, [now](Duration end) {
+            return end <= now;
+        });
+        if (running.size() >= service.slots) {
+            ++result.refused;
+            continue;
+        }
+        const Duration took = exponentialOf(random, service.serviceTime);
+        running.push_back(now + took);
+        busy[host] += static_cast<double>(took.count());
+        work += static_cast<double>(took.count());
+    }
+    result.goodput = work / (static_cast<double>(duration.count()) * service.hosts * service.slots);
+    result.imbalance = work > 0 ? *std::max_element(busy.begin(), busy.end()) * service.hosts / work : 1;
+    for (int feed = 0; feed < feeds; ++feed) {
+        const auto flow = static_cast<std::uint64_t>(feed) + 1000;
+        result.brokenFlows += pick(flow, hosts) != pick(flow, hosts - 1) ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/bench/simulation.h
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: MIT
+// Simulation: balancers in virtual time behind a fake fabric, with fake targets and callers.
+//
+// Small on purpose: one queue of events, one seeded generator, and the library's own interfaces. The
+// benchmark and the tests share it; it decides nothing that the product decides.
+#pragma once
+
+#include "balancer_core.h"
+#include "caller_session.h"
+#include "metrics.h"
+
+#include <pcg_random.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace Robinrail {
+
+struct SimulatedService {
+    ServiceId id{};
+    int hosts = 0;
+    std::uint16_t slots = 0;
+    Duration serviceTime{}; // Mean; exponentially distributed.
+    int parts = 1;
+    bool repeatable = false; // Its requests may be repeated.
+};
+
+struct SimulatedDeployment {
+    int balancers = 8;
+    int dataCentres = 3;
+    Duration betweenDataCentres = std::chrono::milliseconds(1);
+    Duration toCallers = std::chrono::milliseconds(3);
+    std::vector<SimulatedService> services;
+};
+
+// The users' two deployments; service times are our assumption, as the brief gives none.
+SimulatedDeployment kathmandu();
+SimulatedDeployment bogota();
+
+enum class FaultKind : std::uint8_t {
+    StopBalancer, // Planned.
+    KillBalancer,
+    StartBalancer, // A new run of the same balancer.
+    FreezeBalancer,
+    ThawBalancer,
+    DrainTarget,
+    KillTarget,
+    StartTarget,
+    SilenceTarget, // Announces itself and answers nothing.
+    CutDataCentre, // From all others; what is inside still talks.
+    JoinDataCentre,
+};
+
+struct Fault {
+    Duration at{};
+    FaultKind kind = FaultKind::StopBalancer;
+    int index = 0; // Balancer or data centre number from 1, or target number from 1.
+};
+
+struct SimulationOptions {
+    SimulatedDeployment deployment;
+    std::uint64_t seed = 1;
+    double load = 0.5; // Of all slots.
+    int callers = 60; // Flows of requests, for each service.
+    int feeds = 40; // On the first service.
+    Duration warmUp = std::chrono::seconds(6);
+    Duration duration = std::chrono::seconds(30); // After the warm-up.
+    Duration deadline = std::chrono::seconds(2);
+    double drop = 0; // Of packets on every leg.
+    double duplicate = 0; // On legs into balancers and to callers.
+    double late = 0; // Delayed by up to LateBy.
+    Duration linger = std::chrono::seconds(4);
+    std::vector<Fault> faults; // Times after the warm-up.
+};
+
+struct SimulationResult {
+    std::uint64_t sent = 0;
+    std::array<std::uint64_t, 4> outcomes{}; // By Outcome.
+    std::uint64_t unanswered = 0;
+    std::uint64_t brokenFlows = 0;
+    std::uint64_t runTwice = 0;
+    std::uint64_t falseNotRun = 0;
+    std::uint64_t wrongAnswers = 0;
+    std::uint64_t crossDeliveries = 0;
+    std::uint64_t lateWork = 0; // Attempts and attachments at a draining target after 3 s.
+    std::uint64_t feedItems = 0;
+    Duration longestStall{};
+    std::uint64_t retries = 0;
+    std::uint64_t refusedAttempts = 0;
+    std::uint64_t offloaded = 0;
+    std::uint64_t stoppedBalancers = 0; // Planned stops that came to their end.
+    double imbalance = 1; // Highest over services of max/mean busy time of targets.
+    double occupancyP99 = 0; // Of running/slots over targets and samples.
+    double goodput = 0; // Answered slot time over the slot time that there was.
+    Duration p50{};
+    Duration p99{};
+    double controlBytesPerSecond = 0; // Of the balancer with the most.
+
+    // Everything deterministic, mixed into one number.
+    std::uint64_t signature() const;
+};
+
+inline constexpr Duration LateBy = std::chrono::milliseconds(300);
+
+template<SlotPolicy Policy>
+class Simulation
+{
+public:
+    explicit Simulation(const SimulationOptions &options);
+    SimulationResult run();
+
+    // For tests that look inside or bring about something of their own.
+    BalancerCore<Policy> &balancer(int number);
+    TimePoint now() const;
+    void at(TimePoint time, std::function<void()> action);
+
+private:
+    struct BalancerNode {
+        BalancerId id{};
+        int dataCentre = 0;
+        Endpoint endpoint;
+        std::unique_ptr<BalancerCore<Policy>> core;
+        bool alive = false;
+        bool frozen = false;
+        bool inFabric = false;
+        std::uint64_t run = 0;
+        std::uint64_t controlBytes = 0;
+        std::vector<std::function<void()>> whileFrozen;
+    };
+    struct Feed {
+        Endpoint balancer;
+        FlowId flow{};
+        std::uint64_t next = 1;
+    };
+    struct TargetNode {
+        TargetId id{};
+        const SimulatedService *service = nullptr;
+        int dataCentre = 0;
+        Endpoint endpoint;
+        bool alive = false;
+        bool silent = false;
+        bool draining = false;
+        TimePoint drainedAt;
+        std::uint64_t run = 0;
+        std::uint64_t sequence = 0;
+        std::set<AttemptKey> running;
+        std::map<AttemptKey, Feed> feeds;
+        Duration busy{};
+        TimePoint busySince;
+    };
+    struct CallerNode {
+        Endpoint endpoint;
+        const SimulatedService *service = nullptr;
+        bool feed = false;
+        std::unique_ptr<CallerSession> session;
+        std::map<RequestId, std::uint64_t> asked; // Tag of each open request.
+        Duration longestStall{};
+        bool wrongItem = false;
+    };
+    struct Tally {
+        int executions = 0;
+        bool repeatable = false;
+        bool saidNotRun = false;
+    };
+    struct Event {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    double uniform();
+    Duration exponential(Duration mean);
+    void after(Duration delay, std::function<void()> action);
+    void every(Duration interval, std::function<bool()> action);
+    bool measuring() const;
+
+    void startBalancer(BalancerNode &node);
+    void startTarget(TargetNode &node);
+    void apply(const Fault &fault);
+    void tickBalancer(BalancerNode &node, std::uint64_t run);
+    void onBalancer(BalancerNode &node, const std::function<void()> &action);
+    void flush(BalancerNode &node);
+    void route(BalancerNode &from, const Outgoing &outgoing);
+    bool connected(int one, int other) const;
+    Duration latency(int one, int other) const;
+    template<typename Deliver>
+    void carry(Duration delay, bool mayDuplicate, Deliver deliver);
+    void toFabric(std::function<void(BalancerNode &)> deliver);
+
+    void takeTarget(TargetNode &target, BalancerNode &from, const Message &message);
+    void runRequest(TargetNode &target, BalancerNode &from, const RunRequest &request);
+    void answerFrom(TargetNode &target, Endpoint balancer, const Message &message);
+    void announce(TargetNode &target, std::uint64_t run);
+    void pushFeed(TargetNode &target, AttemptKey attachment, std::uint64_t run);
+    void setRunning(TargetNode &target, const AttemptKey &attempt, bool running);
+    bool isLate(const TargetNode &target) const;
+
+    void arrive(const SimulatedService &service);
+    void collect(CallerNode &caller);
+    void settle(CallerNode &caller, const CallResult &result);
+    void sampleOccupancy();
+    SimulationResult summarize();
+
+    SimulationOptions m_options;
+    pcg64 m_random;
+    TimePoint m_now;
+    TimePoint m_measureFrom;
+    TimePoint m_end;
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::vector<BalancerNode> m_balancers;
+    std::vector<TargetNode> m_targets;
+    std::vector<CallerNode> m_callers;
+    std::map<std::uint16_t, std::vector<CallerNode *>> m_askers; // Callers of requests by service.
+    std::set<int> m_cut;
+    std::map<std::uint64_t, Tally> m_tally;
+    std::uint64_t m_lastTag = 0;
+    Duration m_answeredWork{};
+    std::vector<std::uint64_t> m_occupancy; // Samples by tenth of a host's slots.
+    LatencyHistogram m_latency;
+    SimulationResult m_result;
+};
+
+// The same arrivals at one central queue that knows everything: what no real balancer can beat.
+struct IdealResult {
+    double goodput = 0;
+    Duration p50{};
+    Duration p99{};
+};
+IdealResult simulateIdeal(const SimulatedService &service, double load, Duration duration, Duration maxWait, std::uint64_t seed);
+
+// The baselines: no connection ids, no owner, no counts; each packet picks a target by itself.
+enum class BaselineKind : std::uint8_t {
+    PlainHash,
+    RoundRobin,
+    Random,
+};
+struct BaselineResult {
+    double goodput = 0;
+    double imbalance = 1;
+    std::uint64_t refused = 0;
+    std::uint64_t brokenFlows = 0; // Of `feeds`, when one target leaves.
+};
+BaselineResult simulateBaseline(BaselineKind kind, const SimulatedService &service, double load, Duration duration, int feeds, std::uint64_t seed);
+
+} // namespace Robinrail
