Judge waiting by the whole pool of slots and act on fresh load hints

Cause: a balancer estimated the wait of its queue from its own share alone (5 of 42 slots, or 1 of 12), and refused although peers had free slots. A request that had been declined 3 times then waited for an own slot, whatever hints came later.

Ruled out: turnaround of slots (0.2 ms of 100 ms inside a data centre) and slow start (over before the measurement).

Change: the wait is estimated from the larger of the own share and an equal part of all slots; a fresh hint of a free slot sends what waits; an answered offload counts as a free slot; only probes without a hint are bounded.

--- a/src/balancer_core.cpp
+++ b/src/balancer_core.cpp
@@ -398,7 +398,7 @@
     if (value(relayed.service) == 0) {
         return dispatchTarget(now, relayed.caller, &relayed, *inner);
     }
-    m_requests.noteFreeSlots(relayed.relay.id, relayed.service, relayed.freeSlots);
+    m_requests.noteFreeSlots(now, relayed.relay.id, relayed.service, relayed.freeSlots);
     dispatchCaller(now, {relayed.service, relayed.caller, relayed.hops, relayed.relay}, *inner);
 }
 
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -40,7 +40,7 @@
 
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    static constexpr unsigned BinCount = 60;
+    static constexpr unsigned BinCount = 240; // About 6% wide each.
 
     decltype(boost::histogram::make_histogram(std::declval<Axis>())) m_histogram;
     std::uint64_t m_count = 0;
--- a/src/request_engine.cpp
+++ b/src/request_engine.cpp
@@ -111,9 +111,9 @@
     const Duration serviceTime(static_cast<std::int64_t>(line.serviceTime));
     const Duration limit = std::min(line.settings.maxQueueDelay, pending.deadline - now - serviceTime);
     const std::uint32_t caller = pending.caller.address;
-    if (line.queue.size() > 0 && estimateWait(line) > limit) {
+    if (line.queue.size() > 0 && estimateWait(now, line) > limit) {
         const std::optional<RequestKey> victim = line.queue.evictFor(caller);
-        const Duration pause = retryAfter(line);
+        const Duration pause = retryAfter(now, line);
         if (!victim) {
             return giveUp(now, key, RefusalReason::Overload, pause);
         }
@@ -125,16 +125,21 @@
 }
 
 template<SlotPolicy Policy>
-Duration RequestEngine<Policy>::estimateWait(const ServiceLine &line) const
+Duration RequestEngine<Policy>::estimateWait(TimePoint now, const ServiceLine &line) const
 {
-    const std::uint32_t share = std::max(1U, countShare(m_context.targets.targets(), line.settings.id));
+    const std::span<const Target> targets = m_context.targets.targets();
+    std::uint32_t share = std::max(1U, countShare(targets, line.settings.id));
+    if (Policy::OffloadsToPeers) {
+        // What waits here may run at any balancer, so a small own share alone does not mean a long wait.
+        share = std::max(share, countUsableSlots(targets, line.settings.id, now) / m_memberCount);
+    }
     return Duration(static_cast<std::int64_t>(static_cast<double>(line.queue.size()) * line.serviceTime / share));
 }
 
 template<SlotPolicy Policy>
-Duration RequestEngine<Policy>::retryAfter(const ServiceLine &line) const
+Duration RequestEngine<Policy>::retryAfter(TimePoint now, const ServiceLine &line) const
 {
-    return std::max(MinRetryAfter, estimateWait(line));
+    return std::max(MinRetryAfter, estimateWait(now, line));
 }
 
 template<SlotPolicy Policy>
@@ -219,15 +224,13 @@
 template<SlotPolicy Policy>
 bool RequestEngine<Policy>::offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line)
 {
-    if (pending.offloadTries >= MaxOffloadTries) {
-        return false;
-    }
-    const bool mayProbe = countShare(m_context.targets.targets(), pending.service) == 0;
+    const bool mayProbe = pending.probes < MaxProbes && countShare(m_context.targets.targets(), pending.service) == 0;
     Peer *peer = choosePeer(pending.service, m_context.lastSerial, mayProbe);
     if (peer == nullptr) {
         return false;
     }
     std::uint16_t &hint = peer->freeSlots[value(pending.service)];
+    pending.probes += hint > 0 ? 0 : 1;
     hint -= hint > 0 ? 1 : 0;
     const AttemptKey attempt = m_context.nextAttempt();
     Attempt &record = m_attempts[attempt.serial];
@@ -238,7 +241,6 @@
     record.started = now;
     pending.attempt = attempt.serial;
     ++pending.unresolvedAttempts;
-    ++pending.offloadTries;
     ++m_context.counters.attemptsOffloaded;
     if (pending.repeatable) {
         const Duration usual(static_cast<std::int64_t>(line.serviceTime));
@@ -331,11 +333,14 @@
 }
 
 template<SlotPolicy Policy>
-void RequestEngine<Policy>::noteFreeSlots(BalancerId peer, ServiceId service, std::uint16_t freeSlots)
+void RequestEngine<Policy>::noteFreeSlots(TimePoint now, BalancerId peer, ServiceId service, std::uint16_t freeSlots)
 {
     if (Peer *known = m_context.peers.find(peer); known != nullptr) {
         known->freeSlots[value(service)] = freeSlots;
     }
+    if (ServiceLine *line = lineOf(service); freeSlots > 0 && line != nullptr && line->queue.size() > 0) {
+        pump(now, *line);
+    }
 }
 
 // ---- Answers and refusals of targets ----
@@ -372,6 +377,10 @@
         const RequestKey key = attempt.request;
         const auto pending = m_pending.find(key);
         assert(pending != m_pending.end() && pending->second.attempt == serial);
+        if (Peer *executor = m_context.peers.find(attempt.executor.id); executor != nullptr && attempt.kind == AttemptKind::Offloaded) {
+            // The slot that ran it has just become free.
+            ++executor->freeSlots[value(attempt.service)];
+        }
         if (line != nullptr) {
             const auto took = static_cast<double>((now - attempt.started).count());
             line->serviceTime += ServiceTimeGain * (took - line->serviceTime);
@@ -425,7 +434,7 @@
     --pending->second.unresolvedAttempts;
     pending->second.attempt = 0;
     if (attempt.kind == AttemptKind::Offloaded) {
-        noteFreeSlots(attempt.executor.id, attempt.service, 0);
+        noteFreeSlots(now, attempt.executor.id, attempt.service, 0);
         if (ServiceLine *line = lineOf(attempt.service); line != nullptr) {
             line->queue.putBack(pending->second.caller.address, attempt.request);
             pump(now, *line);
@@ -449,7 +458,7 @@
         return giveUp(now, key, reason, NoTargetRetryAfter);
     }
     if (!line->budget.take()) {
-        return giveUp(now, key, reason, retryAfter(*line));
+        return giveUp(now, key, reason, retryAfter(now, *line));
     }
     ++m_context.counters.retries;
     m_context.observe({.kind = EventKind::RequestRetried, .at = now, .service = pending.service, .flow = key.flow, .request = key.request});
@@ -613,7 +622,7 @@
     runTimers(now);
     m_settled.expire(now);
     if (Policy::OffloadsToPeers) {
-        renewOffloadTries();
+        renewProbes();
     }
     for (ServiceLine &line : m_lines) {
         pump(now, line);
@@ -622,11 +631,11 @@
 
 // A balancer without any slot of its own, as while it stops, can only go on asking; once a tick is enough.
 template<SlotPolicy Policy>
-void RequestEngine<Policy>::renewOffloadTries()
+void RequestEngine<Policy>::renewProbes()
 {
     for (auto &[key, pending] : m_pending) {
         if (pending.attempt == 0 && countShare(m_context.targets.targets(), pending.service) == 0) {
-            pending.offloadTries = 0;
+            pending.probes = 0;
         }
     }
 }
@@ -666,6 +675,7 @@
     m_dealtPeers = m_context.peers.version();
     m_warmUntil = changed ? now + SlowStartTime + HeartbeatInterval : m_warmUntil;
     const std::vector<PeerTable::Member> members = m_context.peers.members();
+    m_memberCount = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(members.size()));
     std::unordered_map<std::uint16_t, std::vector<Target *>> byService;
     for (Target &target : m_context.targets.targets()) {
         target.share = 0;
--- a/src/request_engine.h
+++ b/src/request_engine.h
@@ -25,8 +25,8 @@
 inline constexpr int AttemptTimeoutFactor = 8;
 inline constexpr Duration MinAttemptTimeout = std::chrono::milliseconds(500);
 
-// Peers that are asked in turn to run one request before it waits for a slot of its own balancer.
-inline constexpr int MaxOffloadTries = 3;
+// A balancer without any slot of its own asks this many peers in one tick without a hint that they have one.
+inline constexpr int MaxProbes = 3;
 
 // Shortest retry-after that a refusal names, and the one when no target serves at all.
 inline constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
@@ -70,7 +70,7 @@
     void takeOffload(TimePoint now, Endpoint peer, const OffloadRequest &offload);
     void cancelHosted(const CancelRun &cancel);
 
-    void noteFreeSlots(BalancerId peer, ServiceId service, std::uint16_t freeSlots);
+    void noteFreeSlots(TimePoint now, BalancerId peer, ServiceId service, std::uint16_t freeSlots);
     void peerGone(TimePoint now, BalancerKey peer);
     void targetLost(TimePoint now, TargetId target);
 
@@ -100,7 +100,7 @@
         bool repeatable = false;
         bool onlyOwner = true;
         int unresolvedAttempts = 0; // Sent and not explicitly refused.
-        int offloadTries = 0;
+        int probes = 0; // Peers asked without a hint since the last tick.
         std::uint64_t attempt = 0; // The running one; 0 while queued.
         std::vector<TargetId> avoid;
         Bytes body;
@@ -144,8 +144,8 @@
 
     ServiceLine *lineOf(ServiceId service);
     void queueOrShed(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
-    Duration estimateWait(const ServiceLine &line) const;
-    Duration retryAfter(const ServiceLine &line) const;
+    Duration estimateWait(TimePoint now, const ServiceLine &line) const;
+    Duration retryAfter(TimePoint now, const ServiceLine &line) const;
     void pump(TimePoint now, ServiceLine &line);
     bool place(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
     void sendAttempt(TimePoint now, RequestKey key, Pending &pending, Target &target, const ServiceLine &line);
@@ -162,7 +162,7 @@
     void attemptLost(TimePoint now, std::uint64_t serial);
     void attemptExpired(TimePoint now, std::uint64_t serial);
     void runTimers(TimePoint now);
-    void renewOffloadTries();
+    void renewProbes();
     void deal(TimePoint now);
 
     BalancerContext &m_context;
@@ -175,6 +175,7 @@
     std::uint64_t m_dealtTargets = 0;
     std::uint64_t m_dealtPeers = 0;
     TimePoint m_warmUntil;
+    std::uint32_t m_memberCount = 1;
 };
 
 } // namespace Robinrail
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -95,6 +95,15 @@
     return share;
 }
 
+std::uint32_t countUsableSlots(std::span<const Target> targets, ServiceId service, TimePoint now)
+{
+    std::uint32_t slots = 0;
+    for (const Target &target : targets) {
+        slots += serves(target, service) ? usableSlots(target, now) : 0U;
+    }
+    return slots;
+}
+
 bool anyServing(std::span<const Target> targets, ServiceId service)
 {
     return std::any_of(targets.begin(), targets.end(), [service](const Target &target) {
--- a/src/target_choice.h
+++ b/src/target_choice.h
@@ -25,6 +25,9 @@
 // All slots of this balancer's share over the targets of the service.
 std::uint32_t countShare(std::span<const Target> targets, ServiceId service);
 
+// Slots of all serving targets of the service, whoever's share they are in.
+std::uint32_t countUsableSlots(std::span<const Target> targets, ServiceId service, TimePoint now);
+
 // Whether any target of the service serves.
 bool anyServing(std::span<const Target> targets, ServiceId service);
 
