Keep feeds whole through stops and freezes, and "not run" true under two views

Ruled out: lost heartbeats, the bounded load rule, and the handover (the feeds in question were attached and pushed all the time).

Change: a poll moves the feed forward, too; a request id runs only at the owner that its connection id names, repeatable or not, and the caller's session asks again under a new id; a target confirms attachments, and three unconfirmed ones bind the feed elsewhere; a slot is held for 8 usual service times at most.

The flag for an uncertain owner is gone from the engine.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -490,6 +490,7 @@
             return;
         }
         target.feeds[attach->attachment] = {from.endpoint, attach->flow, attach->nextSequence};
+        answerFrom(target, from.endpoint, FeedAttached{attach->attachment, attach->flow});
         if (!known) {
             pushFeed(target, attach->attachment, target.run);
         }
--- a/src/balancer_core.cpp
+++ b/src/balancer_core.cpp
@@ -171,7 +171,7 @@
     if (id.owner != m_context.peers.self()) {
         sendMoved(packet, id.flow, id.flow);
     }
-    m_requests.accept(now, {id.flow, id.flow, packet.caller, true}, request);
+    m_requests.accept(now, id.flow, packet.caller, request);
 }
 
 template<SlotPolicy Policy>
@@ -204,15 +204,15 @@
     }
     if (packet.relay == to) {
         if (request != nullptr) {
-            m_requests.refuseUncertain({id.flow, id.flow, packet.caller, false}, *request, RefusalReason::ForgottenFlow);
+            m_requests.refuseUncertain(id.flow, packet.caller, request->request, RefusalReason::ForgottenFlow);
         }
         return;
     }
     relay(now, packet, to, message);
 }
 
-// The owner named in the id is gone, or has forgotten the flow. A request that must not be repeated may
-// have run there, so it is not run again and never called "not run". The flow goes on under a new id.
+// The owner named in the id is gone, or has forgotten the flow. The request may have run there, so it is
+// not run here and never called "not run"; a caller that may repeat it asks again under the new id.
 template<SlotPolicy Policy>
 void BalancerCore<Policy>::onOwnerGone(TimePoint now, const CallerPacket &packet, const ConnectionId &id, const Message &message)
 {
@@ -223,12 +223,7 @@
     const FlowId flowId = adopt(now, packet, id);
     Flow *flow = m_context.flows.find(flowId);
     if (const auto *request = std::get_if<Request>(&message)) {
-        const Arrival arrival{flowId, id.flow, packet.caller, false};
-        if (request->repeatable && flow != nullptr) {
-            m_requests.accept(now, arrival, *request);
-        } else {
-            m_requests.refuseUncertain(arrival, *request, RefusalReason::OwnerGone);
-        }
+        m_requests.refuseUncertain(id.flow, packet.caller, request->request, RefusalReason::OwnerGone);
     } else if (const auto *poll = std::get_if<PollFeed>(&message); poll != nullptr && flow != nullptr) {
         m_feeds.poll(now, flowId, *flow, poll->acknowledged);
     }
@@ -304,6 +299,10 @@
         if (ownAttempt(now, target, relayed, push->attachment, *push)) {
             m_feeds.push(now, target, *push);
         }
+    } else if (const auto *attached = std::get_if<FeedAttached>(&message)) {
+        if (ownAttempt(now, target, relayed, attached->attachment, *attached)) {
+            m_feeds.attached(target, *attached);
+        }
     } else {
         m_context.reject(now, RejectReason::UnexpectedType);
     }
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -13,6 +13,9 @@
 // Flow ids that a session remembers; answers of older ones are not accepted any more.
 constexpr std::size_t MaxKnownFlows = 8;
 
+// A request is not asked again sooner than this.
+constexpr Duration MinRepeatPause = std::chrono::milliseconds(20);
+
 } // namespace
 
 CallerSession::CallerSession(std::uint64_t nonce, bool withFeed)
@@ -30,6 +33,7 @@
         }
         return;
     }
+    sendAgain(now);
     std::vector<RequestId> overdue;
     for (auto &[id, pending] : m_pending) {
         if (now - pending.sentLast >= RequestRetryInterval) {
@@ -86,6 +90,7 @@
     assert(m_opened);
     const RequestId id{++m_lastRequest};
     Pending &pending = m_pending[id];
+    pending.original = id;
     pending.message = {m_connectionId, id, repeatable, deadline, std::move(body)};
     pending.sentFirst = now;
     pending.sentLast = now;
@@ -123,12 +128,49 @@
     if (!m_pending.contains(refusal.request) || !knows(refusal.flow)) {
         return;
     }
+    const auto at = m_pending.find(refusal.request);
+    if (mayRepeat(now, at->second, refusal)) {
+        m_repeats.push_back({now + std::max(MinRepeatPause, refusal.retryAfter), std::move(at->second)});
+        m_pending.erase(at);
+        return;
+    }
     CallResult result;
     result.outcome = refusal.outcome;
     result.retryAfter = refusal.retryAfter;
     finish(now, refusal.request, std::move(result));
 }
 
+bool CallerSession::mayRepeat(TimePoint now, const Pending &pending, const Refusal &refusal) const
+{
+    const Duration pause = std::max(MinRepeatPause, refusal.retryAfter);
+    return pending.message.repeatable && refusal.outcome == Outcome::OutcomeUnknown && now + pause < pending.deadline;
+}
+
+// By then the new connection id has usually come, as it is sent before the refusal.
+void CallerSession::sendAgain(TimePoint now)
+{
+    std::vector<Repeat> due;
+    std::erase_if(m_repeats, [&](Repeat &repeat) {
+        const bool isDue = now >= repeat.at;
+        if (isDue) {
+            due.push_back(std::move(repeat));
+        }
+        return isDue;
+    });
+    for (Repeat &repeat : due) {
+        const RequestId id{++m_lastRequest};
+        Pending &pending = m_pending[id];
+        pending = std::move(repeat.pending);
+        pending.attempts.clear();
+        pending.mayHaveRun = true;
+        pending.message.connectionId = m_connectionId;
+        pending.message.request = id;
+        pending.message.timeLeft = pending.deadline - now;
+        pending.sentLast = now;
+        m_outbox.emplace_back(pending.message);
+    }
+}
+
 void CallerSession::takeItem(TimePoint now, const FeedItem &item)
 {
     if (!knows(item.flow) || item.sequence != m_acknowledged + 1) {
@@ -142,7 +184,10 @@
 void CallerSession::finish(TimePoint now, RequestId request, CallResult result)
 {
     const auto at = m_pending.find(request);
-    result.request = request;
+    result.request = at->second.original;
+    if (result.outcome == Outcome::NotRun && at->second.mayHaveRun) {
+        result.outcome = Outcome::OutcomeUnknown;
+    }
     result.took = now - at->second.sentFirst;
     m_pending.erase(at);
     m_results.push_back(std::move(result));
@@ -185,7 +230,7 @@
 
 std::size_t CallerSession::pending() const
 {
-    return m_pending.size();
+    return m_pending.size() + m_repeats.size();
 }
 
 const SealedConnectionId &CallerSession::connectionId() const
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -2,7 +2,8 @@
 // Caller session: the caller's side of one flow, without I/O, for programs that call a service.
 //
 // A request is always sent again under the connection id that it was first sent with: that id names the
-// only balancer run that may execute it, which is what makes repeating the packet safe.
+// only balancer run that may execute it, which is what makes repeating the packet safe. A request that
+// may be repeated and whose outcome is unknown is asked again as a new one, within its deadline.
 #pragma once
 
 #include "answer_assembly.h"
@@ -65,6 +66,8 @@
 private:
     struct Pending {
         Request message;
+        RequestId original{}; // What the program knows it as; another one after it was repeated.
+        bool mayHaveRun = false; // Under an earlier id, whose outcome was unknown.
         TimePoint sentFirst;
         TimePoint sentLast;
         TimePoint deadline;
@@ -74,6 +77,8 @@
     void takeRefusal(TimePoint now, const Refusal &refusal);
     void takeItem(TimePoint now, const FeedItem &item);
     void finish(TimePoint now, RequestId request, CallResult result);
+    bool mayRepeat(TimePoint now, const Pending &pending, const Refusal &refusal) const;
+    void sendAgain(TimePoint now);
     bool knows(FlowId flow) const;
 
     std::uint64_t m_nonce;
@@ -85,6 +90,11 @@
     SealedConnectionId m_connectionId{};
     std::uint32_t m_lastRequest = 0;
     std::map<RequestId, Pending> m_pending;
+    struct Repeat {
+        TimePoint at;
+        Pending pending;
+    };
+    std::vector<Repeat> m_repeats; // Refused, may be repeated, and not sent again yet.
     std::uint64_t m_acknowledged = 0;
     TimePoint m_pollSent;
     TimePoint m_lastItemAt;
--- a/src/feed_engine.cpp
+++ b/src/feed_engine.cpp
@@ -20,19 +20,40 @@
         attach(now, id, flow);
         return;
     }
+    if (acknowledged >= flow.nextSequence) {
+        // The caller is ahead, as the owner before this one went on for a while: skip what it has.
+        flow.nextSequence = acknowledged + 1;
+        return resync(now, id, flow);
+    }
     if (now - flow.lastPush < FeedResyncPause) {
         return;
     }
     // Nothing came for a while: either the feed is quiet, or an item or the attachment was lost.
-    flow.nextSequence = std::min(flow.nextSequence, acknowledged + 1);
+    flow.nextSequence = acknowledged + 1;
+    if (++flow.unansweredResyncs >= MaxUnansweredResyncs) {
+        return leaveSilentTarget(now, id, flow);
+    }
     resync(now, id, flow);
 }
 
+// A target answers each attachment at once, if only with the item before; one that does not is left.
+void FeedEngine::leaveSilentTarget(TimePoint now, FlowId id, Flow &flow)
+{
+    if (Target *target = m_context.targets.find(flow.target); target != nullptr) {
+        noteSilence(*target);
+    }
+    const TargetId silent = flow.target;
+    detach(flow);
+    if (attach(now, id, flow, silent)) {
+        ++m_context.counters.feedRebinds;
+        m_context.observe({.kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target});
+    }
+}
+
 void FeedEngine::push(TimePoint now, Endpoint target, const FeedPush &push)
 {
-    Flow *flow = m_context.flows.find(push.flow);
-    if (flow == nullptr || flow->attachment != push.attachment.serial) {
-        m_context.send(target, DetachFeed{push.attachment});
+    Flow *flow = attachedFlow(target, push.flow, push.attachment);
+    if (flow == nullptr) {
         return;
     }
     if (push.sequence > flow->nextSequence && now - flow->lastPush >= FeedResyncPause) {
@@ -47,6 +68,23 @@
     m_context.send(flow->caller, FeedItem{push.flow, push.sequence, push.body});
 }
 
+void FeedEngine::attached(Endpoint target, const FeedAttached &message)
+{
+    attachedFlow(target, message.flow, message.attachment);
+}
+
+// The flow of an attachment that is in force; the target is told to end any other.
+Flow *FeedEngine::attachedFlow(Endpoint target, FlowId id, const AttemptKey &attachment)
+{
+    Flow *flow = m_context.flows.find(id);
+    if (flow == nullptr || flow->attachment != attachment.serial) {
+        m_context.send(target, DetachFeed{attachment});
+        return nullptr;
+    }
+    flow->unansweredResyncs = 0;
+    return flow;
+}
+
 void FeedEngine::resume(TimePoint now, FlowId id, Flow &flow)
 {
     attach(now, id, flow);
@@ -78,16 +116,17 @@
     });
 }
 
-bool FeedEngine::attach(TimePoint now, FlowId id, Flow &flow)
+bool FeedEngine::attach(TimePoint now, FlowId id, Flow &flow, std::optional<TargetId> avoid)
 {
     const std::size_t members = m_context.peers.members().size();
-    Target *target = chooseFeedTarget(m_context.targets.targets(), flow.service, id, members, now);
+    Target *target = chooseFeedTarget(m_context.targets.targets(), flow.service, id, members, avoid, now);
     if (target == nullptr) {
         return false; // The next poll tries again.
     }
     const AttemptKey attachment = m_context.nextAttempt();
     flow.target = target->id();
     flow.attachment = attachment.serial;
+    flow.unansweredResyncs = 0;
     ++target->feeds;
     resync(now, id, flow);
     m_context.observe({.kind = EventKind::FeedAttached, .at = now, .service = flow.service, .flow = id, .target = flow.target});
--- a/src/feed_engine.h
+++ b/src/feed_engine.h
@@ -12,6 +12,9 @@
 // Least time between two requests to a target to push again from a sequence number.
 inline constexpr Duration FeedResyncPause = std::chrono::milliseconds(100);
 
+// After this many attachments in a row that brought nothing, the feed is bound to another target.
+inline constexpr std::uint8_t MaxUnansweredResyncs = 3;
+
 class FeedEngine
 {
 public:
@@ -23,6 +26,9 @@
     // A target pushed an item. Passes it on if it is the next one of an attachment of this balancer.
     void push(TimePoint now, Endpoint target, const FeedPush &push);
 
+    // A target confirms an attachment.
+    void attached(Endpoint target, const FeedAttached &message);
+
     // Attaches a flow that was taken over from another balancer.
     void resume(TimePoint now, FlowId id, Flow &flow);
 
@@ -33,7 +39,9 @@
     void rebindFrom(TimePoint now, TargetId target);
 
 private:
-    bool attach(TimePoint now, FlowId id, Flow &flow);
+    Flow *attachedFlow(Endpoint target, FlowId id, const AttemptKey &attachment);
+    bool attach(TimePoint now, FlowId id, Flow &flow, std::optional<TargetId> avoid = std::nullopt);
+    void leaveSilentTarget(TimePoint now, FlowId id, Flow &flow);
     void resync(TimePoint now, FlowId id, Flow &flow);
 
     BalancerContext &m_context;
--- a/src/message.h
+++ b/src/message.h
@@ -230,7 +230,8 @@
     }
 };
 
-// Asks the target to push feed items from nextSequence on, naming the attachment in each.
+// Asks the target to push feed items from nextSequence on, naming the attachment in each. The target
+// answers with FeedAttached at once, as the feed itself may be quiet.
 struct AttachFeed {
     AttemptKey attachment;
     FlowId flow{};
@@ -242,6 +243,16 @@
     }
 };
 
+struct FeedAttached {
+    AttemptKey attachment;
+    FlowId flow{};
+
+    auto fields()
+    {
+        return std::tie(attachment, flow);
+    }
+};
+
 struct DetachFeed {
     AttemptKey attachment;
 
@@ -393,6 +404,7 @@
                              RunPart,
                              RunRefused,
                              AttachFeed,
+                             FeedAttached,
                              DetachFeed,
                              FeedPush,
                              RelayedPacket,
--- a/src/request_engine.cpp
+++ b/src/request_engine.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace Robinrail {
 
@@ -22,12 +23,18 @@
 }
 
 // What may be said of a request that is given up: "not run" only if nothing can have run it.
-Outcome outcomeOf(bool surelyNotRun, bool repeatable)
+Outcome outcomeOf(bool surelyNotRun, bool repeatable, RefusalReason reason)
 {
     if (surelyNotRun) {
         return Outcome::NotRun;
     }
-    return repeatable ? Outcome::DeadlinePassed : Outcome::OutcomeUnknown;
+    return repeatable && reason == RefusalReason::Deadline ? Outcome::DeadlinePassed : Outcome::OutcomeUnknown;
+}
+
+template<typename Line>
+Duration usualTime(const Line &line)
+{
+    return Duration(static_cast<std::int64_t>(line.serviceTime));
 }
 
 } // namespace
@@ -67,15 +74,15 @@
 // ---- Admission ----
 
 template<SlotPolicy Policy>
-void RequestEngine<Policy>::accept(TimePoint now, const Arrival &arrival, const Request &request)
+void RequestEngine<Policy>::accept(TimePoint now, FlowId flowId, Endpoint caller, const Request &request)
 {
-    Flow *flow = m_context.flows.find(arrival.flow);
+    Flow *flow = m_context.flows.find(flowId);
     assert(flow != nullptr);
-    const RequestKey key{arrival.flow, request.request};
+    const RequestKey key{flowId, request.request};
     if (flow->window.take(request.request) != RequestAge::Fresh) {
         ++m_context.counters.duplicatesDropped;
-        if (!isPending(key) && !resend(key, arrival.caller)) {
-            refuseUncertain(arrival, request, RefusalReason::ForgottenFlow);
+        if (!isPending(key) && !resend(key, caller)) {
+            refuseUncertain(flowId, caller, request.request, RefusalReason::ForgottenFlow);
         }
         return;
     }
@@ -84,11 +91,9 @@
     const Duration timeLeft = std::min(request.timeLeft, MaxTimeLeft);
     Pending &pending = m_pending[key];
     pending.service = flow->service;
-    pending.replyFlow = arrival.replyFlow;
-    pending.caller = arrival.caller;
+    pending.caller = caller;
     pending.deadline = now + timeLeft;
     pending.repeatable = request.repeatable;
-    pending.onlyOwner = arrival.onlyOwner;
     pending.body = request.body;
     ServiceLine *line = lineOf(flow->service);
     if (request.body.size() > MaxBodySize) {
@@ -101,15 +106,14 @@
         return giveUp(now, key, RefusalReason::NoTarget, NoTargetRetryAfter);
     }
     line->budget.noteRequest();
-    m_timers.push({pending.deadline, 0, key});
+    m_timers.push({pending.deadline, TimerKind::RequestDeadline, 0, key});
     queueOrShed(now, key, pending, *line);
 }
 
 template<SlotPolicy Policy>
 void RequestEngine<Policy>::queueOrShed(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line)
 {
-    const Duration serviceTime(static_cast<std::int64_t>(line.serviceTime));
-    const Duration limit = std::min(line.settings.maxQueueDelay, pending.deadline - now - serviceTime);
+    const Duration limit = std::min(line.settings.maxQueueDelay, pending.deadline - now - usualTime(line));
     const std::uint32_t caller = pending.caller.address;
     if (line.queue.size() > 0 && estimateWait(now, line) > limit) {
         const std::optional<RequestKey> victim = line.queue.evictFor(caller);
@@ -143,11 +147,10 @@
 }
 
 template<SlotPolicy Policy>
-void RequestEngine<Policy>::refuseUncertain(const Arrival &arrival, const Request &request, RefusalReason reason)
+void RequestEngine<Policy>::refuseUncertain(FlowId flow, Endpoint caller, RequestId request, RefusalReason reason)
 {
-    const Outcome outcome = outcomeOf(false, request.repeatable);
-    ++m_context.counters.outcomes[static_cast<std::size_t>(outcome)];
-    m_context.send(arrival.caller, Refusal{arrival.replyFlow, request.request, outcome, reason, MinRetryAfter});
+    ++m_context.counters.outcomes[static_cast<std::size_t>(Outcome::OutcomeUnknown)];
+    m_context.send(caller, Refusal{flow, request, Outcome::OutcomeUnknown, reason, Duration::zero()});
 }
 
 template<SlotPolicy Policy>
@@ -201,17 +204,10 @@
     Attempt &record = m_attempts[attempt.serial];
     record.request = key;
     record.service = pending.service;
-    record.target = target.id();
-    record.started = now;
     pending.attempt = attempt.serial;
     ++pending.unresolvedAttempts;
-    ++target.running;
-    target.lastUse = attempt.serial;
-    ++m_context.counters.attemptsSent;
-    if (pending.repeatable) {
-        const Duration usual(static_cast<std::int64_t>(line.serviceTime));
-        m_timers.push({now + std::max(MinAttemptTimeout, usual * AttemptTimeoutFactor), attempt.serial, key});
-    }
+    occupy(now, record, attempt.serial, target, line);
+    limitAttempt(now, pending, attempt.serial, line);
     m_context.send(target.announcement.endpoint, RunRequest{attempt, pending.deadline - now, pending.body});
     m_context.observe({.kind = EventKind::RequestSent,
                        .at = now,
@@ -221,6 +217,28 @@
                        .target = target.id()});
 }
 
+// Takes a slot of the target for an attempt.
+template<SlotPolicy Policy>
+void RequestEngine<Policy>::occupy(TimePoint now, Attempt &attempt, std::uint64_t serial, Target &target, const ServiceLine &line)
+{
+    attempt.target = target.id();
+    attempt.started = now;
+    attempt.holdsSlot = true;
+    ++target.running;
+    target.lastUse = serial;
+    ++m_context.counters.attemptsSent;
+    m_timers.push({now + std::max(MinSlotHold, usualTime(line) * SlotHoldFactor), TimerKind::SlotHold, serial, {}});
+}
+
+// Only what may be repeated has an end before its deadline: it is tried again elsewhere.
+template<SlotPolicy Policy>
+void RequestEngine<Policy>::limitAttempt(TimePoint now, const Pending &pending, std::uint64_t serial, const ServiceLine &line)
+{
+    if (pending.repeatable) {
+        m_timers.push({now + std::max(MinAttemptTimeout, usualTime(line) * AttemptTimeoutFactor), TimerKind::AttemptEnd, serial, {}});
+    }
+}
+
 template<SlotPolicy Policy>
 bool RequestEngine<Policy>::offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line)
 {
@@ -242,10 +260,7 @@
     pending.attempt = attempt.serial;
     ++pending.unresolvedAttempts;
     ++m_context.counters.attemptsOffloaded;
-    if (pending.repeatable) {
-        const Duration usual(static_cast<std::int64_t>(line.serviceTime));
-        m_timers.push({now + std::max(MinAttemptTimeout, usual * AttemptTimeoutFactor), attempt.serial, key});
-    }
+    limitAttempt(now, pending, attempt.serial, line);
     m_context.send(peer->endpoint, OffloadRequest{attempt, peer->key(), pending.service, pending.deadline - now, pending.body});
     m_context.observe({.kind = EventKind::RequestOffloaded,
                        .at = now,
@@ -294,14 +309,10 @@
     Attempt &record = m_attempts[attempt.serial];
     record.kind = AttemptKind::Hosted;
     record.service = offload.service;
-    record.target = target->id();
     record.origin = offload.attempt;
     record.originEndpoint = peer;
-    record.started = now;
-    ++target->running;
-    target->lastUse = attempt.serial;
-    ++m_context.counters.attemptsSent;
-    m_timers.push({now + std::min(offload.timeLeft, MaxTimeLeft), attempt.serial, {}});
+    occupy(now, record, attempt.serial, *target, *line);
+    m_timers.push({now + std::min(offload.timeLeft, MaxTimeLeft), TimerKind::AttemptEnd, attempt.serial, {}});
     m_context.send(target->announcement.endpoint, RunRequest{attempt, offload.timeLeft, offload.body});
 }
 
@@ -361,7 +372,11 @@
         m_context.send(attempt.originEndpoint, RunPart{attempt.origin, part.index, part.count, part.body});
     }
     if (effect == PartEffect::Completed) {
-        answer(now, part.attempt.serial, attempt);
+        return answer(now, part.attempt.serial, attempt);
+    }
+    const auto pending = m_pending.find(attempt.request);
+    if (attempt.kind != AttemptKind::Hosted && pending != m_pending.end() && pending->second.repeatable) {
+        m_timers.push({now + PartialAnswerTime, TimerKind::AttemptEnd, part.attempt.serial, {}});
     }
 }
 
@@ -388,7 +403,7 @@
         std::vector<Message> messages;
         std::vector<Bytes> &parts = attempt.assembly.parts();
         for (std::uint16_t index = 0; index < parts.size(); ++index) {
-            messages.emplace_back(AnswerPart{pending->second.replyFlow,
+            messages.emplace_back(AnswerPart{key.flow,
                                              key.request,
                                              serial,
                                              index,
@@ -418,7 +433,7 @@
     if (at == m_attempts.end() || at->second.assembly.started()) {
         return;
     }
-    const Attempt attempt = std::move(at->second);
+    Attempt attempt = std::move(at->second);
     m_attempts.erase(at);
     releaseSlot(attempt);
     if (Target *target = m_context.targets.find(attempt.target); target != nullptr && attempt.kind != AttemptKind::Offloaded) {
@@ -479,8 +494,7 @@
     if (pending.attempt != 0) {
         abandonAttempt(pending.attempt);
     }
-    const bool surelyNotRun = pending.onlyOwner && pending.unresolvedAttempts == 0;
-    const Outcome outcome = outcomeOf(surelyNotRun, pending.repeatable);
+    const Outcome outcome = outcomeOf(pending.unresolvedAttempts == 0, pending.repeatable, reason);
     ++m_context.counters.outcomes[static_cast<std::size_t>(outcome)];
     m_context.observe({.kind = EventKind::RequestRefused,
                        .at = now,
@@ -488,7 +502,7 @@
                        .flow = key.flow,
                        .request = key.request,
                        .detail = static_cast<std::uint8_t>(outcome)});
-    settle(now, key, {Refusal{pending.replyFlow, key.request, outcome, reason, retryAfter}});
+    settle(now, key, {Refusal{key.flow, key.request, outcome, reason, retryAfter}});
 }
 
 template<SlotPolicy Policy>
@@ -520,7 +534,7 @@
     if (at == m_attempts.end()) {
         return;
     }
-    const Attempt &attempt = at->second;
+    Attempt &attempt = at->second;
     const CancelRun cancel{{m_context.peers.self(), serial}};
     if (attempt.kind == AttemptKind::Offloaded) {
         if (const Peer *peer = m_context.peers.find(attempt.executor.id); peer != nullptr) {
@@ -534,9 +548,9 @@
 }
 
 template<SlotPolicy Policy>
-void RequestEngine<Policy>::releaseSlot(const Attempt &attempt)
+void RequestEngine<Policy>::releaseSlot(Attempt &attempt)
 {
-    if (attempt.kind == AttemptKind::Offloaded) {
+    if (!std::exchange(attempt.holdsSlot, false)) {
         return;
     }
     if (Target *target = m_context.targets.find(attempt.target); target != nullptr) {
@@ -569,14 +583,9 @@
 template<SlotPolicy Policy>
 void RequestEngine<Policy>::attemptExpired(TimePoint now, std::uint64_t serial)
 {
-    const auto at = m_attempts.find(serial);
-    if (at == m_attempts.end()) {
-        return;
-    }
-    if (Target *target = m_context.targets.find(at->second.target); target != nullptr && at->second.kind != AttemptKind::Offloaded) {
-        noteSilence(*target);
+    if (m_attempts.contains(serial)) {
+        attemptLost(now, serial);
     }
-    attemptLost(now, serial);
 }
 
 template<SlotPolicy Policy>
@@ -646,21 +655,39 @@
     while (!m_timers.empty() && m_timers.top().at <= now) {
         const Timer timer = m_timers.top();
         m_timers.pop();
-        if (timer.serial != 0) {
+        switch (timer.kind) {
+        case TimerKind::RequestDeadline:
+            deadlineOver(now, timer.request);
+            break;
+        case TimerKind::SlotHold:
+            slotHoldOver(now, timer.serial);
+            break;
+        case TimerKind::AttemptEnd:
             attemptExpired(now, timer.serial);
-            continue;
-        }
-        const auto pending = m_pending.find(timer.request);
-        if (pending == m_pending.end()) {
-            continue;
-        }
-        const auto attempt = m_attempts.find(pending->second.attempt);
-        if (attempt != m_attempts.end() && attempt->second.kind == AttemptKind::Local) {
-            if (Target *target = m_context.targets.find(attempt->second.target); target != nullptr) {
-                noteSilence(*target);
-            }
+            break;
         }
-        giveUp(now, timer.request, RefusalReason::Deadline, MinRetryAfter);
+    }
+}
+
+template<SlotPolicy Policy>
+void RequestEngine<Policy>::deadlineOver(TimePoint now, RequestKey key)
+{
+    giveUp(now, key, RefusalReason::Deadline, MinRetryAfter);
+}
+
+template<SlotPolicy Policy>
+void RequestEngine<Policy>::slotHoldOver(TimePoint now, std::uint64_t serial)
+{
+    const auto at = m_attempts.find(serial);
+    if (at == m_attempts.end()) {
+        return;
+    }
+    if (Target *target = m_context.targets.find(at->second.target); target != nullptr) {
+        noteSilence(*target);
+    }
+    releaseSlot(at->second);
+    if (ServiceLine *line = lineOf(at->second.service); line != nullptr) {
+        pump(now, *line);
     }
 }
 
--- a/src/request_engine.h
+++ b/src/request_engine.h
@@ -25,6 +25,14 @@
 inline constexpr int AttemptTimeoutFactor = 8;
 inline constexpr Duration MinAttemptTimeout = std::chrono::milliseconds(500);
 
+// An attempt that has not ended after this many usual service times no longer holds its slot: the answer
+// was probably lost. If it still runs, the target refuses what comes too much, and that is retried.
+inline constexpr int SlotHoldFactor = 8;
+inline constexpr Duration MinSlotHold = std::chrono::milliseconds(200);
+
+// The other parts of an answer follow the first within this time, or they are lost.
+inline constexpr Duration PartialAnswerTime = std::chrono::milliseconds(400);
+
 // A balancer without any slot of its own asks this many peers in one tick without a hint that they have one.
 inline constexpr int MaxProbes = 3;
 
@@ -32,14 +40,6 @@
 inline constexpr Duration MinRetryAfter = std::chrono::milliseconds(50);
 inline constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
 
-// Where a request came from.
-struct Arrival {
-    FlowId flow{}; // The owned flow.
-    FlowId replyFlow{}; // The flow id that the caller used, named in the answer.
-    Endpoint caller;
-    bool onlyOwner = true; // False if the named owner is gone: another balancer may take the same request.
-};
-
 template<SlotPolicy Policy>
 class RequestEngine
 {
@@ -51,14 +51,14 @@
     bool knowsService(ServiceId service) const;
 
     // Takes a request of an owned flow; its answer or refusal goes to the outbox now or later.
-    void accept(TimePoint now, const Arrival &arrival, const Request &request);
+    void accept(TimePoint now, FlowId flowId, Endpoint caller, const Request &request);
 
     // Sends the final answer of a settled request again; false if it is not held.
     bool resend(RequestKey key, Endpoint caller);
     bool isPending(RequestKey key) const;
 
     // Refuses a request without any state, in the one way that is true whatever became of it.
-    void refuseUncertain(const Arrival &arrival, const Request &request, RefusalReason reason);
+    void refuseUncertain(FlowId flow, Endpoint caller, RequestId request, RefusalReason reason);
 
     void cancel(TimePoint now, RequestKey key);
 
@@ -94,11 +94,9 @@
 
     struct Pending {
         ServiceId service{};
-        FlowId replyFlow{};
         Endpoint caller;
         TimePoint deadline;
         bool repeatable = false;
-        bool onlyOwner = true;
         int unresolvedAttempts = 0; // Sent and not explicitly refused.
         int probes = 0; // Peers asked without a hint since the last tick.
         std::uint64_t attempt = 0; // The running one; 0 while queued.
@@ -121,14 +119,21 @@
         AttemptKey origin;
         Endpoint originEndpoint;
         TimePoint started;
+        bool holdsSlot = false;
         AnswerAssembly assembly;
     };
 
-    // A request deadline (serial 0) or the end of an attempt.
+    enum class TimerKind : std::uint8_t {
+        RequestDeadline,
+        SlotHold,
+        AttemptEnd,
+    };
+
     struct Timer {
         TimePoint at;
-        std::uint64_t serial = 0;
-        RequestKey request;
+        TimerKind kind = TimerKind::RequestDeadline;
+        std::uint64_t serial = 0; // Of the attempt.
+        RequestKey request; // Of the deadline.
 
         auto operator<=>(const Timer &) const = default;
     };
@@ -149,6 +154,8 @@
     void pump(TimePoint now, ServiceLine &line);
     bool place(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
     void sendAttempt(TimePoint now, RequestKey key, Pending &pending, Target &target, const ServiceLine &line);
+    void occupy(TimePoint now, Attempt &attempt, std::uint64_t serial, Target &target, const ServiceLine &line);
+    void limitAttempt(TimePoint now, const Pending &pending, std::uint64_t serial, const ServiceLine &line);
     bool offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
     Peer *choosePeer(ServiceId service, std::uint64_t salt, bool mayProbe);
     bool firstTime(TimePoint now, const AttemptKey &attempt);
@@ -158,7 +165,9 @@
     void giveUp(TimePoint now, RequestKey key, RefusalReason reason, Duration retryAfter);
     void settle(TimePoint now, RequestKey key, std::vector<Message> messages);
     void abandonAttempt(std::uint64_t serial);
-    void releaseSlot(const Attempt &attempt);
+    void releaseSlot(Attempt &attempt);
+    void slotHoldOver(TimePoint now, std::uint64_t serial);
+    void deadlineOver(TimePoint now, RequestKey key);
     void attemptLost(TimePoint now, std::uint64_t serial);
     void attemptExpired(TimePoint now, std::uint64_t serial);
     void runTimers(TimePoint now);
--- a/src/standin_target.cpp
+++ b/src/standin_target.cpp
@@ -179,6 +179,7 @@
         feed.balancer = from;
         feed.flow = attach.flow;
         feed.next = attach.nextSequence;
+        m_socket.send(from, FeedAttached{attach.attachment, attach.flow});
         if (!feed.timer) {
             feed.timer = std::make_unique<boost::asio::steady_timer>(m_io);
             push(attach.attachment);
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -32,7 +32,12 @@
 
 } // namespace
 
-Target *chooseFeedTarget(std::span<Target> targets, ServiceId service, FlowId flow, std::size_t members, TimePoint now)
+Target *chooseFeedTarget(std::span<Target> targets,
+                         ServiceId service,
+                         FlowId flow,
+                         std::size_t members,
+                         std::optional<TargetId> avoid,
+                         TimePoint now)
 {
     double totalWeight = 0;
     double totalFeeds = 1;
@@ -43,7 +48,7 @@
         }
     }
     Target *best = nullptr;
-    double bestScore = 0;
+    std::pair<bool, double> bestRank;
     for (Target &target : targets) {
         if (!serves(target, service)) {
             continue;
@@ -51,10 +56,11 @@
         const double weight = usableSlots(target, now);
         const double bound = std::ceil(LoadBound * totalFeeds * weight / totalWeight);
         const std::size_t connectionShare = target.announcement.connections / std::max<std::size_t>(1, members);
-        const double score = rendezvousScore(value(flow), value(target.id()), weight);
-        if (target.feeds < bound && target.feeds < connectionShare && score > bestScore) {
+        const bool answers = target.id() != avoid && target.silentAttempts < SilentAttemptLimit;
+        const std::pair rank(answers, rendezvousScore(value(flow), value(target.id()), weight));
+        if (target.feeds < bound && target.feeds < connectionShare && (best == nullptr || rank > bestRank)) {
             best = &target;
-            bestScore = score;
+            bestRank = rank;
         }
     }
     return best;
--- a/src/target_choice.h
+++ b/src/target_choice.h
@@ -13,7 +13,13 @@
 // 2016 for the bound): weights are usable slots, and a target that already has a quarter more feeds
 // than its fair part, or its part of the connection limit, is passed over while another is not.
 // Null without a serving target that has a connection to spare.
-Target *chooseFeedTarget(std::span<Target> targets, ServiceId service, FlowId flow, std::size_t members, TimePoint now);
+// `avoid` and targets that were silent of late are taken only if no other is left.
+Target *chooseFeedTarget(std::span<Target> targets,
+                         ServiceId service,
+                         FlowId flow,
+                         std::size_t members,
+                         std::optional<TargetId> avoid,
+                         TimePoint now);
 
 // Picks the target for an attempt among those with a free slot of this balancer's share: the least
 // filled first, then the one not used for longest. Targets in `avoid` refused this request before.
