--- /dev/null
+++ b/bench/bench.cpp
@@ -0,0 +1,420 @@
+// SPDX-License-Identifier: MIT
+// Bench: a fixed workload in virtual time, the baselines beside it, and the hot path in real time.
+//
+// The last line, "Bench: N", mixes all deterministic figures into one number. It is the same on every
+// run, so a refactoring leaves it alone and a change of behaviour moves it.
+#include "hash.h"
+#include "simulation.h"
+#include "target_choice.h"
+
+#include <benchmark/benchmark.h>
+#include <docopt/docopt.h>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <malloc.h>
+
+using namespace Robinrail;
+using Json = nlohmann::json;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char *Usage = R"(robinrail-bench: measures policies in virtual time and the hot path in real time.
+
+Usage:
+  robinrail-bench [--seed=N] [--bounds=FILE] [--timed] [--quick]
+  robinrail-bench (-h | --help)
+
+Options:
+  --seed=N       Seed of the virtual time [default: 1].
+  --bounds=FILE  Check the deterministic figures against the bounds in this JSON file.
+  --timed        Time the hot path, too.
+  --quick        Only the signature, without the comparison of policies.
+  -h --help      Show this text.
+)";
+
+struct Row {
+    std::string name;
+    SimulationResult result;
+};
+
+std::uint64_t unknown(const SimulationResult &result)
+{
+    return result.outcomes[static_cast<std::size_t>(Outcome::OutcomeUnknown)];
+}
+
+double milliseconds(Duration duration)
+{
+    constexpr double PerMillisecond = 1000;
+    return static_cast<double>(duration.count()) / PerMillisecond;
+}
+
+void printHead()
+{
+    std::cout << std::left << std::setw(38) << "scenario" << std::right << std::setw(7) << "sent" << std::setw(7) << "answ" << std::setw(7) << "notrun"
+              << std::setw(6) << "unkn" << std::setw(7) << "broken" << std::setw(6) << "twice" << std::setw(6) << "false" << std::setw(6) << "wrong"
+              << std::setw(6) << "late" << std::setw(7) << "imbal" << std::setw(6) << "occ99" << std::setw(8) << "goodput" << std::setw(7) << "p50ms"
+              << std::setw(7) << "p99ms" << std::setw(8) << "retries" << std::setw(7) << "ctlB/s" << '\n';
+}
+
+void print(const Row &row)
+{
+    const SimulationResult &result = row.result;
+    std::cout << std::left << std::setw(38) << row.name << std::right << std::setw(7) << result.sent << std::setw(7) << result.outcomes[0] << std::setw(7)
+              << result.outcomes[1] << std::setw(6) << unknown(result) << std::setw(7) << result.brokenFlows << std::setw(6) << result.runTwice << std::setw(6)
+              << result.falseNotRun << std::setw(6) << result.wrongAnswers << std::setw(6) << result.lateWork << std::fixed << std::setprecision(3)
+              << std::setw(7) << result.imbalance << std::setprecision(2) << std::setw(6) << result.occupancyP99 << std::setprecision(3) << std::setw(8)
+              << result.goodput << std::setprecision(0) << std::setw(7) << milliseconds(result.p50) << std::setw(7) << milliseconds(result.p99) << std::setw(8)
+              << result.retries << std::setw(7) << result.controlBytesPerSecond << '\n';
+}
+
+// ---- Scenarios ----
+
+struct Scenario {
+    std::string name;
+    SimulationOptions options;
+};
+
+void makeNoisy(SimulationOptions &options)
+{
+    options.drop = 0.1;
+    options.duplicate = 0.1;
+    options.late = 0.1;
+}
+
+std::vector<Scenario> scenariosOf(const std::string &place, const SimulatedDeployment &deployment, std::uint64_t seed)
+{
+    SimulationOptions base;
+    base.deployment = deployment;
+    base.seed = seed;
+    base.load = 0.6;
+    std::vector<Scenario> scenarios;
+    const auto add = [&](const std::string &name, const std::function<void(SimulationOptions &)> &change) {
+        SimulationOptions options = base;
+        change(options);
+        scenarios.push_back({place + " " + name, options});
+    };
+    for (const double load : {0.0, 0.5, 0.9, 1.2, 2.0}) {
+        std::ostringstream name;
+        name << "load " << std::fixed << std::setprecision(1) << load;
+        add(name.str(), [load](SimulationOptions &options) {
+            options.load = load;
+        });
+    }
+    add("stop all 8 balancers in turn", [](SimulationOptions &options) {
+        options.duration = seconds(125);
+        for (int number = 1; number <= 8; ++number) {
+            options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
+            options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
+        }
+    });
+    add("replace all 18 targets in turn", [](SimulationOptions &options) {
+        options.duration = seconds(95);
+        for (int number = 1; number <= 18; ++number) {
+            options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
+            options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
+            options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
+        }
+    });
+    add("kill a balancer", [](SimulationOptions &options) {
+        options.faults = {{seconds(5), FaultKind::KillBalancer, 3}};
+    });
+    add("freeze a balancer for 10 s", [](SimulationOptions &options) {
+        options.faults = {{seconds(5), FaultKind::FreezeBalancer, 3}, {seconds(15), FaultKind::ThawBalancer, 3}};
+    });
+    add("cut a data centre for 10 s", [](SimulationOptions &options) {
+        options.faults = {{seconds(5), FaultKind::CutDataCentre, 1}, {seconds(15), FaultKind::JoinDataCentre, 1}};
+    });
+    add("kill a target, silence another", [](SimulationOptions &options) {
+        options.faults = {{seconds(5), FaultKind::KillTarget, 1}, {seconds(8), FaultKind::SilenceTarget, 2}};
+    });
+    add("10% lost, doubled, late", makeNoisy);
+    add("all together", [](SimulationOptions &options) {
+        makeNoisy(options);
+        options.duration = seconds(60);
+        options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
+                          {seconds(8), FaultKind::StopBalancer, 5},
+                          {seconds(9), FaultKind::DrainTarget, 4},
+                          {seconds(12), FaultKind::StartBalancer, 3},
+                          {seconds(14), FaultKind::KillTarget, 4},
+                          {seconds(15), FaultKind::FreezeBalancer, 1},
+                          {seconds(22), FaultKind::ThawBalancer, 1},
+                          {seconds(24), FaultKind::CutDataCentre, 2},
+                          {seconds(32), FaultKind::JoinDataCentre, 2},
+                          {seconds(33), FaultKind::StartTarget, 4},
+                          {seconds(36), FaultKind::KillBalancer, 8}};
+    });
+    return scenarios;
+}
+
+// ---- Comparison of policies ----
+
+template<SlotPolicy Policy>
+void compare(const char *name, const SimulatedDeployment &deployment, std::uint64_t seed)
+{
+    for (const double load : {0.5, 0.9, 1.2, 2.0}) {
+        SimulationOptions options;
+        options.deployment = deployment;
+        options.seed = seed;
+        options.load = load;
+        std::ostringstream label;
+        label << name << " " << load;
+        print({label.str(), Simulation<Policy>(options).run()});
+    }
+}
+
+void printIdealAndBaselines(const SimulatedDeployment &deployment, std::uint64_t seed)
+{
+    constexpr Duration Length = seconds(30);
+    constexpr Duration LongestWait = std::chrono::milliseconds(250);
+    constexpr int Feeds = 40;
+    for (const SimulatedService &service : deployment.services) {
+        std::cout << "service " << value(service.id) << ", central queue (goodput, p50 ms, p99 ms) and baselines (goodput, imbalance, broken of 40):\n";
+        for (const double load : {0.5, 0.9, 1.2, 2.0}) {
+            const IdealResult ideal = simulateIdeal(service, load, Length, LongestWait, seed);
+            std::cout << std::setprecision(1) << "  load " << load << std::setprecision(3) << "  ideal " << ideal.goodput << std::setprecision(0) << " "
+                      << milliseconds(ideal.p50) << " " << milliseconds(ideal.p99) << std::setprecision(3);
+            const std::pair<const char *, BaselineKind> kinds[] = {
+                {"hash", BaselineKind::PlainHash},
+                {"round robin", BaselineKind::RoundRobin},
+                {"random", BaselineKind::Random},
+            };
+            for (const auto &[name, kind] : kinds) {
+                const BaselineResult baseline = simulateBaseline(kind, service, load, Length, Feeds, seed);
+                std::cout << " | " << name << " " << baseline.goodput << " " << baseline.imbalance << " " << baseline.brokenFlows;
+            }
+            std::cout << '\n';
+        }
+    }
+}
+
+// ---- Bounds ----
+
+// Compares one figure of one scenario with its bounds; prints and counts what is outside.
+int checkBound(const Row &row, const std::string &figure, double number, const Json &bound)
+{
+    const double lowest = bound.value("min", -1e300);
+    const double highest = bound.value("max", 1e300);
+    if (number >= lowest && number <= highest) {
+        return 0;
+    }
+    std::cout << "out of bounds: " << row.name << ": " << figure << " is " << number << ", bounds " << bound.dump() << '\n';
+    return 1;
+}
+
+int checkBounds(const std::vector<Row> &rows, const Json &bounds)
+{
+    int outside = 0;
+    for (const Row &row : rows) {
+        const SimulationResult &result = row.result;
+        const std::pair<const char *, double> figures[] = {
+            {"broken", static_cast<double>(result.brokenFlows)},
+            {"runTwice", static_cast<double>(result.runTwice)},
+            {"falseNotRun", static_cast<double>(result.falseNotRun)},
+            {"wrongAnswers", static_cast<double>(result.wrongAnswers)},
+            {"crossDeliveries", static_cast<double>(result.crossDeliveries)},
+            {"lateWork", static_cast<double>(result.lateWork)},
+            {"imbalance", result.imbalance},
+            {"goodput", result.goodput},
+            {"controlBytesPerSecond", result.controlBytesPerSecond},
+            {"p99Ms", milliseconds(result.p99)},
+        };
+        for (const auto &[figure, number] : figures) {
+            for (const std::string &scope : {std::string("*"), row.name}) {
+                if (bounds.contains(scope) && bounds[scope].contains(figure)) {
+                    outside += checkBound(row, figure, number, bounds[scope][figure]);
+                }
+            }
+        }
+    }
+    return outside;
+}
+
+// ---- Hot path, timed ----
+
+constexpr std::size_t HeldFlows = 300'000;
+
+// A balancer with peers, targets and many flows, built once.
+struct HotBalancer {
+    HotBalancer()
+        : core(settings())
+    {
+        const ServiceSettings services[] = {{ServiceId {1}, "rate-desk"}};
+        core.applyBundle(now, 1, services);
+        for (std::uint32_t id = 1; id <= 14; ++id) {
+            Announcement announcement;
+            announcement.target = TargetId {id};
+            announcement.service = ServiceId {1};
+            announcement.endpoint = {id, 9000};
+            announcement.incarnation = Incarnation {1};
+            announcement.sequence = 1;
+            announcement.slots = 3;
+            announcement.connections = 60000;
+            core.handleTarget(now, announcement.endpoint, announcement);
+        }
+        core.tick(now);
+        core.takeOutbox();
+    }
+
+    static BalancerSettings settings()
+    {
+        BalancerSettings settings;
+        settings.self = {BalancerId {1}, Incarnation {1'700'000'000'000}};
+        settings.connectionIdKeys = {{1, {1}}};
+        for (std::uint16_t id = 1; id <= 8; ++id) {
+            settings.peers.push_back({BalancerId {id}, {id, 5000}});
+        }
+        return settings;
+    }
+
+    TimePoint now {std::chrono::hours(1)};
+    BalancerCore<DealtSlots> core;
+};
+
+HotBalancer &hotBalancer()
+{
+    static HotBalancer hot;
+    return hot;
+}
+
+void timeEstablished(benchmark::State &state)
+{
+    const HotBalancer &hot = hotBalancer();
+    const SealedConnectionId sealed = hot.core.context().sealer.seal({ServiceId {1}, TargetId {1}, hot.core.context().peers.self(), FlowId {1}});
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(hot.core.route(sealed, ServiceId {1}));
+    }
+}
+
+void timePlainHash(benchmark::State &state)
+{
+    std::uint64_t flow = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(hashPair(++flow, 0) % 14);
+    }
+}
+
+void timeOpening(benchmark::State &state)
+{
+    HotBalancer hot;
+    std::uint64_t nonce = 0;
+    for (auto _ : state) {
+        hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, OpenFlow {++nonce});
+        benchmark::DoNotOptimize(hot.core.takeOutbox());
+    }
+}
+
+void timeAdmission(benchmark::State &state)
+{
+    HotBalancer hot;
+    hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, OpenFlow {1});
+    const auto opened = std::get<FlowOpened>(hot.core.takeOutbox().front().message);
+    std::uint32_t request = 0;
+    for (auto _ : state) {
+        hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, Request {opened.connectionId, RequestId {++request}, false, seconds(1), Bytes(64)});
+        for (const Outgoing &outgoing : hot.core.takeOutbox()) {
+            if (const auto *run = std::get_if<RunRequest>(&outgoing.message)) {
+                hot.core.handleTarget(hot.now, outgoing.to, RunPart {run->attempt, 0, 1, {}});
+            }
+        }
+        hot.core.takeOutbox();
+        hot.now += Duration(100);
+        if (request % 100 == 0) {
+            hot.core.tick(hot.now);
+        }
+    }
+}
+
+void timeFeedChoice(benchmark::State &state)
+{
+    HotBalancer &hot = hotBalancer();
+    std::uint64_t flow = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(chooseFeedTarget(hot.core.context().targets.targets(), ServiceId {1}, FlowId {++flow}, 8, std::nullopt, hot.now));
+    }
+}
+
+void timeDecoding(benchmark::State &state)
+{
+    const Bytes bytes = encodeMessage(Message(Request {{}, RequestId {1}, false, seconds(1), Bytes(64)}));
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decodeMessage<Message>(bytes));
+    }
+}
+
+// Bytes of heap for each held flow.
+void measureFlowMemory(benchmark::State &state)
+{
+    for (auto _ : state) {
+        const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+        FlowTable table;
+        for (std::uint64_t flow = 1; flow <= HeldFlows; ++flow) {
+            table.insert(FlowId {hashPair(flow, 1)}, Flow {});
+        }
+        const std::size_t after = mallinfo2().uordblks + mallinfo2().hblkhd;
+        state.counters["bytes_per_flow"] = static_cast<double>(after - before) / HeldFlows;
+        state.counters["bytes_of_record"] = sizeof(Flow) + sizeof(FlowId);
+    }
+}
+
+void runTimed()
+{
+    benchmark::RegisterBenchmark("baseline: plain hash of the flow", timePlainHash);
+    benchmark::RegisterBenchmark("route an established flow", timeEstablished);
+    benchmark::RegisterBenchmark("open a flow", timeOpening);
+    benchmark::RegisterBenchmark("admit, send and answer a request", timeAdmission);
+    benchmark::RegisterBenchmark("choose a feed target of 14", timeFeedChoice);
+    benchmark::RegisterBenchmark("decode a request", timeDecoding);
+    benchmark::RegisterBenchmark("memory of 300,000 flows", measureFlowMemory)->Iterations(1);
+    benchmark::RunSpecifiedBenchmarks();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true);
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    const std::uint64_t seed = std::strtoull(arguments.at("--seed").asString().c_str(), nullptr, 10);
+    if (arguments.at("--timed").asBool()) {
+        int none = 1;
+        benchmark::Initialize(&none, argv);
+        runTimed();
+    }
+    if (!arguments.at("--quick").asBool()) {
+        printHead();
+        for (const auto &[place, deployment] : {std::pair("kathmandu", kathmandu()), std::pair("bogota", bogota())}) {
+            std::cout << "-- " << place << ", ways to share slots\n";
+            compare<OwnCounts>("own counts", deployment, seed);
+            compare<DealtTargets>("dealt targets", deployment, seed);
+            compare<DealtSlotsAlone>("dealt slots alone", deployment, seed);
+            compare<DealtSlots>("dealt slots, offload", deployment, seed);
+            printIdealAndBaselines(deployment, seed);
+        }
+    }
+    std::vector<Row> rows;
+    std::uint64_t signature = 0;
+    printHead();
+    for (const auto &[place, deployment] : {std::pair("kathmandu", kathmandu()), std::pair("bogota", bogota())}) {
+        for (const Scenario &scenario : scenariosOf(place, deployment, seed)) {
+            rows.push_back({scenario.name, Simulation<DealtSlots>(scenario.options).run()});
+            signature = hashPair(signature, rows.back().result.signature());
+            print(rows.back());
+        }
+    }
+    int outside = 0;
+    if (arguments.at("--bounds")) {
+        std::ifstream file(arguments.at("--bounds").asString());
+        outside = checkBounds(rows, Json::parse(file));
+        std::cout << "figures out of bounds: " << outside << '\n';
+    }
+    std::cout << "Bench: " << signature % 1'000'000'000 << '\n';
+    return outside == 0 ? 0 : 1;
+}
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -2,6 +2,7 @@
 // Simulation: implementation.
 #include "simulation.h"
 
+#include "datagram_guard.h"
 #include "hash.h"
 
 #include <boost/random/exponential_distribution.hpp>
@@ -35,7 +36,8 @@
 // After the last arrival, so that every request comes to its end.
 constexpr Duration CoolDown = std::chrono::seconds(10);
 
-constexpr std::size_t GuardBytes = 34;
+// As in life, where incarnations are milliseconds since 1970, for the size of messages.
+constexpr std::uint64_t FirstIncarnation = 1'700'000'000'000;
 constexpr int OccupancyBins = 21;
 
 Bytes packTag(std::uint64_t tag)
@@ -83,8 +85,8 @@
 SimulatedDeployment kathmandu()
 {
     SimulatedDeployment deployment;
-    deployment.services.push_back({ ServiceId { 1 }, 14, 3, std::chrono::milliseconds(100), 1, false });
-    deployment.services.push_back({ ServiceId { 2 }, 4, 3, std::chrono::milliseconds(150), 5, true });
+    deployment.services.push_back({ServiceId {1}, 14, 3, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId {2}, 4, 3, std::chrono::milliseconds(150), 5, true});
     return deployment;
 }
 
@@ -94,8 +96,8 @@
     deployment.dataCentres = 4;
     deployment.betweenDataCentres = std::chrono::microseconds(500);
     deployment.toCallers = std::chrono::milliseconds(1);
-    deployment.services.push_back({ ServiceId { 1 }, 14, 2, std::chrono::milliseconds(100), 1, false });
-    deployment.services.push_back({ ServiceId { 2 }, 4, 2, std::chrono::milliseconds(150), 5, true });
+    deployment.services.push_back({ServiceId {1}, 14, 2, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId {2}, 4, 2, std::chrono::milliseconds(150), 5, true});
     return deployment;
 }
 
@@ -105,13 +107,13 @@
     const auto mix = [&mixed](std::uint64_t number) {
         mixed = hashPair(mixed, number);
     };
-    for (const std::uint64_t figure : { sent, unanswered, brokenFlows, runTwice, falseNotRun, wrongAnswers, crossDeliveries, lateWork, feedItems }) {
+    for (const std::uint64_t figure : {sent, unanswered, brokenFlows, runTwice, falseNotRun, wrongAnswers, crossDeliveries, lateWork, feedItems}) {
         mix(figure);
     }
     for (const std::uint64_t outcome : outcomes) {
         mix(outcome);
     }
-    for (const std::uint64_t figure : { retries, refusedAttempts, offloaded, stoppedBalancers }) {
+    for (const std::uint64_t figure : {retries, refusedAttempts, offloaded, stoppedBalancers}) {
         mix(figure);
     }
     mix(static_cast<std::uint64_t>(p50.count()));
@@ -131,26 +133,26 @@
     const SimulatedDeployment &deployment = m_options.deployment;
     for (int i = 1; i <= deployment.balancers; ++i) {
         BalancerNode node;
-        node.id = BalancerId { static_cast<std::uint16_t>(i) };
+        node.id = BalancerId {static_cast<std::uint16_t>(i)};
         node.dataCentre = (i - 1) % deployment.dataCentres + 1;
-        node.endpoint = { BalancerNetwork + static_cast<std::uint32_t>(i), 5000 };
+        node.endpoint = {BalancerNetwork + static_cast<std::uint32_t>(i), 5000};
         m_balancers.push_back(std::move(node));
     }
     std::uint32_t number = 0;
     for (const SimulatedService &service : deployment.services) {
         for (int host = 0; host < service.hosts; ++host) {
             TargetNode target;
-            target.id = TargetId { ++number };
+            target.id = TargetId {++number};
             target.service = &service;
             target.dataCentre = static_cast<int>(number) % deployment.dataCentres + 1;
-            target.endpoint = { TargetNetwork + number, 9000 };
+            target.endpoint = {TargetNetwork + number, 9000};
             m_targets.push_back(std::move(target));
         }
     }
     const std::size_t callers = deployment.services.size() * static_cast<std::size_t>(m_options.callers) + static_cast<std::size_t>(m_options.feeds);
     for (std::size_t i = 0; i < callers; ++i) {
         CallerNode caller;
-        caller.endpoint = { CallerNetwork + static_cast<std::uint32_t>(i) + 1, 4000 };
+        caller.endpoint = {CallerNetwork + static_cast<std::uint32_t>(i) + 1, 4000};
         caller.feed = i < static_cast<std::size_t>(m_options.feeds);
         const std::size_t service = caller.feed ? 0 : (i - static_cast<std::size_t>(m_options.feeds)) % deployment.services.size();
         caller.service = &deployment.services[service];
@@ -216,7 +218,7 @@
 template<SlotPolicy Policy>
 void Simulation<Policy>::at(TimePoint time, std::function<void()> action)
 {
-    m_events.push({ time, ++m_order, std::move(action) });
+    m_events.push({time, ++m_order, std::move(action)});
 }
 
 template<SlotPolicy Policy>
@@ -267,11 +269,11 @@
 void Simulation<Policy>::startBalancer(BalancerNode &node)
 {
     BalancerSettings settings;
-    settings.self = { node.id, Incarnation { ++node.run } };
-    settings.dataCentre = DataCentreId { static_cast<std::uint8_t>(node.dataCentre) };
-    settings.connectionIdKeys = { { 1, { 1, 2, 3 } } };
+    settings.self = {node.id, Incarnation {++node.run}};
+    settings.dataCentre = DataCentreId {static_cast<std::uint8_t>(node.dataCentre)};
+    settings.connectionIdKeys = {{1, {1, 2, 3}}};
     for (const BalancerNode &peer : m_balancers) {
-        settings.peers.push_back({ peer.id, peer.endpoint });
+        settings.peers.push_back({peer.id, peer.endpoint});
     }
     node.core = std::make_unique<BalancerCore<Policy>>(settings);
     node.alive = true;
@@ -377,7 +379,7 @@
         const bool control = std::holds_alternative<Heartbeat>(outgoing.message) || std::holds_alternative<HandoverFlows>(outgoing.message)
             || std::holds_alternative<HandoverReceived>(outgoing.message);
         if (control && measuring()) {
-            from.controlBytes += encodeMessage(outgoing.message).size() + GuardBytes;
+            from.controlBytes += encodeMessage(outgoing.message).size() + GuardOverhead;
         }
         if (!connected(from.dataCentre, to.dataCentre)) {
             return;
@@ -450,9 +452,9 @@
     Announcement announcement;
     announcement.target = target.id;
     announcement.service = target.service->id;
-    announcement.dataCentre = DataCentreId { static_cast<std::uint8_t>(target.dataCentre) };
+    announcement.dataCentre = DataCentreId {static_cast<std::uint8_t>(target.dataCentre)};
     announcement.endpoint = target.endpoint;
-    announcement.incarnation = Incarnation { run };
+    announcement.incarnation = Incarnation {run};
     announcement.sequence = ++target.sequence;
     announcement.slots = target.service->slots;
     announcement.connections = 2000;
@@ -489,8 +491,8 @@
         if (!known && target.draining) {
             return;
         }
-        target.feeds[attach->attachment] = { from.endpoint, attach->flow, attach->nextSequence };
-        answerFrom(target, from.endpoint, FeedAttached { attach->attachment, attach->flow });
+        target.feeds[attach->attachment] = {from.endpoint, attach->flow, attach->nextSequence};
+        answerFrom(target, from.endpoint, FeedAttached {attach->attachment, attach->flow});
         if (!known) {
             pushFeed(target, attach->attachment, target.run);
         }
@@ -507,7 +509,7 @@
     // The tag's lowest byte names the service that the caller asked.
     m_result.crossDeliveries += (tag & 0xffU) != value(target.service->id) ? 1 : 0;
     if (target.draining || target.running.size() >= target.service->slots) {
-        return answerFrom(target, from.endpoint, RunRefused { request.attempt });
+        return answerFrom(target, from.endpoint, RunRefused {request.attempt});
     }
     ++m_tally[tag].executions;
     setRunning(target, request.attempt, true);
@@ -520,7 +522,7 @@
         m_answeredWork += measuring() ? took : Duration(0);
         const auto count = static_cast<std::uint16_t>(target.service->parts);
         for (std::uint16_t part = 0; part < count; ++part) {
-            answerFrom(target, balancer, RunPart { request.attempt, part, count, request.body });
+            answerFrom(target, balancer, RunPart {request.attempt, part, count, request.body});
         }
     });
 }
@@ -564,7 +566,7 @@
         return;
     }
     Feed &feed = at->second;
-    answerFrom(target, feed.balancer, FeedPush { attachment, feed.flow, feed.next, packTag(feed.next) });
+    answerFrom(target, feed.balancer, FeedPush {attachment, feed.flow, feed.next, packTag(feed.next)});
     ++feed.next;
     after(FeedInterval, [this, &target, attachment, run] {
         pushFeed(target, attachment, run);
@@ -784,7 +786,7 @@
         work += took;
         latency.record(start + took - now);
     }
-    return { ratio(work, static_cast<double>(duration.count()) * slots), latency.quantile(0.5), latency.quantile(0.99) };
+    return {ratio(work, static_cast<double>(duration.count()) * slots), latency.quantile(0.5), latency.quantile(0.99)};
 }
 
 BaselineResult simulateBaseline(BaselineKind kind, const SimulatedService &service, double load, Duration duration, int feeds, std::uint64_t seed)
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Searches the models whole with spin, and each mutated model, which must break an assertion. Bounded: the
+# models are finite and their depth is fixed.
+set -uo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# search MODEL NAME DEFINES...: 0 if no assertion fails, 1 if one does, 2 if the search did not run whole.
+search() {
+    local model=$1 name=$2
+    shift 2
+    local folder=$work/$name
+    mkdir -p "$folder"
+    cp "$model" "$folder/model.pml"
+    (
+        cd "$folder" || exit 2
+        spin "$@" -a model.pml > spin.log 2>&1 || exit 2
+        gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c > gcc.log 2>&1 || exit 2
+        ./pan -m100000 -w24 > pan.log 2>&1
+        if grep -q 'assertion violated' pan.log; then
+            exit 1
+        fi
+        grep -q 'errors: 0' pan.log && ! grep -q 'max search depth too small\|out of memory' pan.log || exit 2
+    )
+}
+
+wrong=0
+expect() {
+    local wanted=$1 model=$2 name=$3
+    shift 3
+    search "$model" "$name" "$@"
+    local got=$?
+    local states
+    states=$(grep -o '[0-9.e+]* states, stored' "$work/$name/pan.log" 2> /dev/null | head -n 1)
+    if [ "$got" -eq "$wanted" ]; then
+        echo "ok: $name (${states:-no states})"
+    else
+        echo "wrong: $name: wanted $wanted, got $got"
+        tail -n 5 "$work/$name"/*.log
+        wrong=$((wrong + 1))
+    fi
+}
+
+steps=-DSTEPS=9
+expect 0 consensus.pml consensus "$steps"
+for mutation in VOTE_TWICE STALE_LOG NO_DEDUP WIPED_VOTES EARLY_VOTER; do
+    expect 1 consensus.pml "consensus-$mutation" "$steps" "-DMUTATE_$mutation"
+done
+expect 0 owner.pml owner
+for mutation in ADOPTER_RUNS NO_WINDOW EARLY_NOT_RUN NO_FENCE OFFLOAD_TWICE; do
+    expect 1 owner.pml "owner-$mutation" "-DMUTATE_$mutation"
+done
+echo "model searches that were wrong: $wrong"
+[ "$wrong" -eq 0 ]
--- a/src/api_json.cpp
+++ b/src/api_json.cpp
@@ -42,31 +42,34 @@
 
 Json toApi(const ChangeResult &result)
 {
-    return { { "refusal", nameOf(result.refusal) },     { "version", result.version },
-             { "approvals", result.approvals },         { "approvalsRequired", result.approvalsRequired },
-             { "winner", changeIdJson(result.winner) }, { "detail", result.detail } };
+    return {{"refusal", nameOf(result.refusal)},
+            {"version", result.version},
+            {"approvals", result.approvals},
+            {"approvalsRequired", result.approvalsRequired},
+            {"winner", changeIdJson(result.winner)},
+            {"detail", result.detail}};
 }
 
 Json toApi(const AuditRecord &record)
 {
-    return { { "number", record.number },
-             { "receivedAt", record.receivedAt },
-             { "operator", record.operatorName },
-             { "action", record.action },
-             { "change", changeIdJson(record.change) },
-             { "refusal", nameOf(record.refusal) },
-             { "refusalCode", value(record.refusal) },
-             { "version", record.version },
-             { "previous", toHex(record.previous) },
-             { "hash", toHex(record.hash) } };
+    return {{"number", record.number},
+            {"receivedAt", record.receivedAt},
+            {"operator", record.operatorName},
+            {"action", record.action},
+            {"change", changeIdJson(record.change)},
+            {"refusal", nameOf(record.refusal)},
+            {"refusalCode", value(record.refusal)},
+            {"version", record.version},
+            {"previous", toHex(record.previous)},
+            {"hash", toHex(record.hash)}};
 }
 
 Json toApi(const OperatorRecord &record)
 {
-    return { { "name", record.name },
-             { "key", toHex(record.key) },
-             { "role", record.role == OperatorRole::Administrator ? "administrator" : "author" },
-             { "revoked", record.revoked } };
+    return {{"name", record.name},
+            {"key", toHex(record.key)},
+            {"role", record.role == OperatorRole::Administrator ? "administrator" : "author"},
+            {"revoked", record.revoked}};
 }
 
 Json toApi(const BundleVersion &version, bool withText)
@@ -75,11 +78,11 @@
     for (const BalancerId id : version.firstBalancers) {
         first.push_back(value(id));
     }
-    Json json = { { "version", version.version },
-                  { "change", changeIdJson(version.change) },
-                  { "author", version.author },
-                  { "stage", nameOf(version.stage) },
-                  { "firstBalancers", first } };
+    Json json = {{"version", version.version},
+                 {"change", changeIdJson(version.change)},
+                 {"author", version.author},
+                 {"stage", nameOf(version.stage)},
+                 {"firstBalancers", first}};
     if (withText) {
         json["bundle"] = Json::parse(version.text);
     }
@@ -88,44 +91,42 @@
 
 Json toApi(const Proposal &proposal)
 {
-    return {
-        { "change", changeIdJson(proposal.change) }, { "author", proposal.author }, { "baseVersion", proposal.baseVersion }, { "approvers", proposal.approvers }
-    };
+    return {{"change", changeIdJson(proposal.change)}, {"author", proposal.author}, {"baseVersion", proposal.baseVersion}, {"approvers", proposal.approvers}};
 }
 
 Json toApi(const Target &target, TimePoint now)
 {
     const Announcement &announcement = target.announcement;
-    return { { "target", value(announcement.target) },
-             { "service", value(announcement.service) },
-             { "dataCentre", value(announcement.dataCentre) },
-             { "address", toText(announcement.endpoint) },
-             { "state", nameOf(target.state) },
-             { "slots", announcement.slots },
-             { "usableSlots", usableSlots(target, now) },
-             { "share", target.share },
-             { "running", target.running },
-             { "feeds", target.feeds },
-             { "connections", announcement.connections },
-             { "reportedRunning", announcement.reportedRunning },
-             { "silentAttempts", target.silentAttempts },
-             { "lastHeardSecondsAgo", seconds(now - target.lastHeard) } };
+    return {{"target", value(announcement.target)},
+            {"service", value(announcement.service)},
+            {"dataCentre", value(announcement.dataCentre)},
+            {"address", toText(announcement.endpoint)},
+            {"state", nameOf(target.state)},
+            {"slots", announcement.slots},
+            {"usableSlots", usableSlots(target, now)},
+            {"share", target.share},
+            {"running", target.running},
+            {"feeds", target.feeds},
+            {"connections", announcement.connections},
+            {"reportedRunning", announcement.reportedRunning},
+            {"silentAttempts", target.silentAttempts},
+            {"lastHeardSecondsAgo", seconds(now - target.lastHeard)}};
 }
 
 Json toApi(const Peer &peer, TimePoint now)
 {
-    return { { "balancer", value(peer.id) },
-             { "address", toText(peer.endpoint) },
-             { "incarnation", value(peer.incarnation) },
-             { "alive", peer.alive },
-             { "stopping", peer.stopping },
-             { "version", peer.bundleVersion },
-             { "lastHeardSecondsAgo", peer.alive ? seconds(now - peer.lastHeard) : -1.0 } };
+    return {{"balancer", value(peer.id)},
+            {"address", toText(peer.endpoint)},
+            {"incarnation", value(peer.incarnation)},
+            {"alive", peer.alive},
+            {"stopping", peer.stopping},
+            {"version", peer.bundleVersion},
+            {"lastHeardSecondsAgo", peer.alive ? seconds(now - peer.lastHeard) : -1.0}};
 }
 
 Json toApi(const Event &event, std::uint64_t number)
 {
-    Json json = { { "number", number }, { "event", nameOf(event.kind) }, { "at", seconds(event.at.time_since_epoch()) } };
+    Json json = {{"number", number}, {"event", nameOf(event.kind)}, {"at", seconds(event.at.time_since_epoch())}};
     const auto add = [&json](const char *key, std::uint64_t content) {
         if (content != 0) {
             json[key] = content;
@@ -150,10 +151,8 @@
 
 Json toApi(const SignedChange &change)
 {
-    return { { "change", changeIdJson(change.change) },
-             { "operator", change.operatorName },
-             { "content", toHex(change.content) },
-             { "signature", toHex(change.signature) } };
+    return {
+        {"change", changeIdJson(change.change)}, {"operator", change.operatorName}, {"content", toHex(change.content)}, {"signature", toHex(change.signature)}};
 }
 
 std::optional<SignedChange> signedChangeFromApi(std::string_view text)
@@ -227,12 +226,12 @@
 
 HttpReply jsonReply(const Json &body, unsigned status)
 {
-    return { status, "application/json", body.dump() + "\n" };
+    return {status, "application/json", body.dump() + "\n"};
 }
 
 HttpReply errorReply(unsigned status, std::string_view error, std::string_view detail)
 {
-    return jsonReply({ { "error", error }, { "detail", detail } }, status);
+    return jsonReply({{"error", error}, {"detail", detail}}, status);
 }
 
 } // namespace Robinrail
--- a/src/arguments.h
+++ b/src/arguments.h
@@ -16,7 +16,7 @@
 {
     constexpr int ExitUsage = 2;
     try {
-        return docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
+        return docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
     } catch (const docopt::DocoptExitHelp &) {
         std::cout << usage;
         std::exit(0);
--- a/src/balancer_context.h
+++ b/src/balancer_context.h
@@ -77,7 +77,7 @@
 
     void send(Endpoint to, Message message)
     {
-        outbox.push_back({ to, std::move(message) });
+        outbox.push_back({to, std::move(message)});
     }
 
     void observe(const Event &event) const
@@ -90,18 +90,18 @@
     void reject(TimePoint now, RejectReason reason)
     {
         ++counters.rejected[static_cast<std::size_t>(reason)];
-        observe({ .kind = EventKind::PacketRejected, .at = now, .detail = static_cast<std::uint8_t>(reason) });
+        observe({.kind = EventKind::PacketRejected, .at = now, .detail = static_cast<std::uint8_t>(reason)});
     }
 
     AttemptKey nextAttempt()
     {
-        return { peers.self(), ++lastSerial };
+        return {peers.self(), ++lastSerial};
     }
 
     // The sealed id of a flow that this balancer owns.
     SealedConnectionId sealFor(FlowId id, const Flow &flow) const
     {
-        return sealer.seal({ flow.service, flow.target, peers.self(), id });
+        return sealer.seal({flow.service, flow.target, peers.self(), id});
     }
 };
 
--- a/src/balancer_core.cpp
+++ b/src/balancer_core.cpp
@@ -34,7 +34,7 @@
     }
     m_context.bundleVersion = version;
     m_requests.applyServices(services);
-    m_context.observe({ .kind = EventKind::BundleApplied, .at = now });
+    m_context.observe({.kind = EventKind::BundleApplied, .at = now});
     return true;
 }
 
@@ -49,7 +49,7 @@
 template<SlotPolicy Policy>
 void BalancerCore<Policy>::handleCaller(TimePoint now, ServiceId service, Endpoint caller, const Message &message)
 {
-    dispatchCaller(now, { service, caller, 0, std::nullopt }, message);
+    dispatchCaller(now, {service, caller, 0, std::nullopt}, message);
 }
 
 template<SlotPolicy Policy>
@@ -83,24 +83,24 @@
     const FlowId id = insertFlow(now, packet, TargetId {});
     const Flow *flow = m_context.flows.find(id);
     if (flow == nullptr) {
-        m_context.send(packet.caller, Refusal { FlowId {}, RequestId {}, Outcome::NotRun, RefusalReason::Overload, NoTargetRetryAfter });
+        m_context.send(packet.caller, Refusal {FlowId {}, RequestId {}, Outcome::NotRun, RefusalReason::Overload, NoTargetRetryAfter});
         return;
     }
     ++m_context.counters.flowsOpened;
-    m_context.send(packet.caller, FlowOpened { message.nonce, id, m_context.sealFor(id, *flow) });
-    m_context.observe({ .kind = EventKind::FlowOpened, .at = now, .service = packet.service, .flow = id });
+    m_context.send(packet.caller, FlowOpened {message.nonce, id, m_context.sealFor(id, *flow)});
+    m_context.observe({.kind = EventKind::FlowOpened, .at = now, .service = packet.service, .flow = id});
 }
 
 template<SlotPolicy Policy>
 FlowId BalancerCore<Policy>::insertFlow(TimePoint now, const CallerPacket &packet, TargetId target)
 {
     const BalancerKey self = m_context.peers.self();
-    const FlowId id { hashPair(hashPair(value(self.id), value(self.incarnation)), ++m_context.lastSerial) };
+    const FlowId id {hashPair(hashPair(value(self.id), value(self.incarnation)), ++m_context.lastSerial)};
     Flow flow;
     flow.service = packet.service;
     flow.caller = packet.caller;
     flow.target = target;
-    flow.lastActive = now;
+    flow.lastActive = CoarseTime(now);
     m_context.flows.insert(id, flow);
     return id;
 }
@@ -142,7 +142,7 @@
         return onHandedOver(now, packet, *id, *went, message);
     }
     if (Flow *flow = m_context.flows.find(id->flow); flow != nullptr && flow->service == packet.service) {
-        flow->lastActive = now;
+        flow->lastActive = CoarseTime(now);
         flow->caller = packet.caller;
         return onOwnFlow(now, packet, *id, *flow, message);
     }
@@ -161,9 +161,9 @@
 {
     const auto previous = m_previousOwners.find(value(id.flow));
     const bool received = previous != m_previousOwners.end() && packet.relay != previous->second.owner;
-    if (received && flow.window.look(request.request) != RequestAge::Fresh && !m_requests.isPending({ id.flow, request.request })) {
+    if (received && flow.window.look(request.request) != RequestAge::Fresh && !m_requests.isPending({id.flow, request.request})) {
         // The previous owner may hold the answer; it stays a while for this.
-        if (m_context.peers.find(previous->second.owner.id) != nullptr && !m_requests.resend({ id.flow, request.request }, packet.caller)) {
+        if (m_context.peers.find(previous->second.owner.id) != nullptr && !m_requests.resend({id.flow, request.request}, packet.caller)) {
             relay(now, packet, previous->second.owner, request);
         }
         return;
@@ -177,7 +177,7 @@
 template<SlotPolicy Policy>
 void BalancerCore<Policy>::onOwnFlow(TimePoint now, const CallerPacket &, const ConnectionId &id, Flow &, const CancelRequest &cancel)
 {
-    m_requests.cancel(now, { id.flow, cancel.request });
+    m_requests.cancel(now, {id.flow, cancel.request});
 }
 
 template<SlotPolicy Policy>
@@ -199,7 +199,7 @@
 void BalancerCore<Policy>::onHandedOver(TimePoint now, const CallerPacket &packet, const ConnectionId &id, BalancerKey to, const Message &message)
 {
     const auto *request = std::get_if<Request>(&message);
-    if (request != nullptr && m_requests.resend({ id.flow, request->request }, packet.caller)) {
+    if (request != nullptr && m_requests.resend({id.flow, request->request}, packet.caller)) {
         return;
     }
     if (packet.relay == to) {
@@ -253,16 +253,16 @@
     if (known != m_adopted.end() && m_context.flows.find(known->second.flow) != nullptr) {
         known->second.at = now;
         Flow *flow = m_context.flows.find(known->second.flow);
-        flow->lastActive = now;
+        flow->lastActive = CoarseTime(now);
         flow->caller = packet.caller;
         sendMoved(packet, id.flow, known->second.flow);
         return known->second.flow;
     }
     const FlowId flow = insertFlow(now, packet, id.target);
-    m_adopted[value(id.flow)] = { flow, now };
+    m_adopted[value(id.flow)] = {flow, now};
     ++m_context.counters.flowsAdopted;
     sendMoved(packet, id.flow, flow);
-    m_context.observe({ .kind = EventKind::FlowAdopted, .at = now, .service = packet.service, .flow = flow, .peer = id.owner.id });
+    m_context.observe({.kind = EventKind::FlowAdopted, .at = now, .service = packet.service, .flow = flow, .peer = id.owner.id});
     return flow;
 }
 
@@ -270,7 +270,7 @@
 void BalancerCore<Policy>::sendMoved(const CallerPacket &packet, FlowId previous, FlowId id)
 {
     if (const Flow *flow = m_context.flows.find(id); flow != nullptr) {
-        m_context.send(packet.caller, FlowMoved { previous, id, m_context.sealFor(id, *flow) });
+        m_context.send(packet.caller, FlowMoved {previous, id, m_context.sealFor(id, *flow)});
     }
 }
 
@@ -327,7 +327,7 @@
     const Peer *peer = m_context.peers.find(owner.id);
     if (peer == nullptr || !peer->alive || peer->incarnation != owner.incarnation) {
         if (const auto *push = std::get_if<FeedPush>(&message)) {
-            m_context.send(target, DetachFeed { push->attachment });
+            m_context.send(target, DetachFeed {push->attachment});
         }
         return;
     }
@@ -336,7 +336,7 @@
         return m_context.reject(now, RejectReason::TooManyHops);
     }
     ++m_context.counters.packetsRelayed;
-    m_context.send(peer->endpoint, RelayedPacket { m_context.peers.self(), ServiceId {}, target, hops, 0, encodeMessage(message) });
+    m_context.send(peer->endpoint, RelayedPacket {m_context.peers.self(), ServiceId {}, target, hops, 0, encodeMessage(message)});
 }
 
 // ---- Packets of peers ----
@@ -398,7 +398,7 @@
         return dispatchTarget(now, relayed.caller, &relayed, *inner);
     }
     m_requests.noteFreeSlots(now, relayed.relay.id, relayed.service, relayed.freeSlots);
-    dispatchCaller(now, { relayed.service, relayed.caller, relayed.hops, relayed.relay }, *inner);
+    dispatchCaller(now, {relayed.service, relayed.caller, relayed.hops, relayed.relay}, *inner);
 }
 
 template<SlotPolicy Policy>
@@ -407,13 +407,13 @@
     if (handover.to != m_context.peers.self()) {
         return;
     }
-    HandoverReceived received { handover.to, {} };
+    HandoverReceived received {handover.to, {}};
     for (const FlowHandover &entry : handover.flows) {
         received.flows.push_back(entry.flow);
         Flow flow;
         flow.window = RequestWindow(entry.highestRequest, entry.requestWindow);
         flow.nextSequence = entry.nextSequence;
-        flow.lastActive = now;
+        flow.lastActive = CoarseTime(now);
         flow.caller = entry.caller;
         flow.target = entry.target;
         flow.service = entry.service;
@@ -422,12 +422,12 @@
             continue; // Sent again, or handed on already.
         }
         ++m_context.counters.flowsReceived;
-        m_previousOwners[value(entry.flow)] = { handover.from, now };
-        m_context.send(entry.caller, FlowMoved { entry.flow, entry.flow, m_context.sealFor(entry.flow, *inserted) });
+        m_previousOwners[value(entry.flow)] = {handover.from, now};
+        m_context.send(entry.caller, FlowMoved {entry.flow, entry.flow, m_context.sealFor(entry.flow, *inserted)});
         if (entry.hasFeed) {
             m_feeds.resume(now, entry.flow, *inserted);
         }
-        m_context.observe({ .kind = EventKind::FlowReceived, .at = now, .service = entry.service, .flow = entry.flow, .peer = handover.from.id });
+        m_context.observe({.kind = EventKind::FlowReceived, .at = now, .service = entry.service, .flow = entry.flow, .peer = handover.from.id});
     }
     m_context.send(peer, received);
 }
@@ -438,10 +438,10 @@
     const Gossip::Reception reception = m_gossip.receive(now, heartbeat);
     m_sawPeer = true;
     if (reception.effect == HeartbeatEffect::Joined) {
-        m_context.observe({ .kind = EventKind::PeerJoined, .at = now, .peer = heartbeat.sender.id });
+        m_context.observe({.kind = EventKind::PeerJoined, .at = now, .peer = heartbeat.sender.id});
     }
     if (reception.effect == HeartbeatEffect::Stopping) {
-        m_context.observe({ .kind = EventKind::PeerStopping, .at = now, .peer = heartbeat.sender.id });
+        m_context.observe({.kind = EventKind::PeerStopping, .at = now, .peer = heartbeat.sender.id});
     }
     for (const TargetId target : reception.joined) {
         targetChanged(now, target, AnnouncementEffect::Joined);
@@ -458,9 +458,9 @@
 {
     if (effect == AnnouncementEffect::Drained) {
         m_feeds.rebindFrom(now, target);
-        m_context.observe({ .kind = EventKind::TargetDraining, .at = now, .target = target });
+        m_context.observe({.kind = EventKind::TargetDraining, .at = now, .target = target});
     } else if (effect == AnnouncementEffect::Joined) {
-        m_context.observe({ .kind = EventKind::TargetJoined, .at = now, .target = target });
+        m_context.observe({.kind = EventKind::TargetJoined, .at = now, .target = target});
     }
 }
 
@@ -474,7 +474,7 @@
     m_now = now;
     for (const BalancerKey &gone : m_context.peers.expire(now)) {
         m_requests.peerGone(now, gone);
-        m_context.observe({ .kind = EventKind::PeerGone, .at = now, .peer = gone.id });
+        m_context.observe({.kind = EventKind::PeerGone, .at = now, .peer = gone.id});
     }
     expireTargets(now);
     m_requests.tick(now);
@@ -503,7 +503,7 @@
         if (target == nullptr || target->state != TargetState::Lost) {
             continue;
         }
-        m_context.observe({ .kind = EventKind::TargetLost, .at = now, .target = id });
+        m_context.observe({.kind = EventKind::TargetLost, .at = now, .target = id});
         m_requests.targetLost(now, id);
         m_feeds.rebindFrom(now, id);
     }
@@ -514,16 +514,16 @@
 {
     std::vector<FlowId> expired;
     m_context.flows.forEach([&](FlowId id, Flow &flow) {
-        if (flow.attachment != 0 && now - flow.lastActive >= FeedIdleTime) {
+        if (flow.attachment != 0 && flow.lastActive.elapsed(now) >= FeedIdleTime) {
             m_feeds.detach(flow);
         }
-        if (flow.busy == 0 && now - flow.lastActive >= FlowIdleTime) {
+        if (flow.busy == 0 && flow.lastActive.elapsed(now) >= FlowIdleTime) {
             expired.push_back(id);
         }
     });
     for (const FlowId id : expired) {
         m_context.flows.erase(id);
-        m_context.observe({ .kind = EventKind::FlowExpired, .at = now, .flow = id });
+        m_context.observe({.kind = EventKind::FlowExpired, .at = now, .flow = id});
     }
     std::erase_if(m_adopted, [now](const auto &entry) {
         return now - entry.second.at >= FlowIdleTime;
--- a/src/balancer_daemon.cpp
+++ b/src/balancer_daemon.cpp
@@ -30,7 +30,7 @@
 BalancerSettings coreSettings(const BalancerFile &file, Incarnation incarnation)
 {
     BalancerSettings settings;
-    settings.self = { file.balancer, incarnation };
+    settings.self = {file.balancer, incarnation};
     settings.dataCentre = file.dataCentreId;
     settings.peers = file.peers;
     settings.connectionIdKeys = file.connectionIdKeys;
@@ -58,7 +58,7 @@
             memory = kept ? std::get<BalancerMemory>(*kept) : BalancerMemory {};
         }
     }
-    memory.incarnation = Incarnation { std::max<std::uint64_t>(value(memory.incarnation) + 1, static_cast<std::uint64_t>(wallClock.count())) };
+    memory.incarnation = Incarnation {std::max<std::uint64_t>(value(memory.incarnation) + 1, static_cast<std::uint64_t>(wallClock.count()))};
     if (!folder.empty()) {
         BOOST_LEAF_CHECK(replaceFile(folder / MemoryFile, encodeMessage(std::variant<BalancerMemory>(memory))));
     }
@@ -72,18 +72,18 @@
     , m_memory(std::move(memory))
     , m_testFaults(testFaults)
     , m_core(coreSettings(m_file, m_memory.incarnation))
-    , m_guard(m_file.clusterKey, { m_file.balancer, m_memory.incarnation })
+    , m_guard(m_file.clusterKey, {m_file.balancer, m_memory.incarnation})
     , m_links(io,
               m_file.clusterKey,
               PeerRole::Balancer,
               value(m_file.balancer),
-              { [this](LinkHandle link, const Hello &peer) {
+              {[this](LinkHandle link, const Hello &peer) {
                    onEstablished(link, peer);
                },
-                [this](LinkHandle link, const Hello &, const LinkMessage &message) {
-                    onMessage(link, message);
-                },
-                [](LinkHandle, const Hello &) {} })
+               [this](LinkHandle link, const Hello &, const LinkMessage &message) {
+                   onMessage(link, message);
+               },
+               [](LinkHandle, const Hello &) {}})
     , m_http(io,
              [this](const HttpRequest &request, const HttpRespond &respond) {
                  handleHttp(request, respond);
@@ -169,7 +169,7 @@
 
 bool BalancerDaemon::bind(Endpoint endpoint, Port::Kind kind, std::string service)
 {
-    auto port = std::make_unique<Port>(Port { Udp::socket(m_io), kind, std::move(service) });
+    auto port = std::make_unique<Port>(Port {Udp::socket(m_io), kind, std::move(service)});
     boost::system::error_code error;
     port->socket.open(Udp::v4(), error);
     port->socket.set_option(boost::asio::socket_base::receive_buffer_size(SocketBuffer), error);
@@ -203,7 +203,7 @@
                 break;
             }
             if (!error) {
-                take(port, fromUdp(from), { buffer.data(), size });
+                take(port, fromUdp(from), {buffer.data(), size});
             }
         }
         flush();
@@ -306,7 +306,7 @@
 
 void BalancerDaemon::subscribe(LinkHandle link)
 {
-    m_links.send(link, Subscribe { { m_file.balancer, m_memory.incarnation }, m_rollout.version() });
+    m_links.send(link, Subscribe {{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
 }
 
 void BalancerDaemon::onMessage(LinkHandle link, const LinkMessage &message)
@@ -336,7 +336,7 @@
         return;
     }
     for (const LinkHandle control : m_links.links(PeerRole::Control)) {
-        m_links.send(control, VersionReport { { m_file.balancer, m_memory.incarnation }, m_rollout.version() });
+        m_links.send(control, VersionReport {{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
     }
 }
 
@@ -401,10 +401,10 @@
 void BalancerDaemon::handleHttp(const HttpRequest &request, const HttpRespond &respond)
 {
     if (request.path == "/healthz") {
-        return respond(jsonReply({ { "status", "ok" } }));
+        return respond(jsonReply({{"status", "ok"}}));
     }
     if (request.path == "/readyz") {
-        return respond(jsonReply({ { "ready", m_core.ready() } }, m_core.ready() ? 200 : HttpUnavailable));
+        return respond(jsonReply({{"ready", m_core.ready()}}, m_core.ready() ? 200 : HttpUnavailable));
     }
     if (request.path == "/metrics") {
         return respond(metrics());
@@ -462,23 +462,23 @@
     for (std::size_t i = 0; i < counters.outcomes.size(); ++i) {
         outcomes[std::string(nameOf(static_cast<Outcome>(i)))] = counters.outcomes[i];
     }
-    return jsonReply({ { "balancer", value(m_file.balancer) },
-                       { "incarnation", value(m_memory.incarnation) },
-                       { "dataCentre", m_file.dataCentre },
-                       { "ready", m_core.ready() },
-                       { "stopping", context.peers.stopping() },
-                       { "version", m_rollout.version() },
-                       { "confirmed", m_rollout.confirmed(monotonicNow()) },
-                       { "flows", context.flows.size() },
-                       { "flowsOpened", counters.flowsOpened },
-                       { "flowsAdopted", counters.flowsAdopted },
-                       { "feedRebinds", counters.feedRebinds },
-                       { "queued", queues },
-                       { "outcomes", outcomes },
-                       { "retries", counters.retries },
-                       { "offloaded", counters.attemptsOffloaded },
-                       { "controlBytes", m_controlBytes },
-                       { "relayBytes", m_relayBytes } });
+    return jsonReply({{"balancer", value(m_file.balancer)},
+                      {"incarnation", value(m_memory.incarnation)},
+                      {"dataCentre", m_file.dataCentre},
+                      {"ready", m_core.ready()},
+                      {"stopping", context.peers.stopping()},
+                      {"version", m_rollout.version()},
+                      {"confirmed", m_rollout.confirmed(monotonicNow())},
+                      {"flows", context.flows.size()},
+                      {"flowsOpened", counters.flowsOpened},
+                      {"flowsAdopted", counters.flowsAdopted},
+                      {"feedRebinds", counters.feedRebinds},
+                      {"queued", queues},
+                      {"outcomes", outcomes},
+                      {"retries", counters.retries},
+                      {"offloaded", counters.attemptsOffloaded},
+                      {"controlBytes", m_controlBytes},
+                      {"relayBytes", m_relayBytes}});
 }
 
 HttpReply BalancerDaemon::events(const HttpRequest &request) const
@@ -510,12 +510,12 @@
         }
         const std::optional<BalancerKey> owner = context.peers.resolve(opened->owner);
         body["service"] = value(opened->service);
-        body["namedOwner"] = { { "balancer", value(opened->owner.id) }, { "incarnation", value(opened->owner.incarnation) } };
+        body["namedOwner"] = {{"balancer", value(opened->owner.id)}, {"incarnation", value(opened->owner.incarnation)}};
         body["routedTo"] = owner ? Json(value(owner->id)) : Json("adopted by whoever gets the next packet");
         body["why"] = !owner ? "the named owner is gone" : *owner == opened->owner ? "the named owner is alive" : "the named owner handed its flows over";
         flowId = opened->flow;
     } else {
-        flowId = FlowId { std::strtoull(std::string(id).c_str(), nullptr, 10) };
+        flowId = FlowId {std::strtoull(std::string(id).c_str(), nullptr, 10)};
     }
     body["flow"] = std::to_string(value(flowId));
     const Flow *flow = context.flows.find(flowId);
@@ -545,13 +545,13 @@
     const bool signedByOperator = std::any_of(m_rollout.operators().begin(), m_rollout.operators().end(), [&](const OperatorRecord &record) {
         return record.name == order->operatorName && !record.revoked && verify(signedBytes(*order), order->signature, record.key);
     });
-    if (!signedByOperator || drain.balancer != BalancerKey { m_file.balancer, m_memory.incarnation }) {
+    if (!signedByOperator || drain.balancer != BalancerKey {m_file.balancer, m_memory.incarnation}) {
         return errorReply(HttpForbidden, "not-permitted", "signature, operator or incarnation does not fit");
     }
     LogLine(LogLevel::Info, "drain-ordered").with("operator", order->operatorName).with("target", value(drain.target));
     if (value(drain.target) == 0) {
         stop();
-        return jsonReply({ { "draining", "balancer" } });
+        return jsonReply({{"draining", "balancer"}});
     }
     const Target *target = m_core.context().targets.find(drain.target);
     if (target == nullptr) {
@@ -561,7 +561,7 @@
     announcement.draining = true;
     m_core.handleTarget(monotonicNow(), announcement.endpoint, announcement);
     flush();
-    return jsonReply({ { "draining", value(drain.target) } });
+    return jsonReply({{"draining", value(drain.target)}});
 }
 
 HttpReply BalancerDaemon::metrics()
@@ -592,7 +592,7 @@
         text.gauge("robinrail_target_running", "Attempts of this balancer on a target.", target.running, label);
     }
     text.histogram("robinrail_attempt_seconds", "From an attempt to its whole answer.", m_latency);
-    return { 200, "text/plain; version=0.0.4", text.text() };
+    return {200, "text/plain; version=0.0.4", text.text()};
 }
 
 HttpReply BalancerDaemon::setTestFaults(const HttpRequest &request)
@@ -604,9 +604,9 @@
     m_links.dropTraffic(PeerRole::Control, body.value("replicas", std::set<std::uint16_t>()));
     m_droppedPeers.clear();
     for (const std::uint16_t id : body.value("balancers", std::vector<std::uint16_t>())) {
-        m_droppedPeers.insert(BalancerId { id });
+        m_droppedPeers.insert(BalancerId {id});
     }
-    return jsonReply({ { "status", "ok" } });
+    return jsonReply({{"status", "ok"}});
 }
 
 } // namespace Robinrail
--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -101,7 +101,7 @@
     std::set<std::string> seen;
     for (const Json &entry : list) {
         if (!seen.insert(entry.at(key).dump()).second) {
-            fault = { pointer, entry.at(key).dump() + " twice", std::string("a different ") + key + " for each entry" };
+            fault = {pointer, entry.at(key).dump() + " twice", std::string("a different ") + key + " for each entry"};
             return false;
         }
     }
@@ -121,11 +121,11 @@
     StrictBuilder builder(document);
     const bool parsed = Json::sax_parse(text.begin(), text.end(), &builder, Json::input_format_t::json, true);
     if (!builder.duplicate().empty()) {
-        fault = { "", "the key \"" + builder.duplicate() + "\" twice in one object", "each key once" };
+        fault = {"", "the key \"" + builder.duplicate() + "\" twice in one object", "each key once"};
         return std::nullopt;
     }
     if (!parsed) {
-        fault = { "", "no JSON at byte " + std::to_string(builder.errorAt()), "one JSON document" };
+        fault = {"", "no JSON at byte " + std::to_string(builder.errorAt()), "one JSON document"};
         return std::nullopt;
     }
     return document;
@@ -151,7 +151,7 @@
         }
     }
     const std::string pointer = pointerOf(deepest.context);
-    fault = { pointer, valueAt(document, pointer), deepest.description };
+    fault = {pointer, valueAt(document, pointer), deepest.description};
     return false;
 }
 
@@ -168,11 +168,11 @@
     }
     Bundle bundle;
     for (const Json &entry : dataCentres) {
-        bundle.dataCentres.push_back({ DataCentreId { entry.at("id").get<std::uint8_t>() }, entry.at("name") });
+        bundle.dataCentres.push_back({DataCentreId {entry.at("id").get<std::uint8_t>()}, entry.at("name")});
     }
     for (const Json &entry : services) {
         ServiceSettings service;
-        service.id = ServiceId { entry.at("id").get<std::uint16_t>() };
+        service.id = ServiceId {entry.at("id").get<std::uint16_t>()};
         service.name = entry.at("name");
         service.maxQueueDelay = std::chrono::milliseconds(entry.value("maxQueueDelayMs", 250));
         service.retryRatio = entry.value("retryRatio", service.retryRatio);
@@ -181,7 +181,7 @@
     const Json &policy = document->at("policy");
     bundle.policy.approvals = policy.at("approvals").get<std::uint32_t>();
     for (const Json &entry : policy.value("firstBalancers", Json::array())) {
-        bundle.policy.firstBalancers.push_back(BalancerId { entry.get<std::uint16_t>() });
+        bundle.policy.firstBalancers.push_back(BalancerId {entry.get<std::uint16_t>()});
     }
     return bundle;
 }
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -29,7 +29,7 @@
     if (!m_opened) {
         if (m_openSent == TimePoint {} || now - m_openSent >= OpenRetryInterval) {
             m_openSent = now;
-            m_outbox.emplace_back(OpenFlow { m_nonce });
+            m_outbox.emplace_back(OpenFlow {m_nonce});
         }
         return;
     }
@@ -53,7 +53,7 @@
     const bool quiet = now - m_lastItemAt >= QuietPollInterval && now - m_pollSent >= QuietPollInterval;
     if (m_withFeed && (now - m_pollSent >= PollInterval || quiet)) {
         m_pollSent = now;
-        m_outbox.emplace_back(PollFeed { m_connectionId, m_acknowledged });
+        m_outbox.emplace_back(PollFeed {m_connectionId, m_acknowledged});
     }
 }
 
@@ -88,10 +88,10 @@
 RequestId CallerSession::request(TimePoint now, bool repeatable, Duration deadline, Bytes body)
 {
     assert(m_opened);
-    const RequestId id { ++m_lastRequest };
+    const RequestId id {++m_lastRequest};
     Pending &pending = m_pending[id];
     pending.original = id;
-    pending.message = { m_connectionId, id, repeatable, deadline, std::move(body) };
+    pending.message = {m_connectionId, id, repeatable, deadline, std::move(body)};
     pending.sentFirst = now;
     pending.sentLast = now;
     pending.deadline = now + deadline;
@@ -103,7 +103,7 @@
 {
     const auto at = m_pending.find(request);
     if (at != m_pending.end()) {
-        m_outbox.emplace_back(CancelRequest { at->second.message.connectionId, request });
+        m_outbox.emplace_back(CancelRequest {at->second.message.connectionId, request});
     }
 }
 
@@ -130,7 +130,7 @@
     }
     const auto at = m_pending.find(refusal.request);
     if (mayRepeat(now, at->second, refusal)) {
-        m_repeats.push_back({ now + std::max(MinRepeatPause, refusal.retryAfter), std::move(at->second) });
+        m_repeats.push_back({now + std::max(MinRepeatPause, refusal.retryAfter), std::move(at->second)});
         m_pending.erase(at);
         return;
     }
@@ -158,7 +158,7 @@
         return isDue;
     });
     for (Repeat &repeat : due) {
-        const RequestId id { ++m_lastRequest };
+        const RequestId id {++m_lastRequest};
         Pending &pending = m_pending[id];
         pending = std::move(repeat.pending);
         pending.attempts.clear();
--- a/src/codec.h
+++ b/src/codec.h
@@ -76,12 +76,12 @@
 
 inline Json toJson(const Endpoint &endpoint)
 {
-    return Json::array({ endpoint.address, endpoint.port });
+    return Json::array({endpoint.address, endpoint.port});
 }
 
 inline Json toJson(const BalancerKey &key)
 {
-    return Json::array({ value(key.id), value(key.incarnation) });
+    return Json::array({value(key.id), value(key.incarnation)});
 }
 
 template<Composite T>
@@ -262,7 +262,7 @@
             return detail::toJson(typed);
         },
         message);
-    return detail::Json::to_cbor(detail::Json::array({ message.index(), body }));
+    return detail::Json::to_cbor(detail::Json::array({message.index(), body}));
 }
 
 namespace detail {
--- a/src/control_command.cpp
+++ b/src/control_command.cpp
@@ -69,7 +69,7 @@
 
 std::string_view kindOf(const ControlChange &change)
 {
-    static constexpr std::string_view Names[] = { "propose-bundle", "approve-bundle", "steer-rollout", "set-operator" };
+    static constexpr std::string_view Names[] = {"propose-bundle", "approve-bundle", "steer-rollout", "set-operator"};
     return Names[change.index()];
 }
 
--- a/src/control_command.h
+++ b/src/control_command.h
@@ -15,7 +15,7 @@
 using ChangeId = std::array<std::uint8_t, 16>;
 
 // Largest bundle text, bytes.
-inline constexpr std::size_t MaxBundleSize = std::size_t { 1 } << 20U;
+inline constexpr std::size_t MaxBundleSize = std::size_t {1} << 20U;
 
 // Longest name of an operator, bytes.
 inline constexpr std::size_t MaxOperatorName = 64;
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -32,10 +32,10 @@
 {
     const std::optional<LogIndex> index = m_raft.propose(now, encodeMessage(ControlCommand(change)));
     if (!index) {
-        m_replies.push_back({ ticket, ControlStatus::NotLeader, {} });
+        m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
         return;
     }
-    m_waiting[*index] = { ticket, m_raft.term() };
+    m_waiting[*index] = {ticket, m_raft.term()};
 }
 
 void ControlCore::read(TimePoint now, std::uint64_t ticket)
@@ -43,7 +43,7 @@
     m_openReads.insert(ticket);
     if (!m_raft.requestRead(now, ticket)) {
         m_openReads.erase(ticket);
-        m_replies.push_back({ ticket, ControlStatus::NotLeader, {} });
+        m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
     }
 }
 
@@ -85,7 +85,7 @@
     const auto waiting = m_waiting.find(entry.index);
     if (waiting != m_waiting.end()) {
         const bool own = waiting->second.term == entry.term;
-        m_replies.push_back({ waiting->second.ticket, own ? ControlStatus::Done : ControlStatus::Unknown, result });
+        m_replies.push_back({waiting->second.ticket, own ? ControlStatus::Done : ControlStatus::Unknown, result});
         m_waiting.erase(waiting);
     }
 }
@@ -96,7 +96,7 @@
         if (read.index > m_applied) {
             return false;
         }
-        m_replies.push_back({ read.ticket, ControlStatus::Done, {} });
+        m_replies.push_back({read.ticket, ControlStatus::Done, {}});
         return true;
     });
 }
@@ -108,11 +108,11 @@
         return;
     }
     for (const auto &[index, waiting] : m_waiting) {
-        m_replies.push_back({ waiting.ticket, ControlStatus::Unknown, {} });
+        m_replies.push_back({waiting.ticket, ControlStatus::Unknown, {}});
     }
     m_waiting.clear();
     for (const std::uint64_t ticket : m_openReads) {
-        m_replies.push_back({ ticket, ControlStatus::NotLeader, {} });
+        m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
     }
     m_openReads.clear();
 }
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -38,21 +38,21 @@
     , m_file(std::move(file))
     , m_storage(std::move(storage))
     , m_testFaults(testFaults)
-    , m_core({ m_file.replica, m_storage.identity().disk }, m_storage.takeDurable(), monotonicNow(), std::random_device()())
+    , m_core({m_file.replica, m_storage.identity().disk}, m_storage.takeDurable(), monotonicNow(), std::random_device()())
     , m_links(io,
               m_file.clusterKey,
               PeerRole::Control,
               value(m_file.replica),
-              { [](LinkHandle, const Hello &) {},
-                [this](LinkHandle link, const Hello &peer, const LinkMessage &message) {
-                    onMessage(link, peer, message);
-                },
-                [this](LinkHandle link, const Hello &peer) {
-                    m_offered.erase(link);
-                    if (peer.role == PeerRole::Balancer) {
-                        m_tracker.disconnect(BalancerId { peer.id });
-                    }
-                } })
+              {[](LinkHandle, const Hello &) {},
+               [this](LinkHandle link, const Hello &peer, const LinkMessage &message) {
+                   onMessage(link, peer, message);
+               },
+               [this](LinkHandle link, const Hello &peer) {
+                   m_offered.erase(link);
+                   if (peer.role == PeerRole::Balancer) {
+                       m_tracker.disconnect(BalancerId {peer.id});
+                   }
+               }})
     , m_http(io,
              [this](const HttpRequest &request, const HttpRespond &respond) {
                  handleHttp(request, respond);
@@ -160,7 +160,7 @@
 
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
-    const RaftEnvelope envelope { m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message) };
+    const RaftEnvelope envelope {m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
     for (const LinkHandle link : m_links.linksTo(PeerRole::Control, value(send.to.id), true)) {
         m_links.send(link, envelope);
     }
@@ -174,7 +174,7 @@
     m_nextJoin = now + JoinInterval;
     for (const ReplicaAddress &replica : m_file.replicas) {
         if (replica.id != m_file.replica) {
-            sendRaft({ { replica.id, 0 }, JoinRequest { m_core.raft().self() } });
+            sendRaft({{replica.id, 0}, JoinRequest {m_core.raft().self()}});
         }
     }
 }
@@ -272,7 +272,7 @@
     m_nextBeat = now + ControlBeatInterval;
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
         const BundleVersion *version = m_core.state().versionFor(subscriber.balancer.id);
-        const ControlBeat message { version != nullptr ? version->version : 0, m_core.raft().inContact(now) };
+        const ControlBeat message {version != nullptr ? version->version : 0, m_core.raft().inContact(now)};
         for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
             m_links.send(link, message);
         }
@@ -284,11 +284,11 @@
 void ControlDaemon::handleHttp(const HttpRequest &request, const HttpRespond &respond)
 {
     if (request.path == "/healthz") {
-        return respond(jsonReply({ { "status", "ok" } }));
+        return respond(jsonReply({{"status", "ok"}}));
     }
     if (request.path == "/readyz") {
         const bool ready = m_core.raft().inContact(monotonicNow());
-        return respond(jsonReply({ { "ready", ready } }, ready ? 200 : HttpUnavailable));
+        return respond(jsonReply({{"ready", ready}}, ready ? 200 : HttpUnavailable));
     }
     if (request.path == "/metrics") {
         return respond(metrics());
@@ -318,7 +318,7 @@
         return respond(errorReply(HttpBadRequest, "malformed-change", "see docs/API.md"));
     }
     change->receivedAt = wallClockSeconds();
-    m_open[++m_lastTicket] = { respond, {} };
+    m_open[++m_lastTicket] = {respond, {}};
     m_core.submit(monotonicNow(), m_lastTicket, *change);
     scheduleFlush();
 }
@@ -329,9 +329,9 @@
     if (queryValue(request.query, "stale") == "true") {
         return respond(readState(request));
     }
-    m_open[++m_lastTicket] = { respond, [this, request] {
+    m_open[++m_lastTicket] = {respond, [this, request] {
                                   return readState(request);
-                              } };
+                              }};
     m_core.read(monotonicNow(), m_lastTicket);
     scheduleFlush();
 }
@@ -361,7 +361,7 @@
 
 HttpReply ControlDaemon::notLeader() const
 {
-    Json body = { { "error", "not-leader" }, { "detail", "ask the leader" } };
+    Json body = {{"error", "not-leader"}, {"detail", "ask the leader"}};
     for (const ReplicaAddress &replica : m_file.replicas) {
         if (replica.id == m_core.raft().leader().id) {
             body["leader"] = toText(replica.admin);
@@ -413,8 +413,7 @@
         }
         const BundleVersion &newest = state.history().back();
         const RolloutTracker::Progress progress = m_tracker.progress(newest);
-        return jsonReply(
-            { { "version", newest.version }, { "stage", nameOf(newest.stage) }, { "inForce", progress.inForce }, { "expected", progress.expected } });
+        return jsonReply({{"version", newest.version}, {"stage", nameOf(newest.stage)}, {"inForce", progress.inForce}, {"expected", progress.expected}});
     }
     return errorReply(HttpNotFound, "not-found", request.path);
 }
@@ -424,26 +423,26 @@
     const RaftCore &raft = m_core.raft();
     Json members = Json::array();
     for (const ReplicaMember &member : raft.config().members) {
-        members.push_back({ { "replica", value(member.key.id) }, { "disk", member.key.disk }, { "voter", member.voter } });
+        members.push_back({{"replica", value(member.key.id)}, {"disk", member.key.disk}, {"voter", member.voter}});
     }
     Json balancers = Json::array();
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
-        balancers.push_back({ { "balancer", value(subscriber.balancer.id) },
-                              { "incarnation", value(subscriber.balancer.incarnation) },
-                              { "version", subscriber.version },
-                              { "connected", subscriber.connected } });
-    }
-    return jsonReply({ { "replica", value(m_file.replica) },
-                       { "disk", raft.self().disk },
-                       { "role", nameOf(raft.role()) },
-                       { "leader", value(raft.leader().id) },
-                       { "term", value(raft.term()) },
-                       { "commitIndex", value(raft.commitIndex()) },
-                       { "lastIndex", value(raft.lastIndex()) },
-                       { "inContact", raft.inContact(monotonicNow()) },
-                       { "version", m_core.state().latestVersion() },
-                       { "members", members },
-                       { "balancers", balancers } });
+        balancers.push_back({{"balancer", value(subscriber.balancer.id)},
+                             {"incarnation", value(subscriber.balancer.incarnation)},
+                             {"version", subscriber.version},
+                             {"connected", subscriber.connected}});
+    }
+    return jsonReply({{"replica", value(m_file.replica)},
+                      {"disk", raft.self().disk},
+                      {"role", nameOf(raft.role())},
+                      {"leader", value(raft.leader().id)},
+                      {"term", value(raft.term())},
+                      {"commitIndex", value(raft.commitIndex())},
+                      {"lastIndex", value(raft.lastIndex())},
+                      {"inContact", raft.inContact(monotonicNow())},
+                      {"version", m_core.state().latestVersion()},
+                      {"members", members},
+                      {"balancers", balancers}});
 }
 
 HttpReply ControlDaemon::metrics() const
@@ -457,7 +456,7 @@
     text.gauge("robinrail_control_bundle_version", "Newest accepted bundle version.", static_cast<double>(m_core.state().latestVersion()));
     text.counter("robinrail_control_link_bytes_sent_total", "Bytes sent on links.", static_cast<double>(m_links.bytesSent()));
     text.counter("robinrail_control_links_rejected_total", "Links closed for a failed proof.", static_cast<double>(m_links.rejected()));
-    return { 200, "text/plain; version=0.0.4", text.text() };
+    return {200, "text/plain; version=0.0.4", text.text()};
 }
 
 HttpReply ControlDaemon::setTestFaults(const HttpRequest &request)
@@ -468,7 +467,7 @@
     }
     m_links.dropTraffic(PeerRole::Control, body.value("replicas", std::set<std::uint16_t>()));
     m_links.dropTraffic(PeerRole::Balancer, body.value("balancers", std::set<std::uint16_t>()));
-    return jsonReply({ { "status", "ok" } });
+    return jsonReply({{"status", "ok"}});
 }
 
 } // namespace Robinrail
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -60,7 +60,7 @@
         return *known;
     }
     std::string action = "malformed";
-    const ChangeResult result = decide(change, action);
+    ChangeResult result = decide(change, action);
     record(change, std::move(action), result);
     // An unsigned refusal is not remembered: else anyone could burn the change id of somebody else.
     const bool authentic = result.refusal != ChangeRefusal::BadSignature && result.refusal != ChangeRefusal::UnknownOperator
@@ -118,7 +118,7 @@
     if (m_proposals.size() >= MaxProposals) {
         m_proposals.erase(m_proposals.begin());
     }
-    m_proposals.push_back({ change.change, change.operatorName, propose.baseVersion, propose.bundle, { change.operatorName } });
+    m_proposals.push_back({change.change, change.operatorName, propose.baseVersion, propose.bundle, {change.operatorName}});
     return acceptIfApproved(m_proposals.size() - 1);
 }
 
@@ -190,7 +190,7 @@
         return refused(ChangeRefusal::Malformed);
     }
     std::vector<OperatorRecord> changed = m_operators;
-    const OperatorRecord replacement { set.name, set.key, set.role, set.revoked };
+    const OperatorRecord replacement {set.name, set.key, set.role, set.revoked};
     const auto at = std::find_if(changed.begin(), changed.end(), [&set](const OperatorRecord &record) {
         return record.name == set.name;
     });
@@ -311,7 +311,7 @@
 
 void ControlState::remember(const ChangeId &change, const ChangeResult &result)
 {
-    m_remembered.push_back({ change, result });
+    m_remembered.push_back({change, result});
     m_results[change] = result;
     while (m_remembered.size() > MaxRememberedChanges) {
         m_results.erase(m_remembered.front().change);
--- a/src/datagram_guard.cpp
+++ b/src/datagram_guard.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Datagram guard: SipHash-2-4-128 with a key derived from the cluster key.
+// Datagram guard: SipHash-2-4 with a key derived from the cluster key.
 #include "datagram_guard.h"
 
 #include <sodium.h>
@@ -11,14 +11,17 @@
 namespace {
 
 constexpr std::string_view Purpose = "robinrail-datagram-v1";
-constexpr std::size_t HeaderSize = 2 + 8 + 8;
-constexpr std::size_t MacSize = 16;
+constexpr std::size_t SenderSize = 2;
+constexpr std::size_t NumberSize = 6;
+constexpr std::size_t HeaderSize = SenderSize + 2 * NumberSize;
+constexpr std::size_t MacSize = 8;
+static_assert(HeaderSize + MacSize == GuardOverhead);
+static_assert(MacSize == crypto_shorthash_siphash24_BYTES);
 
-template<typename Integer>
-void appendInteger(Bytes &bytes, Integer number)
+void appendInteger(Bytes &bytes, std::uint64_t number, std::size_t size)
 {
-    for (std::size_t shift = sizeof(Integer); shift-- > 0;) {
-        bytes.push_back(static_cast<std::uint8_t>(static_cast<std::uint64_t>(number) >> (shift * 8)));
+    for (std::size_t shift = size; shift-- > 0;) {
+        bytes.push_back(static_cast<std::uint8_t>(number >> (shift * 8)));
     }
 }
 
@@ -65,12 +68,12 @@
 {
     Bytes bytes;
     bytes.reserve(payload.size() + GuardOverhead);
-    appendInteger(bytes, value(m_self.id));
-    appendInteger(bytes, value(m_self.incarnation));
-    appendInteger(bytes, ++m_sent);
+    appendInteger(bytes, value(m_self.id), SenderSize);
+    appendInteger(bytes, value(m_self.incarnation), NumberSize);
+    appendInteger(bytes, ++m_sent, NumberSize);
     bytes.insert(bytes.end(), payload.begin(), payload.end());
     std::array<std::uint8_t, MacSize> mac {};
-    crypto_shorthash_siphashx24(mac.data(), bytes.data(), bytes.size(), m_key.data());
+    crypto_shorthash_siphash24(mac.data(), bytes.data(), bytes.size(), m_key.data());
     bytes.insert(bytes.end(), mac.begin(), mac.end());
     return bytes;
 }
@@ -82,21 +85,21 @@
     }
     const BytesView content = datagram.first(datagram.size() - MacSize);
     std::array<std::uint8_t, MacSize> mac {};
-    crypto_shorthash_siphashx24(mac.data(), content.data(), content.size(), m_key.data());
+    crypto_shorthash_siphash24(mac.data(), content.data(), content.size(), m_key.data());
     if (sodium_memcmp(mac.data(), datagram.data() + content.size(), MacSize) != 0) {
         return std::nullopt;
     }
     Opened opened;
-    opened.sender.id = BalancerId { static_cast<std::uint16_t>(readInteger(content.first(2))) };
-    opened.sender.incarnation = Incarnation { readInteger(content.subspan(2, 8)) };
-    const std::uint64_t number = readInteger(content.subspan(10, 8));
+    opened.sender.id = BalancerId {static_cast<std::uint16_t>(readInteger(content.first(SenderSize)))};
+    opened.sender.incarnation = Incarnation {readInteger(content.subspan(SenderSize, NumberSize))};
+    const std::uint64_t number = readInteger(content.subspan(SenderSize + NumberSize, NumberSize));
     opened.payload = content.subspan(HeaderSize);
     Sender &sender = m_senders[opened.sender.id];
     if (opened.sender.incarnation < sender.incarnation) {
         return std::nullopt;
     }
     if (opened.sender.incarnation > sender.incarnation) {
-        sender = { opened.sender.incarnation, {} };
+        sender = {opened.sender.incarnation, {}};
     }
     return sender.window.take(number) ? std::optional(opened) : std::nullopt;
 }
--- a/src/datagram_guard.h
+++ b/src/datagram_guard.h
@@ -11,8 +11,9 @@
 
 namespace Robinrail {
 
-// Bytes that the guard adds to a datagram.
-inline constexpr std::size_t GuardOverhead = 2 + 8 + 8 + 16;
+// Bytes that the guard adds to a datagram: sender (2), incarnation (6), number (6) and MAC (8). The
+// incarnation is in milliseconds and the number counts datagrams, so 48 bits last for thousands of years.
+inline constexpr std::size_t GuardOverhead = 2 + 6 + 6 + 8;
 
 // Numbers a sender's datagrams and accepts each number once, within a window for reordering.
 class ReplayWindow
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -30,21 +30,35 @@
 std::string_view nameOf(RejectReason reason)
 {
     static constexpr std::array<std::string_view, RejectReasonCount> Names = {
-        "malformed", "oversized", "forged-id", "wrong-service", "unknown-service", "unexpected-type", "too-many-hops", "unknown-sender",
+        "malformed",
+        "oversized",
+        "forged-id",
+        "wrong-service",
+        "unknown-service",
+        "unexpected-type",
+        "too-many-hops",
+        "unknown-sender",
     };
     return pick(Names, reason);
 }
 
 std::string_view nameOf(Outcome outcome)
 {
-    static constexpr std::array<std::string_view, 4> Names = { "answered", "not-run", "outcome-unknown", "deadline-passed" };
+    static constexpr std::array<std::string_view, 4> Names = {"answered", "not-run", "outcome-unknown", "deadline-passed"};
     return pick(Names, outcome);
 }
 
 std::string_view nameOf(RefusalReason reason)
 {
     static constexpr std::array<std::string_view, 8> Names = {
-        "overload", "no-target", "owner-gone", "forgotten-flow", "target-lost", "deadline", "cancelled", "bad-request",
+        "overload",
+        "no-target",
+        "owner-gone",
+        "forgotten-flow",
+        "target-lost",
+        "deadline",
+        "cancelled",
+        "bad-request",
     };
     return pick(Names, reason);
 }
--- a/src/feed_engine.cpp
+++ b/src/feed_engine.cpp
@@ -25,7 +25,7 @@
         flow.nextSequence = acknowledged + 1;
         return resync(now, id, flow);
     }
-    if (now - flow.lastPush < FeedResyncPause) {
+    if (flow.lastPush.elapsed(now) < FeedResyncPause) {
         return;
     }
     // Nothing came for a while: either the feed is quiet, or an item or the attachment was lost.
@@ -46,7 +46,7 @@
     detach(flow);
     if (attach(now, id, flow, silent)) {
         ++m_context.counters.feedRebinds;
-        m_context.observe({ .kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target });
+        m_context.observe({.kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target});
     }
 }
 
@@ -56,16 +56,16 @@
     if (flow == nullptr) {
         return;
     }
-    if (push.sequence > flow->nextSequence && now - flow->lastPush >= FeedResyncPause) {
+    if (push.sequence > flow->nextSequence && flow->lastPush.elapsed(now) >= FeedResyncPause) {
         resync(now, push.flow, *flow);
     }
     if (push.sequence != flow->nextSequence) {
         return;
     }
     ++flow->nextSequence;
-    flow->lastPush = now;
+    flow->lastPush = CoarseTime(now);
     ++m_context.counters.feedItems;
-    m_context.send(flow->caller, FeedItem { push.flow, push.sequence, push.body });
+    m_context.send(flow->caller, FeedItem {push.flow, push.sequence, push.body});
 }
 
 void FeedEngine::attached(Endpoint target, const FeedAttached &message)
@@ -78,7 +78,7 @@
 {
     Flow *flow = m_context.flows.find(id);
     if (flow == nullptr || flow->attachment != attachment.serial) {
-        m_context.send(target, DetachFeed { attachment });
+        m_context.send(target, DetachFeed {attachment});
         return nullptr;
     }
     flow->unansweredResyncs = 0;
@@ -97,7 +97,7 @@
     }
     if (Target *target = m_context.targets.find(flow.target); target != nullptr) {
         target->feeds -= target->feeds > 0 ? 1 : 0;
-        m_context.send(target->announcement.endpoint, DetachFeed { { m_context.peers.self(), flow.attachment } });
+        m_context.send(target->announcement.endpoint, DetachFeed {{m_context.peers.self(), flow.attachment}});
     }
     flow.attachment = 0;
 }
@@ -111,7 +111,7 @@
         detach(flow);
         if (attach(now, id, flow)) {
             ++m_context.counters.feedRebinds;
-            m_context.observe({ .kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target });
+            m_context.observe({.kind = EventKind::FeedRebound, .at = now, .service = flow.service, .flow = id, .target = flow.target});
         }
     });
 }
@@ -129,7 +129,7 @@
     flow.unansweredResyncs = 0;
     ++target->feeds;
     resync(now, id, flow);
-    m_context.observe({ .kind = EventKind::FeedAttached, .at = now, .service = flow.service, .flow = id, .target = flow.target });
+    m_context.observe({.kind = EventKind::FeedAttached, .at = now, .service = flow.service, .flow = id, .target = flow.target});
     return true;
 }
 
@@ -139,9 +139,9 @@
     if (target == nullptr) {
         return;
     }
-    flow.lastPush = now;
+    flow.lastPush = CoarseTime(now);
     ++m_context.counters.feedResyncs;
-    const AttachFeed attach { { m_context.peers.self(), flow.attachment }, id, flow.nextSequence };
+    const AttachFeed attach {{m_context.peers.self(), flow.attachment}, id, flow.nextSequence};
     m_context.send(target->announcement.endpoint, attach);
 }
 
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -49,8 +49,8 @@
     RequestWindow window;
     std::uint64_t nextSequence = 1; // Of the feed: the next item that the caller has not been sent.
     std::uint64_t attachment = 0; // Serial of the feed attachment; 0 without one.
-    TimePoint lastActive;
-    TimePoint lastPush; // When the feed last moved on, for spotting lost items.
+    CoarseTime lastActive;
+    CoarseTime lastPush; // When the feed last moved on, for spotting lost items.
     Endpoint caller;
     TargetId target {}; // Affinity of the flow, and where its feed is attached.
     ServiceId service {};
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -66,7 +66,8 @@
     std::erase_if(m_news, [](const News &news) {
         return news.repeats <= 0;
     });
-    const std::optional<BalancerId> gossipPeer = nextGossipPeer();
+    const bool gossips = m_counter % RenewalInterval == 0;
+    const std::optional<BalancerId> gossipPeer = gossips ? nextGossipPeer() : std::nullopt;
     for (const Peer &peer : m_context.peers.peers()) {
         if (peer.id != gossipPeer) {
             m_context.send(peer.endpoint, common);
@@ -101,7 +102,7 @@
 
 TargetNews Gossip::newsOf(TimePoint now, const Target &target) const
 {
-    return { target.announcement, now - target.lastHeard, now - target.firstHeard };
+    return {target.announcement, now - target.lastHeard, now - target.firstHeard};
 }
 
 void Gossip::spread(TimePoint now, TargetId target)
@@ -109,7 +110,7 @@
     std::erase_if(m_news, [target](const News &news) {
         return news.target == target;
     });
-    m_news.push_back({ target, NewsRepeats });
+    m_news.push_back({target, NewsRepeats});
     Heartbeat urgent = header();
     urgent.counter = ++m_counter;
     urgent.news.push_back(newsOf(now, *m_context.targets.find(target)));
@@ -138,7 +139,13 @@
         std::uint64_t &gossiped = m_renewed[value(target.id())];
         if (target.announcement.sequence > gossiped && renewals.size() < MaxRenewalsPerHeartbeat) {
             gossiped = target.announcement.sequence;
-            renewals.push_back({ target.id(), target.announcement.incarnation, target.announcement.sequence, now - target.lastHeard });
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.lastHeard);
+            TargetRenewal renewal;
+            renewal.target = target.id();
+            renewal.incarnationBits = incarnationBits(target.announcement.incarnation);
+            renewal.sequence = target.announcement.sequence;
+            renewal.ageMilliseconds = static_cast<std::uint16_t>(std::min<std::int64_t>(age.count(), UINT16_MAX));
+            renewals.push_back(renewal);
         }
     }
     return renewals;
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -9,6 +9,9 @@
 // News of a target that joined or drains goes to every peer at once and in this many heartbeats more.
 inline constexpr int NewsRepeats = 3;
 
+// Renewals go out with every second heartbeat; a lease lasts for eight of these.
+inline constexpr std::uint64_t RenewalInterval = 2;
+
 // Most full announcements in one heartbeat; the rest follows in further ones.
 inline constexpr std::size_t MaxNewsPerHeartbeat = 10;
 
--- a/src/handover.cpp
+++ b/src/handover.cpp
@@ -104,15 +104,15 @@
             if (batches.size() >= MaxHandoversPerTick) {
                 return;
             }
-            batches.push_back({ m_context.peers.self(), *m_successor, {} });
+            batches.push_back({m_context.peers.self(), *m_successor, {}});
         }
         // The fence: from here on this balancer runs nothing on the flow, whether the datagram arrives or not.
         if (!flow.handedOver) {
             flow.handedOver = true;
             ++m_context.counters.flowsHandedOver;
-            m_context.observe({ .kind = EventKind::FlowHandedOver, .at = now, .service = flow.service, .flow = id, .peer = successor->id });
+            m_context.observe({.kind = EventKind::FlowHandedOver, .at = now, .service = flow.service, .flow = id, .peer = successor->id});
         }
-        m_sent[value(id)] = { *m_successor, now, false };
+        m_sent[value(id)] = {*m_successor, now, false};
         batches.back().flows.push_back(pack(id, flow));
     });
     for (HandoverFlows &batch : batches) {
--- a/src/hash.h
+++ b/src/hash.h
@@ -12,7 +12,7 @@
 // Mixes two numbers into one well spread number.
 inline std::uint64_t hashPair(std::uint64_t first, std::uint64_t second)
 {
-    const std::uint64_t input[2] = { first, second };
+    const std::uint64_t input[2] = {first, second};
     return XXH3_64bits(input, sizeof(input));
 }
 
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -18,7 +18,7 @@
 
 Tcp::endpoint toTcp(Endpoint endpoint)
 {
-    return { boost::asio::ip::address_v4(endpoint.address), endpoint.port };
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
 }
 
 HttpRequest unpack(const http::request<http::string_body> &message)
@@ -101,8 +101,7 @@
 } // namespace
 
 HttpServer::HttpServer(boost::asio::io_context &io, HttpHandler handler)
-    : m_io(io)
-    , m_acceptor(io)
+    : m_acceptor(io)
     , m_handler(std::move(handler))
     , m_open(std::make_shared<std::size_t>(0))
 {
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -8,7 +8,7 @@
 namespace Robinrail {
 
 // Largest message on a link, bytes; a snapshot of the control state must fit.
-inline constexpr std::size_t MaxLinkMessage = std::size_t { 64 } << 20U;
+inline constexpr std::size_t MaxLinkMessage = std::size_t {64} << 20U;
 
 // A raft message with its addressee. A replica drops what is for another cluster or another disk: a
 // message to a voter whose disk was lost must not reach the replica that took its place. `to.disk` 0
--- a/src/message.h
+++ b/src/message.h
@@ -320,16 +320,17 @@
     }
 };
 
-// Renewal of a target that the receiver already knows; much shorter than the announcement.
+// Renewal of a target that the receiver already knows; a fifth of the size of its announcement. Only the
+// low bits of the incarnation are sent: another incarnation is announced in full before it is renewed.
 struct TargetRenewal {
     TargetId target {};
-    Incarnation incarnation {};
+    std::uint16_t incarnationBits = 0;
     std::uint64_t sequence = 0;
-    Duration age {};
+    std::uint16_t ageMilliseconds = 0;
 
     auto fields()
     {
-        return std::tie(target, incarnation, sequence, age);
+        return std::tie(target, incarnationBits, sequence, ageMilliseconds);
     }
 };
 
--- a/src/net.h
+++ b/src/net.h
@@ -10,12 +10,12 @@
 
 inline boost::asio::ip::udp::endpoint toUdp(Endpoint endpoint)
 {
-    return { boost::asio::ip::address_v4(endpoint.address), endpoint.port };
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
 }
 
 inline Endpoint fromUdp(const boost::asio::ip::udp::endpoint &endpoint)
 {
-    return { static_cast<std::uint32_t>(endpoint.address().to_v4().to_uint()), endpoint.port() };
+    return {static_cast<std::uint32_t>(endpoint.address().to_v4().to_uint()), endpoint.port()};
 }
 
 // The monotonic clock as the library wants it.
--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -20,18 +20,18 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CallTimeout { 2500 };
-constexpr std::chrono::milliseconds RetryPause { 100 };
+constexpr std::chrono::milliseconds CallTimeout {2500};
+constexpr std::chrono::milliseconds RetryPause {100};
 
 // Long enough for an election and the client's own time-outs.
-constexpr std::chrono::seconds GiveUpAfter { 15 };
+constexpr std::chrono::seconds GiveUpAfter {15};
 
 constexpr unsigned HttpUnavailable = 503;
 constexpr unsigned HttpErrorFrom = 400;
 
 leaf::error_id fault(ClientError error, std::string text)
 {
-    return leaf::new_error(error, ClientFault { std::move(text) });
+    return leaf::new_error(error, ClientFault {std::move(text)});
 }
 
 leaf::result<std::string> readText(const std::filesystem::path &path)
@@ -65,8 +65,7 @@
             config.control.push_back(parseEndpoint(entry.get<std::string>()).value());
         }
         for (const Json &entry : document->at("balancers")) {
-            config.balancers.push_back(
-                { BalancerId { entry.at("balancer").get<std::uint16_t>() }, parseEndpoint(entry.at("admin").get<std::string>()).value() });
+            config.balancers.push_back({BalancerId {entry.at("balancer").get<std::uint16_t>()}, parseEndpoint(entry.at("admin").get<std::string>()).value()});
         }
         config.token = document->at("token").get<std::string>();
         config.operatorName = document->value("operator", "");
@@ -86,7 +85,7 @@
     const std::string text = toHex(pair.secretKey) + "\n";
     return leaf::try_handle_some(
         [&]() -> leaf::result<PublicKey> {
-            BOOST_LEAF_CHECK(replaceFile(std::filesystem::absolute(path), { reinterpret_cast<const std::uint8_t *>(text.data()), text.size() }));
+            BOOST_LEAF_CHECK(replaceFile(std::filesystem::absolute(path), {reinterpret_cast<const std::uint8_t *>(text.data()), text.size()}));
             return pair.publicKey;
         },
         [&](FileError) -> leaf::result<PublicKey> {
@@ -126,12 +125,12 @@
 
 leaf::result<Json> OperatorClient::readControl(const std::string &path, const std::string &query)
 {
-    return callControl({ "GET", path, query, m_config.token, {} });
+    return callControl({"GET", path, query, m_config.token, {}});
 }
 
 leaf::result<Json> OperatorClient::submit(const Json &signedChange)
 {
-    return callControl({ "POST", "/v1/changes", {}, m_config.token, signedChange.dump() });
+    return callControl({"POST", "/v1/changes", {}, m_config.token, signedChange.dump()});
 }
 
 // "Not leader" and "outcome unknown" are both answered by asking again: a read has no effect, and a
@@ -160,7 +159,7 @@
 leaf::result<Json> OperatorClient::callBalancer(
     const BalancerAddress &balancer, const std::string &method, const std::string &path, const std::string &query, const std::string &body)
 {
-    const std::optional<HttpReply> reply = httpCall(balancer.admin, { method, path, query, m_config.token, body }, CallTimeout);
+    const std::optional<HttpReply> reply = httpCall(balancer.admin, {method, path, query, m_config.token, body}, CallTimeout);
     if (!reply) {
         return fault(ClientError::Unreachable, "balancer " + std::to_string(value(balancer.id)) + " does not answer");
     }
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -22,11 +22,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds WatchPause { 200 };
+constexpr std::chrono::milliseconds WatchPause {200};
 
 leaf::error_id badInput(std::string text)
 {
-    return leaf::new_error(ClientError::BadInput, ClientFault { std::move(text) });
+    return leaf::new_error(ClientError::BadInput, ClientFault {std::move(text)});
 }
 
 bool given(const CommandArguments &arguments, const std::string &name)
@@ -80,7 +80,7 @@
         std::cout << json.dump(2) << '\n';
         return;
     }
-    const Json rows = json.is_array() ? json : Json::array({ json });
+    const Json rows = json.is_array() ? json : Json::array({json});
     for (const Json &row : rows) {
         std::string line;
         for (const auto &[key, content] : row.items()) {
@@ -95,7 +95,7 @@
 leaf::result<int> keygen(const CommandArguments &arguments)
 {
     BOOST_LEAF_AUTO(key, writeKeyFile(textOf(arguments, "--out")));
-    print(arguments, { { "publicKey", toHex(key) } });
+    print(arguments, {{"publicKey", toHex(key)}});
     return ExitOk;
 }
 
@@ -112,7 +112,7 @@
 leaf::result<int> bundleCheck(const CommandArguments &arguments)
 {
     BOOST_LEAF_CHECK(checkedBundle(textOf(arguments, "FILE")));
-    print(arguments, { { "bundle", textOf(arguments, "FILE") }, { "valid", true } });
+    print(arguments, {{"bundle", textOf(arguments, "FILE")}, {"valid", true}});
     return ExitOk;
 }
 
@@ -121,13 +121,13 @@
     BOOST_LEAF_AUTO(text, checkedBundle(textOf(arguments, "FILE")));
     BOOST_LEAF_AUTO(base, numberOf(arguments, "--base"));
     BOOST_LEAF_AUTO(client, makeClient(arguments));
-    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(ControlChange(ProposeBundle { base, text }))));
+    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(ControlChange(ProposeBundle {base, text}))));
     std::ofstream out(textOf(arguments, "--out"));
     out << toApi(change).dump() << '\n';
     if (!out) {
         return badInput(textOf(arguments, "--out") + ": can't be written");
     }
-    print(arguments, { { "change", changeIdJson(change.change) }, { "baseVersion", base } });
+    print(arguments, {{"change", changeIdJson(change.change)}, {"baseVersion", base}});
     return ExitOk;
 }
 
@@ -211,7 +211,7 @@
 leaf::result<int> rolloutSteer(const CommandArguments &arguments, RolloutAction action)
 {
     BOOST_LEAF_AUTO(version, numberOf(arguments, "VERSION"));
-    return submitChange(arguments, SteerRollout { version, action });
+    return submitChange(arguments, SteerRollout {version, action});
 }
 
 leaf::result<int> operatorSet(const CommandArguments &arguments)
@@ -242,12 +242,12 @@
                 return client.callBalancer(balancer, "GET", path, query);
             },
             [](const ClientFault &fault) {
-                return Json({ { "error", fault.text } });
+                return Json({{"error", fault.text}});
             },
             [] {
-                return Json({ { "error", "failed" } });
+                return Json({{"error", "failed"}});
             });
-        rows.push_back({ { "balancer", value(balancer.id) }, { "answer", std::move(row) } });
+        rows.push_back({{"balancer", value(balancer.id)}, {"answer", std::move(row)}});
     }
     return rows;
 }
@@ -257,8 +257,8 @@
     BOOST_LEAF_AUTO(client, makeClient(arguments));
     Json rows = Json::array();
     for (const Endpoint &endpoint : client.config().control) {
-        const std::optional<HttpReply> reply = httpCall(endpoint, { "GET", "/v1/status", {}, client.config().token, {} }, std::chrono::seconds(1));
-        Json row = reply ? Json::parse(reply->body, nullptr, false) : Json({ { "error", "does not answer" } });
+        const std::optional<HttpReply> reply = httpCall(endpoint, {"GET", "/v1/status", {}, client.config().token, {}}, std::chrono::seconds(1));
+        Json row = reply ? Json::parse(reply->body, nullptr, false) : Json({{"error", "does not answer"}});
         row.erase("balancers");
         rows.push_back(std::move(row));
     }
@@ -286,7 +286,7 @@
                 row = target;
                 continue;
             }
-            for (const char *summed : { "share", "running", "feeds" }) {
+            for (const char *summed : {"share", "running", "feeds"}) {
                 row[summed] = row[summed].get<std::uint64_t>() + target[summed].get<std::uint64_t>();
             }
             row["state"] = target["state"] == "draining" ? target["state"] : row["state"];
@@ -326,7 +326,7 @@
         records.push_back(*record);
     }
     const std::optional<std::uint64_t> broken = firstBrokenRecord(records);
-    print(arguments, { { "records", records.size() }, { "sound", !broken }, { "firstBroken", broken ? Json(*broken) : Json(nullptr) } });
+    print(arguments, {{"records", records.size()}, {"sound", !broken}, {"firstBroken", broken ? Json(*broken) : Json(nullptr)}});
     return broken ? ExitFailed : ExitOk;
 }
 
@@ -343,8 +343,8 @@
             continue;
         }
         BOOST_LEAF_AUTO(balancerStatus, client.callBalancer(balancer, "GET", "/v1/status"));
-        const BalancerKey key { balancer.id, Incarnation { balancerStatus["incarnation"].get<std::uint64_t>() } };
-        const DrainOrder order { key, TargetId { vm ? 0 : static_cast<std::uint32_t>(id) } };
+        const BalancerKey key {balancer.id, Incarnation {balancerStatus["incarnation"].get<std::uint64_t>()}};
+        const DrainOrder order {key, TargetId {vm ? 0 : static_cast<std::uint32_t>(id)}};
         BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(std::variant<DrainOrder>(order))));
         BOOST_LEAF_AUTO(answer, client.callBalancer(balancer, "POST", "/v1/drain", {}, toApi(change).dump()));
         print(arguments, answer);
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -80,7 +80,7 @@
 void PeerTable::redirect(BalancerKey from, BalancerKey to)
 {
     if (redirectOf(from) == nullptr && from != to) {
-        m_redirects.push_back({ from, to });
+        m_redirects.push_back({from, to});
     }
 }
 
@@ -128,11 +128,11 @@
 {
     std::vector<Member> members;
     if (!m_stopping) {
-        members.push_back({ m_self.id, m_dataCentre });
+        members.push_back({m_self.id, m_dataCentre});
     }
     for (const Peer &peer : m_peers) {
         if (peer.alive && !peer.stopping) {
-            members.push_back({ peer.id, peer.dataCentre });
+            members.push_back({peer.id, peer.dataCentre});
         }
     }
     std::sort(members.begin(), members.end(), [](const Member &left, const Member &right) {
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -39,7 +39,7 @@
 
     BalancerKey key() const
     {
-        return { id, incarnation };
+        return {id, incarnation};
     }
 };
 
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -26,7 +26,7 @@
 
 // Most entries, and about the most bytes of them, in one append request.
 inline constexpr std::size_t MaxEntriesPerAppend = 256;
-inline constexpr std::size_t MaxAppendBytes = std::size_t { 512 } << 10U;
+inline constexpr std::size_t MaxAppendBytes = std::size_t {512} << 10U;
 
 // A learner becomes a voter when it lacks at most this many entries.
 inline constexpr std::uint64_t PromotionLag = 16;
--- a/src/request_engine.cpp
+++ b/src/request_engine.cpp
@@ -78,7 +78,7 @@
 {
     Flow *flow = m_context.flows.find(flowId);
     assert(flow != nullptr);
-    const RequestKey key { flowId, request.request };
+    const RequestKey key {flowId, request.request};
     if (flow->window.take(request.request) != RequestAge::Fresh) {
         ++m_context.counters.duplicatesDropped;
         if (!isPending(key) && !resend(key, caller)) {
@@ -106,7 +106,7 @@
         return giveUp(now, key, RefusalReason::NoTarget, NoTargetRetryAfter);
     }
     line->budget.noteRequest();
-    m_timers.push({ pending.deadline, TimerKind::RequestDeadline, 0, key });
+    m_timers.push({pending.deadline, TimerKind::RequestDeadline, 0, key});
     queueOrShed(now, key, pending, *line);
 }
 
@@ -124,7 +124,7 @@
         giveUp(now, *victim, RefusalReason::Overload, pause);
     }
     line.queue.push(caller, key);
-    m_context.observe({ .kind = EventKind::RequestQueued, .at = now, .service = pending.service, .flow = key.flow, .request = key.request });
+    m_context.observe({.kind = EventKind::RequestQueued, .at = now, .service = pending.service, .flow = key.flow, .request = key.request});
     pump(now, line);
 }
 
@@ -150,7 +150,7 @@
 void RequestEngine<Policy>::refuseUncertain(FlowId flow, Endpoint caller, RequestId request, RefusalReason reason)
 {
     ++m_context.counters.outcomes[static_cast<std::size_t>(Outcome::OutcomeUnknown)];
-    m_context.send(caller, Refusal { flow, request, Outcome::OutcomeUnknown, reason, Duration::zero() });
+    m_context.send(caller, Refusal {flow, request, Outcome::OutcomeUnknown, reason, Duration::zero()});
 }
 
 template<SlotPolicy Policy>
@@ -208,9 +208,8 @@
     ++pending.unresolvedAttempts;
     occupy(now, record, attempt.serial, target, line);
     limitAttempt(now, pending, attempt.serial, line);
-    m_context.send(target.announcement.endpoint, RunRequest { attempt, pending.deadline - now, pending.body });
-    m_context.observe(
-        { .kind = EventKind::RequestSent, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .target = target.id() });
+    m_context.send(target.announcement.endpoint, RunRequest {attempt, pending.deadline - now, pending.body});
+    m_context.observe({.kind = EventKind::RequestSent, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .target = target.id()});
 }
 
 // Takes a slot of the target for an attempt.
@@ -223,7 +222,7 @@
     ++target.running;
     target.lastUse = serial;
     ++m_context.counters.attemptsSent;
-    m_timers.push({ now + std::max(MinSlotHold, usualTime(line) * SlotHoldFactor), TimerKind::SlotHold, serial, {} });
+    m_timers.push({now + std::max(MinSlotHold, usualTime(line) * SlotHoldFactor), TimerKind::SlotHold, serial, {}});
 }
 
 // Only what may be repeated has an end before its deadline: it is tried again elsewhere.
@@ -231,7 +230,7 @@
 void RequestEngine<Policy>::limitAttempt(TimePoint now, const Pending &pending, std::uint64_t serial, const ServiceLine &line)
 {
     if (pending.repeatable) {
-        m_timers.push({ now + std::max(MinAttemptTimeout, usualTime(line) * AttemptTimeoutFactor), TimerKind::AttemptEnd, serial, {} });
+        m_timers.push({now + std::max(MinAttemptTimeout, usualTime(line) * AttemptTimeoutFactor), TimerKind::AttemptEnd, serial, {}});
     }
 }
 
@@ -257,9 +256,8 @@
     ++pending.unresolvedAttempts;
     ++m_context.counters.attemptsOffloaded;
     limitAttempt(now, pending, attempt.serial, line);
-    m_context.send(peer->endpoint, OffloadRequest { attempt, peer->key(), pending.service, pending.deadline - now, pending.body });
-    m_context.observe(
-        { .kind = EventKind::RequestOffloaded, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .peer = peer->id });
+    m_context.send(peer->endpoint, OffloadRequest {attempt, peer->key(), pending.service, pending.deadline - now, pending.body});
+    m_context.observe({.kind = EventKind::RequestOffloaded, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .peer = peer->id});
     return true;
 }
 
@@ -294,7 +292,7 @@
     Target *target = line != nullptr ? chooseAttemptTarget(m_context.targets.targets(), offload.service, {}, now) : nullptr;
     const bool busy = target == nullptr || line->queue.size() > 0;
     if (busy || m_context.peers.stopping() || offload.timeLeft <= Duration::zero()) {
-        m_context.send(peer, RunRefused { offload.attempt });
+        m_context.send(peer, RunRefused {offload.attempt});
         return;
     }
     const AttemptKey attempt = m_context.nextAttempt();
@@ -304,8 +302,8 @@
     record.origin = offload.attempt;
     record.originEndpoint = peer;
     occupy(now, record, attempt.serial, *target, *line);
-    m_timers.push({ now + std::min(offload.timeLeft, MaxTimeLeft), TimerKind::AttemptEnd, attempt.serial, {} });
-    m_context.send(target->announcement.endpoint, RunRequest { attempt, offload.timeLeft, offload.body });
+    m_timers.push({now + std::min(offload.timeLeft, MaxTimeLeft), TimerKind::AttemptEnd, attempt.serial, {}});
+    m_context.send(target->announcement.endpoint, RunRequest {attempt, offload.timeLeft, offload.body});
 }
 
 template<SlotPolicy Policy>
@@ -361,14 +359,14 @@
         return;
     }
     if (attempt.kind == AttemptKind::Hosted) {
-        m_context.send(attempt.originEndpoint, RunPart { attempt.origin, part.index, part.count, part.body });
+        m_context.send(attempt.originEndpoint, RunPart {attempt.origin, part.index, part.count, part.body});
     }
     if (effect == PartEffect::Completed) {
         return answer(now, part.attempt.serial, attempt);
     }
     const auto pending = m_pending.find(attempt.request);
     if (attempt.kind != AttemptKind::Hosted && pending != m_pending.end() && pending->second.repeatable) {
-        m_timers.push({ now + PartialAnswerTime, TimerKind::AttemptEnd, part.attempt.serial, {} });
+        m_timers.push({now + PartialAnswerTime, TimerKind::AttemptEnd, part.attempt.serial, {}});
     }
 }
 
@@ -394,17 +392,18 @@
         }
         std::vector<Message> messages;
         std::vector<Bytes> &parts = attempt.assembly.parts();
-        for (std::uint16_t index = 0; index < parts.size(); ++index) {
-            messages.emplace_back(AnswerPart { key.flow, key.request, serial, index, static_cast<std::uint16_t>(parts.size()), std::move(parts[index]) });
+        const auto count = static_cast<std::uint16_t>(parts.size());
+        for (std::uint16_t index = 0; index < count; ++index) {
+            messages.emplace_back(AnswerPart {key.flow, key.request, serial, index, static_cast<std::uint16_t>(parts.size()), std::move(parts[index])});
         }
         ++m_context.counters.outcomes[static_cast<std::size_t>(Outcome::Answered)];
-        m_context.observe({ .kind = EventKind::RequestAnswered,
-                            .at = now,
-                            .service = attempt.service,
-                            .flow = key.flow,
-                            .request = key.request,
-                            .target = attempt.target,
-                            .took = now - attempt.started });
+        m_context.observe({.kind = EventKind::RequestAnswered,
+                           .at = now,
+                           .service = attempt.service,
+                           .flow = key.flow,
+                           .request = key.request,
+                           .target = attempt.target,
+                           .took = now - attempt.started});
         settle(now, key, std::move(messages));
     }
     m_attempts.erase(serial);
@@ -428,7 +427,7 @@
         noteRefusal(*target, now);
     }
     if (attempt.kind == AttemptKind::Hosted) {
-        m_context.send(attempt.originEndpoint, RunRefused { attempt.origin });
+        m_context.send(attempt.originEndpoint, RunRefused {attempt.origin});
         return;
     }
     const auto pending = m_pending.find(attempt.request);
@@ -463,7 +462,7 @@
         return giveUp(now, key, reason, retryAfter(now, *line));
     }
     ++m_context.counters.retries;
-    m_context.observe({ .kind = EventKind::RequestRetried, .at = now, .service = pending.service, .flow = key.flow, .request = key.request });
+    m_context.observe({.kind = EventKind::RequestRetried, .at = now, .service = pending.service, .flow = key.flow, .request = key.request});
     line->queue.putBack(pending.caller.address, key);
     pump(now, *line);
 }
@@ -483,13 +482,13 @@
     }
     const Outcome outcome = outcomeOf(pending.unresolvedAttempts == 0, pending.repeatable, reason);
     ++m_context.counters.outcomes[static_cast<std::size_t>(outcome)];
-    m_context.observe({ .kind = EventKind::RequestRefused,
-                        .at = now,
-                        .service = pending.service,
-                        .flow = key.flow,
-                        .request = key.request,
-                        .detail = static_cast<std::uint8_t>(outcome) });
-    settle(now, key, { Refusal { key.flow, key.request, outcome, reason, retryAfter } });
+    m_context.observe({.kind = EventKind::RequestRefused,
+                       .at = now,
+                       .service = pending.service,
+                       .flow = key.flow,
+                       .request = key.request,
+                       .detail = static_cast<std::uint8_t>(outcome)});
+    settle(now, key, {Refusal {key.flow, key.request, outcome, reason, retryAfter}});
 }
 
 template<SlotPolicy Policy>
@@ -504,7 +503,7 @@
     if (Flow *flow = m_context.flows.find(key.flow); flow != nullptr) {
         assert(flow->busy > 0);
         --flow->busy;
-        flow->lastActive = now;
+        flow->lastActive = CoarseTime(now);
     }
 }
 
@@ -522,7 +521,7 @@
         return;
     }
     Attempt &attempt = at->second;
-    const CancelRun cancel { { m_context.peers.self(), serial } };
+    const CancelRun cancel {{m_context.peers.self(), serial}};
     if (attempt.kind == AttemptKind::Offloaded) {
         if (const Peer *peer = m_context.peers.find(attempt.executor.id); peer != nullptr) {
             m_context.send(peer->endpoint, cancel);
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -120,7 +120,7 @@
 
 void RolloutTracker::subscribe(TimePoint now, const Subscribe &subscribe)
 {
-    m_subscribers[subscribe.balancer.id] = { subscribe.balancer, subscribe.version, now, true };
+    m_subscribers[subscribe.balancer.id] = {subscribe.balancer, subscribe.version, now, true};
 }
 
 void RolloutTracker::report(TimePoint now, const VersionReport &report)
--- a/src/secure_links.cpp
+++ b/src/secure_links.cpp
@@ -14,15 +14,15 @@
     , m_callbacks(std::move(callbacks))
     , m_hub(io,
             MaxLinkMessage,
-            { [this](LinkHandle handle, std::uint64_t tag) {
+            {[this](LinkHandle handle, std::uint64_t tag) {
                  opened(handle, tag);
              },
-              [this](LinkHandle handle, const std::vector<std::uint8_t> &bytes) {
-                  received(handle, bytes);
-              },
-              [this](LinkHandle handle, std::uint64_t tag) {
-                  closed(handle, tag);
-              } })
+             [this](LinkHandle handle, const std::vector<std::uint8_t> &bytes) {
+                 received(handle, bytes);
+             },
+             [this](LinkHandle handle, std::uint64_t tag) {
+                 closed(handle, tag);
+             }})
 {
 }
 
@@ -45,7 +45,7 @@
         return;
     }
     const bool dialled = tag != 0;
-    const auto [at, added] = m_links.emplace(handle, Link { SecureSession(m_key, m_role, m_id, dialled), dialled });
+    const auto [at, added] = m_links.emplace(handle, Link {SecureSession(m_key, m_role, m_id, dialled), dialled});
     m_hub.send(handle, at->second.session.hello());
 }
 
--- a/src/settled_answers.cpp
+++ b/src/settled_answers.cpp
@@ -24,7 +24,7 @@
     if (!m_messages.emplace(key, std::move(messages)).second) {
         return;
     }
-    m_order.push_back({ now, key, bytes });
+    m_order.push_back({now, key, bytes});
     m_bytes += bytes;
     while (m_bytes > AnswerCacheBytes) {
         dropOldest();
--- a/src/standin_caller.cpp
+++ b/src/standin_caller.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds StepInterval { 10 };
+constexpr std::chrono::milliseconds StepInterval {10};
 constexpr Duration RequestDeadline = std::chrono::seconds(2);
 constexpr std::uint32_t CallerNetwork = 0x7f020000; // 127.2.0.0
 
@@ -77,7 +77,7 @@
         flow->feed = feed;
         flow->repeatable = repeatable;
         flow->session = std::make_unique<CallerSession>(m_flows.size() + 1, feed);
-        flow->socket = std::make_unique<DatagramSocket>(m_io, Endpoint { CallerNetwork + caller, 0 }, [this, at = flow.get()](Endpoint, BytesView bytes) {
+        flow->socket = std::make_unique<DatagramSocket>(m_io, Endpoint {CallerNetwork + caller, 0}, [this, at = flow.get()](Endpoint, BytesView bytes) {
             if (const auto message = decodeMessage<Message>(bytes)) {
                 at->session->receive(monotonicNow(), *message);
                 collect(*at);
@@ -158,7 +158,7 @@
             return;
         }
         m_latency.record(result.took);
-        for (std::uint16_t index = 0; index < result.parts.size(); ++index) {
+        for (std::size_t index = 0; index < result.parts.size(); ++index) {
             const std::optional<StandinBody> part = unpackBody(result.parts[index]);
             const bool own = part && part->caller == asked.caller && part->number == asked.number && part->part == index;
             m_wrongAnswers += own ? 0 : 1;
@@ -179,21 +179,21 @@
             longestStall = std::max(longestStall, flow->longestStall);
         }
         writeReport(m_options.report,
-                    { { "flows", m_flows.size() },
-                      { "opened", opened },
-                      { "broken", broken },
-                      { "feedItems", items },
-                      { "longestStallMs", longestStall.count() / 1000 },
-                      { "sent", m_sent },
-                      { "answered", m_outcomes[0] },
-                      { "notRun", m_outcomes[1] },
-                      { "unknown", m_outcomes[2] },
-                      { "deadlinePassed", m_outcomes[3] },
-                      { "timedOut", m_timedOut },
-                      { "wrongAnswers", m_wrongAnswers },
-                      { "notRunTags", m_notRun },
-                      { "p50Ms", static_cast<double>(m_latency.quantile(0.5).count()) / 1000 },
-                      { "p99Ms", static_cast<double>(m_latency.quantile(0.99).count()) / 1000 } });
+                    {{"flows", m_flows.size()},
+                     {"opened", opened},
+                     {"broken", broken},
+                     {"feedItems", items},
+                     {"longestStallMs", longestStall.count() / 1000},
+                     {"sent", m_sent},
+                     {"answered", m_outcomes[0]},
+                     {"notRun", m_outcomes[1]},
+                     {"unknown", m_outcomes[2]},
+                     {"deadlinePassed", m_outcomes[3]},
+                     {"timedOut", m_timedOut},
+                     {"wrongAnswers", m_wrongAnswers},
+                     {"notRunTags", m_notRun},
+                     {"p50Ms", static_cast<double>(m_latency.quantile(0.5).count()) / 1000},
+                     {"p99Ms", static_cast<double>(m_latency.quantile(0.99).count()) / 1000}});
     }
 
     boost::asio::io_context &m_io;
--- a/src/standin_common.h
+++ b/src/standin_common.h
@@ -104,7 +104,7 @@
                 return;
             }
             if (!error) {
-                m_receive(fromUdp(from), { buffer.data(), size });
+                m_receive(fromUdp(from), {buffer.data(), size});
             }
         }
     }
--- a/src/standin_verify.cpp
+++ b/src/standin_verify.cpp
@@ -76,7 +76,7 @@
         falseNotRun += totals.executions.contains(tag.get<std::string>()) ? 1 : 0;
     }
     for (const char *figure :
-         { "opened", "feedItems", "longestStallMs", "sent", "answered", "notRun", "unknown", "deadlinePassed", "timedOut", "p50Ms", "p99Ms" }) {
+         {"opened", "feedItems", "longestStallMs", "sent", "answered", "notRun", "unknown", "deadlinePassed", "timedOut", "p50Ms", "p99Ms"}) {
         std::cout << figure << ": " << callers[figure] << '\n';
     }
     for (const auto &[service, busy] : totals.busyByService) {
@@ -85,11 +85,11 @@
     std::cout << "seconds to be in force, first bundle: " << options.firstRolloutSeconds << '\n';
     std::cout << "seconds to be in force, second bundle under traffic: " << options.rolloutSeconds << '\n';
     const std::pair<const char *, std::uint64_t> zeros[] = {
-        { "broken flows", callers["broken"].get<std::uint64_t>() },
-        { "requests run twice", static_cast<std::uint64_t>(runTwice) },
-        { "false \"not run\"", falseNotRun },
-        { "half or foreign answers", callers["wrongAnswers"].get<std::uint64_t>() },
-        { "work at a leaving target after 3 s", totals.lateWork },
+        {"broken flows", callers["broken"].get<std::uint64_t>()},
+        {"requests run twice", static_cast<std::uint64_t>(runTwice)},
+        {"false \"not run\"", falseNotRun},
+        {"half or foreign answers", callers["wrongAnswers"].get<std::uint64_t>()},
+        {"work at a leaving target after 3 s", totals.lateWork},
     };
     std::uint64_t sum = 0;
     for (const auto &[name, figure] : zeros) {
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -71,17 +71,18 @@
 bool TargetTable::renew(TimePoint now, const TargetRenewal &renewal)
 {
     Target *target = find(renewal.target);
-    if (target == nullptr || target->announcement.incarnation != renewal.incarnation || renewal.age < Duration::zero()) {
+    if (target == nullptr || incarnationBits(target->announcement.incarnation) != renewal.incarnationBits) {
         return false;
     }
-    if (renewal.sequence <= target->announcement.sequence || renewal.age >= TargetLease) {
+    const Duration age = std::chrono::milliseconds(renewal.ageMilliseconds);
+    if (renewal.sequence <= target->announcement.sequence || age >= TargetLease) {
         return true;
     }
     if (target->state == TargetState::Lost) {
         return false;
     }
     target->announcement.sequence = renewal.sequence;
-    target->lastHeard = std::max(target->lastHeard, now - renewal.age);
+    target->lastHeard = std::max(target->lastHeard, now - age);
     return true;
 }
 
@@ -135,6 +136,11 @@
     return *m_targets.insert(lowerBound(m_targets, announcement.target), fresh);
 }
 
+std::uint16_t incarnationBits(Incarnation incarnation)
+{
+    return static_cast<std::uint16_t>(value(incarnation));
+}
+
 std::uint16_t usableSlots(const Target &target, TimePoint now)
 {
     if (target.state != TargetState::Serving || target.announcement.slots == 0) {
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -91,6 +91,9 @@
     std::uint64_t m_version = 0;
 };
 
+// What of an incarnation a renewal carries.
+std::uint16_t incarnationBits(Incarnation incarnation);
+
 // Slots that may be used of a target at `now`: fewer while it starts, none unless it is serving.
 std::uint16_t usableSlots(const Target &target, TimePoint now);
 
--- a/src/types.h
+++ b/src/types.h
@@ -46,6 +46,32 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+// A point in time in 4 bytes, to the millisecond, for records of which there are hundreds of thousands.
+// Differences are right as long as they are below 49 days.
+class CoarseTime
+{
+public:
+    CoarseTime() = default;
+    explicit CoarseTime(TimePoint time)
+        : m_milliseconds(toMilliseconds(time))
+    {
+    }
+
+    // The time from this point to `now`.
+    Duration elapsed(TimePoint now) const
+    {
+        return std::chrono::milliseconds(toMilliseconds(now) - m_milliseconds);
+    }
+
+private:
+    static std::uint32_t toMilliseconds(TimePoint time)
+    {
+        return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    }
+
+    std::uint32_t m_milliseconds = 0;
+};
+
 using Bytes = std::vector<std::uint8_t>;
 using BytesView = std::span<const std::uint8_t>;
 
--- a/src/websocket_hub.cpp
+++ b/src/websocket_hub.cpp
@@ -37,7 +37,7 @@
     void opened(const Weak &weak, bool accepted, std::uint64_t tag)
     {
         const LinkHandle handle = ++last;
-        links[handle] = { weak, accepted, tag };
+        links[handle] = {weak, accepted, tag};
         handles[weak] = handle;
         callbacks.opened(handle, tag);
     }
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -25,15 +25,15 @@
     , m_now(std::chrono::hours(1))
 {
     Genesis genesis;
-    for (const char *name : { "first", "second" }) {
+    for (const char *name : {"first", "second"}) {
         // Seeded keys, so that runs are the same.
         KeyPair pair = generateKeyPair();
         m_keys[name] = pair;
-        genesis.operators.push_back({ name, pair.publicKey, OperatorRole::Administrator, false });
+        genesis.operators.push_back({name, pair.publicKey, OperatorRole::Administrator, false});
     }
     for (int i = 1; i <= options.replicas; ++i) {
         Node fresh;
-        fresh.key = { ReplicaId { static_cast<std::uint16_t>(i) }, ++m_lastDisk };
+        fresh.key = {ReplicaId {static_cast<std::uint16_t>(i)}, ++m_lastDisk};
         fresh.clockRate = 1 + m_options.clockSkew * (2 * uniform() - 1);
         m_nodes.push_back(std::move(fresh));
     }
@@ -62,7 +62,7 @@
 
 void ControlCluster::after(Duration delay, std::function<void()> action)
 {
-    m_events.push({ m_now + delay, ++m_order, std::move(action) });
+    m_events.push({m_now + delay, ++m_order, std::move(action)});
 }
 
 TimePoint ControlCluster::clockOf(const Node &node) const
@@ -87,7 +87,7 @@
         const auto turn = m_now.time_since_epoch() / TickStep % (JoinStep / TickStep);
         if (node.core->raft().role() == RaftRole::Joining && turn == 0) {
             for (const Node &other : m_nodes) {
-                send(node, { { other.key.id, 0 }, JoinRequest { node.key } });
+                send(node, {{other.key.id, 0}, JoinRequest {node.key}});
             }
         }
         flush(node);
@@ -275,7 +275,7 @@
     for (std::uint8_t &byte : id) {
         byte = static_cast<std::uint8_t>(m_random());
     }
-    return makeChange(id, operatorName, ProposeBundle { base, EmptyBundle }, m_keys.at(operatorName).secretKey);
+    return makeChange(id, operatorName, ProposeBundle {base, EmptyBundle}, m_keys.at(operatorName).secretKey);
 }
 
 void ControlCluster::submit(int number, const SignedChange &change)
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -15,7 +15,7 @@
 void checkAll()
 {
     if constexpr (Index < std::variant_size_v<Variant>) {
-        const Variant message { std::in_place_index<Index> };
+        const Variant message {std::in_place_index<Index>};
         const Bytes bytes = encodeMessage(message);
         const std::optional<Variant> decoded = decodeMessage<Variant>(bytes);
         REQUIRE(decoded);
@@ -38,15 +38,15 @@
 TEST_CASE("contents survive the round trip")
 {
     Heartbeat heartbeat;
-    heartbeat.sender = { BalancerId { 9 }, Incarnation { 1'700'000'000'000 } };
-    heartbeat.successor = BalancerKey { BalancerId { 2 }, Incarnation { 5 } };
-    heartbeat.renewals.push_back({ TargetId { 4 }, Incarnation { 6 }, 77, std::chrono::milliseconds(1500) });
+    heartbeat.sender = {BalancerId {9}, Incarnation {1'700'000'000'000}};
+    heartbeat.successor = BalancerKey {BalancerId {2}, Incarnation {5}};
+    heartbeat.renewals.push_back({TargetId {4}, 6, 77, 1500});
     const std::optional<Message> decoded = decodeMessage<Message>(encodeMessage(Message(heartbeat)));
     REQUIRE(decoded);
     const auto &same = std::get<Heartbeat>(*decoded);
     CHECK(same.sender == heartbeat.sender);
     CHECK(same.successor == heartbeat.successor);
-    CHECK(same.renewals[0].age == std::chrono::milliseconds(1500));
+    CHECK(same.renewals[0].ageMilliseconds == 1500);
 }
 
 TEST_CASE("numbers out of range, wrong types, missing and extra members are refused")
@@ -55,13 +55,13 @@
     const auto decodes = [](const Json &json) {
         return decodeMessage<Message>(Json::to_cbor(json)).has_value();
     };
-    CHECK(decodes(Json::array({ 0, Json::array({ 1 }) })));
-    CHECK_FALSE(decodes(Json::array({ 0, Json::array({ -1 }) })));
-    CHECK_FALSE(decodes(Json::array({ 0, Json::array({ "1" }) })));
-    CHECK_FALSE(decodes(Json::array({ 0, Json::array() })));
-    CHECK_FALSE(decodes(Json::array({ 0, Json::array({ 1, 2 }) })));
-    CHECK_FALSE(decodes(Json::array({ 999, Json::array({ 1 }) })));
-    CHECK_FALSE(decodes(Json::array({ 0, Json::array({ 1 }), 3 })));
+    CHECK(decodes(Json::array({0, Json::array({1})})));
+    CHECK_FALSE(decodes(Json::array({0, Json::array({-1})})));
+    CHECK_FALSE(decodes(Json::array({0, Json::array({"1"})})));
+    CHECK_FALSE(decodes(Json::array({0, Json::array()})));
+    CHECK_FALSE(decodes(Json::array({0, Json::array({1, 2})})));
+    CHECK_FALSE(decodes(Json::array({999, Json::array({1})})));
+    CHECK_FALSE(decodes(Json::array({0, Json::array({1}), 3})));
 }
 
 TEST_CASE("truncated, changed and random bytes never do harm")
@@ -82,7 +82,7 @@
         decodeMessage<Message>(noise);
     }
     // An array header that claims more than memory can hold made the library throw.
-    CHECK_FALSE(decodeMessage<Message>(Bytes { 0x9b, 0x34, 0x5f, 1, 2, 3, 4, 5, 6 }));
+    CHECK_FALSE(decodeMessage<Message>(Bytes {0x9b, 0x34, 0x5f, 1, 2, 3, 4, 5, 6}));
     // Nesting as deep as a datagram allows.
     decodeMessage<Message>(Bytes(MaxDatagramSize, 0x81));
 }
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -43,7 +43,7 @@
 {
     return rc::gen::apply(
         [](int step, int number, unsigned set) {
-            return Action { static_cast<Step>(step), number, set };
+            return Action {static_cast<Step>(step), number, set};
         },
         rc::gen::inRange(0, static_cast<int>(Step::Resend) + 1),
         rc::gen::inRange(1, replicas + 1),
@@ -252,7 +252,7 @@
         cluster.runUntil([&] {
             return cluster.settled();
         });
-        for (int lost : { 3, 2, 1 }) {
+        for (int lost : {3, 2, 1}) {
             const std::uint64_t before = cluster.core(cluster.leader()).state().latestVersion();
             const SignedChange change = cluster.makeProposal(before, "first");
             cluster.submit(cluster.leader(), change);
@@ -305,6 +305,6 @@
     const int old = cluster.leader();
     cluster.partition(1U << static_cast<unsigned>(old - 1));
     ControlCore &core = cluster.core(old);
-    core.read(TimePoint { std::chrono::hours(1) }, 4711);
+    core.read(TimePoint {std::chrono::hours(1)}, 4711);
     CHECK(core.takeOutput().reads.empty());
 }
--- a/tests/test_proofs.cpp
+++ b/tests/test_proofs.cpp
@@ -58,8 +58,8 @@
         [](SimulationOptions &options) {
             options.duration = seconds(125);
             for (int number = 1; number <= 8; ++number) {
-                options.faults.push_back({ seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number });
-                options.faults.push_back({ seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number });
+                options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
+                options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
             }
         },
         [](const SimulationResult &result) {
@@ -76,9 +76,9 @@
         [](SimulationOptions &options) {
             options.duration = seconds(95);
             for (int number = 1; number <= 18; ++number) {
-                options.faults.push_back({ seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number });
-                options.faults.push_back({ seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number });
-                options.faults.push_back({ seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number });
+                options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
+                options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
+                options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
             }
         },
         [](const SimulationResult &result) {
@@ -100,7 +100,7 @@
 {
     forSeeds(
         [](SimulationOptions &options) {
-            options.faults = { { seconds(5), FaultKind::KillBalancer, 3 } };
+            options.faults = {{seconds(5), FaultKind::KillBalancer, 3}};
         },
         [](const SimulationResult &result) {
             CHECK(result.brokenFlows == 0);
@@ -112,7 +112,7 @@
 {
     forSeeds(
         [](SimulationOptions &options) {
-            options.faults = { { seconds(5), FaultKind::FreezeBalancer, 3 }, { seconds(15), FaultKind::ThawBalancer, 3 } };
+            options.faults = {{seconds(5), FaultKind::FreezeBalancer, 3}, {seconds(15), FaultKind::ThawBalancer, 3}};
         },
         [](const SimulationResult &result) {
             CHECK(result.brokenFlows == 0);
@@ -123,7 +123,7 @@
 {
     forSeeds(
         [](SimulationOptions &options) {
-            options.faults = { { seconds(5), FaultKind::CutDataCentre, 1 }, { seconds(15), FaultKind::JoinDataCentre, 1 } };
+            options.faults = {{seconds(5), FaultKind::CutDataCentre, 1}, {seconds(15), FaultKind::JoinDataCentre, 1}};
         },
         [](const SimulationResult &result) {
             CHECK(result.brokenFlows == 0);
@@ -134,7 +134,7 @@
 {
     forSeeds(
         [](SimulationOptions &options) {
-            options.faults = { { seconds(5), FaultKind::KillTarget, 1 }, { seconds(8), FaultKind::SilenceTarget, 2 } };
+            options.faults = {{seconds(5), FaultKind::KillTarget, 1}, {seconds(8), FaultKind::SilenceTarget, 2}};
         },
         [](const SimulationResult &result) {
             CHECK(result.brokenFlows == 0);
@@ -147,12 +147,17 @@
         [](SimulationOptions &options) {
             makeNoisy(options);
             options.duration = seconds(60);
-            options.faults = { { seconds(3), FaultKind::KillBalancer, 3 },    { seconds(8), FaultKind::StopBalancer, 5 },
-                               { seconds(9), FaultKind::DrainTarget, 4 },     { seconds(12), FaultKind::StartBalancer, 3 },
-                               { seconds(14), FaultKind::KillTarget, 4 },     { seconds(15), FaultKind::FreezeBalancer, 1 },
-                               { seconds(22), FaultKind::ThawBalancer, 1 },   { seconds(24), FaultKind::CutDataCentre, 2 },
-                               { seconds(32), FaultKind::JoinDataCentre, 2 }, { seconds(33), FaultKind::StartTarget, 4 },
-                               { seconds(36), FaultKind::KillBalancer, 8 } };
+            options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
+                              {seconds(8), FaultKind::StopBalancer, 5},
+                              {seconds(9), FaultKind::DrainTarget, 4},
+                              {seconds(12), FaultKind::StartBalancer, 3},
+                              {seconds(14), FaultKind::KillTarget, 4},
+                              {seconds(15), FaultKind::FreezeBalancer, 1},
+                              {seconds(22), FaultKind::ThawBalancer, 1},
+                              {seconds(24), FaultKind::CutDataCentre, 2},
+                              {seconds(32), FaultKind::JoinDataCentre, 2},
+                              {seconds(33), FaultKind::StartTarget, 4},
+                              {seconds(36), FaultKind::KillBalancer, 8}};
         },
         [](const SimulationResult &) {});
 }
@@ -160,7 +165,7 @@
 TEST_CASE("a balancer that joins under traffic routes as well as the others once it is ready")
 {
     SimulationOptions options = optionsFor(1);
-    options.faults = { { seconds(2), FaultKind::KillBalancer, 2 }, { seconds(8), FaultKind::StartBalancer, 2 } };
+    options.faults = {{seconds(2), FaultKind::KillBalancer, 2}, {seconds(8), FaultKind::StartBalancer, 2}};
     Simulation<DealtSlots> simulation(options);
     checkPromises(simulation.run());
     const std::span<const Target> joined = std::as_const(simulation.balancer(2).context().targets).targets();
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -45,7 +45,7 @@
     const std::string fault = leaf::try_handle_all(
         [&]() -> leaf::result<std::string> {
             BOOST_LEAF_AUTO(file, loadBalancerFile(path));
-            CHECK(file.dataCentreId == DataCentreId { 2 });
+            CHECK(file.dataCentreId == DataCentreId {2});
             return std::string();
         },
         [](const SettingsFault &found) {
@@ -92,8 +92,8 @@
     CHECK(has(faultWith("/services/0/listen", "localhost:1"), "/services/0/listen"));
     CHECK(has(faultWith("/listen/admin", "127.0.0.1:70000"), "/listen/admin"));
     CHECK(has(faultWith("/keys/cluster", "00"), "64 hexadecimal digits"));
-    CHECK(has(faultWith("/keys/connectionIds/1", { { "version", 1 }, { "key", "00000000000000000000000000000000" } }), "1 twice"));
-    CHECK(has(faultWith("/peers/1", { { "balancer", 1 }, { "address", "127.0.0.1:1" } }), "1 twice"));
+    CHECK(has(faultWith("/keys/connectionIds/1", {{"version", 1}, {"key", "00000000000000000000000000000000"}}), "1 twice"));
+    CHECK(has(faultWith("/peers/1", {{"balancer", 1}, {"address", "127.0.0.1:1"}}), "1 twice"));
     CHECK(has(faultWith("/unknown", 1), "unknown"));
     CHECK(has(faultWith("/adminToken", "short"), "/adminToken"));
 }
@@ -112,7 +112,7 @@
         "services": [{"id": 1, "name": "s"}], "policy": {"approvals": 1}})");
     CHECK(bundleFault(bundle).empty());
     Json changed = bundle;
-    changed["services"].push_back({ { "id", 1 }, { "name", "t" } });
+    changed["services"].push_back({{"id", 1}, {"name", "t"}});
     CHECK(has(bundleFault(changed), "1 twice"));
     changed = bundle;
     changed["services"][0]["retryRatio"] = 2;
@@ -127,7 +127,7 @@
 
 TEST_CASE("a session is established only between holders of the key, and frames can't be played again")
 {
-    const ClusterKey key { 1 };
+    const ClusterKey key {1};
     const auto meet = [](const ClusterKey &one, const ClusterKey &other) {
         SecureSession dialler(one, PeerRole::Balancer, 1, true);
         SecureSession acceptor(other, PeerRole::Control, 2, false);
@@ -137,7 +137,7 @@
             && acceptor.receive(dialler.proof()) == SecureSession::Event::Established;
     };
     CHECK(meet(key, key));
-    CHECK_FALSE(meet(key, { 2 }));
+    CHECK_FALSE(meet(key, {2}));
 
     SecureSession dialler(key, PeerRole::Balancer, 1, true);
     SecureSession acceptor(key, PeerRole::Control, 2, false);
@@ -146,9 +146,9 @@
     const Bytes proof = dialler.proof();
     CHECK(acceptor.receive(proof) == SecureSession::Event::Established);
     CHECK(acceptor.peer().id == 1);
-    const Bytes frame = dialler.seal(Bytes { 1, 2 });
+    const Bytes frame = dialler.seal(Bytes {1, 2});
     CHECK(acceptor.receive(frame) == SecureSession::Event::Payload);
-    CHECK(acceptor.payload() == Bytes { 1, 2 });
+    CHECK(acceptor.payload() == Bytes {1, 2});
     CHECK(acceptor.receive(frame) == SecureSession::Event::Failed);
     SecureSession reflected(key, PeerRole::Balancer, 1, true);
     reflected.receive(reflected.hello());
