--- /dev/null
+++ b/fuzz/fuzz_bundle.cpp
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: MIT
+// Fuzz target: bundle texts.
+#include "bundle.h"
+
+#include <cstddef>
+#include <cstdint>
+
+using namespace Robinrail;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    JsonFault fault;
+    parseBundle({reinterpret_cast<const char *>(data), size}, fault);
+    return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_record.cpp
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: MIT
+// Fuzz target: snapshots of the control state, and datagrams and frames before authentication.
+#include "control_state.h"
+#include "datagram_guard.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <sodium.h>
+
+using namespace Robinrail;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    static const int Ready = sodium_init();
+    (void)Ready;
+    ControlState state;
+    state.restore({data, size});
+    DatagramGuard guard(ClusterKey {1}, {BalancerId {1}, Incarnation {1}});
+    guard.open({data, size});
+    SecureSession session(ClusterKey {1}, PeerRole::Control, 1, false);
+    session.receive({data, size});
+    session.receive({data, size});
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz_corpus.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the libFuzzer targets and runs each over its committed corpus and a fixed number of seeded inputs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh fuzz > /dev/null
+for target in message link_message bundle record; do
+    work=$(mktemp -d)
+    build/fuzz/fuzz_"$target" -seed=20261202 -runs=20000 -max_len=1500 -verbosity=0 "$work" "fuzz/corpus/$target"
+    rm -rf "$work"
+    echo "ok: $target"
+done
--- /dev/null
+++ b/tests/mutations.sh
@@ -0,0 +1,82 @@
+#!/usr/bin/env bash
+# Takes one mechanism at a time out of a copy of the tree and expects the named proof to fail. Not part of
+# CI, as it builds the library once for each mutation.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files | tar -cf - -T - | tar -xf - -C "$copy"
+cd "$copy" || exit 1
+export RC_PARAMS="seed=20261202 max_success=300 max_size=60"
+scripts/build.sh release --target robinrail_tests > /dev/null || exit 1
+
+wrong=0
+# mutate NAME FILE FROM TO TEST-CASES: replaces one text once and runs the test cases.
+mutate() {
+    local name=$1 file=$2 from=$3 to=$4 cases=$5
+    cp "$file" "$copy/original"
+    FROM=$from TO=$to perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
+    if cmp -s "$file" "$copy/original"; then
+        echo "wrong: $name: the text to replace is not there"
+        wrong=$((wrong + 1))
+        return
+    fi
+    if ! scripts/build.sh release --target robinrail_tests > "$copy/build.log" 2>&1; then
+        echo "wrong: $name: does not build"
+        grep -m 3 'error' "$copy/build.log"
+        wrong=$((wrong + 1))
+    elif timeout 300 build/release/robinrail_tests --test-case="$cases" > "$copy/run.log" 2>&1; then
+        echo "wrong: $name: the proof passes without the mechanism"
+        wrong=$((wrong + 1))
+    else
+        echo "ok: $name: the proof fails"
+    fi
+    cp "$copy/original" "$file"
+}
+
+mutate "no request window" src/request_engine.cpp \
+    'if (flow->window.take(request.request) != RequestAge::Fresh) {' \
+    'if (flow->window.take(request.request) != RequestAge::Fresh && (isPending(key) || !m_settled.find(key).empty())) {' \
+    '*repeated packet*,*tenth of the packets*'
+mutate "no check of the service in the id" src/balancer_core.cpp 'if (id->service != service) {' 'if (id->service == ServiceId{}) {' \
+    '*never reaches another*'
+mutate "no check of the MAC" src/connection_id.cpp \
+    'if (sodium_memcmp(mac.data(), sealed.data() + ConnectionIdContentSize, mac.size()) != 0) {' 'if (mac.empty()) {' '*1.2 million*'
+mutate "adopters run requests of the old id" src/balancer_core.cpp \
+    'm_requests.refuseUncertain(id.flow, packet.caller, request->request, RefusalReason::OwnerGone);' \
+    'm_requests.accept(now, flowId, packet.caller, *request);' '*two views*,*owner is gone*'
+mutate "drain of a target ignored" src/target_table.cpp \
+    'target.announcement.draining = announcement.draining || wasDraining;' 'target.announcement.draining = wasDraining;' \
+    '*every target is replaced*,*draining is final*'
+mutate "no rebinding of feeds" src/feed_engine.cpp 'if (flow.target != target || flow.attachment == 0) {' \
+    'if (flow.target == target || flow.attachment == 0) {' '*every target is replaced*,*goes on at another target*'
+mutate "no moving forward of feeds" src/feed_engine.cpp 'if (acknowledged >= flow.nextSequence) {' \
+    'if (acknowledged > flow.nextSequence + 1000000) {' '*every balancer is stopped*,*freezes and returns*'
+mutate "no adoption from a stopping owner" src/balancer_core.cpp 'if (onOwnerStopping(now, packet, *id, message)) {' \
+    'if (false && onOwnerStopping(now, packet, *id, message)) {' '*every balancer is stopped*'
+mutate "no fence at the handover" src/handover.cpp \
+    'return sent != m_sent.end() ? std::optional(sent->second.to) : std::nullopt;' \
+    'return sent == m_sent.end() ? std::optional(BalancerKey{}) : std::nullopt;' '*stopping balancer hands*'
+mutate "no deduplication of offloads" src/request_engine.cpp \
+    'if (attempt.serial <= window.floor || !window.seen.emplace(attempt.serial, now).second) {' \
+    'if (attempt.serial <= window.floor) {' '*offload runs at most once*,*tenth of the packets*'
+mutate "answers complete with any part" src/answer_assembly.h 'return m_received == m_count ?' 'return m_received > 0 ?' \
+    '*with all its parts*,*complete only with all parts*'
+mutate "a vote for everybody" src/raft_core.cpp \
+    'const bool free = value(m_hard.votedFor.id) == 0 || m_hard.votedFor == from;' 'const bool free = true;' '*replicas keep every promise*'
+mutate "votes for short logs" src/raft_core.cpp \
+    'const bool upToDate = std::pair(request.lastTerm, request.lastIndex) >= std::pair(lastTerm(), lastIndex());' \
+    'const bool upToDate = true;' '*replicas keep every promise*'
+mutate "commit without a quorum" src/raft_core.cpp 'const LogIndex agreed = matches[matches.size() / 2];' \
+    'const LogIndex agreed = matches.front();' '*replicas keep every promise*'
+mutate "voter before it caught up" src/raft_core.cpp \
+    'if (!caughtUp || !alive) {' 'if (!alive && caughtUp) {' '*loss of a second one*,*replicas keep every promise*'
+mutate "no compare-and-set on versions" src/control_state.cpp 'if (propose.baseVersion != latestVersion()) {' \
+    'if (propose.baseVersion > latestVersion()) {' '*equal numbers*'
+mutate "no memory of changes" src/control_state.cpp 'if (const ChangeResult *known = resultOf(change.change)) {' \
+    'if (const ChangeResult *known = resultOf({})) {' '*applies once*,*equal numbers*'
+mutate "bundles go back" src/rollout.cpp 'if (offer.version <= m_version) {' 'if (offer.version == m_version) {' '*only upward*'
+mutate "a torn record is taken" src/raft_storage.cpp 'if (loadInteger<std::uint64_t>(bytes, at + 8) != checksum(length, payload)) {' \
+    'if (length > MaxRecord) {' '*damaged record*,*torn record*'
+echo "mutations that were wrong: $wrong"
+[ "$wrong" -eq 0 ]
