--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -244,14 +244,14 @@
     HotBalancer()
         : core(settings())
     {
-        const ServiceSettings services[] = {{ServiceId {1}, "rate-desk"}};
+        const ServiceSettings services[] = {{ServiceId{1}, "rate-desk"}};
         core.applyBundle(now, 1, services);
         for (std::uint32_t id = 1; id <= 14; ++id) {
             Announcement announcement;
-            announcement.target = TargetId {id};
-            announcement.service = ServiceId {1};
+            announcement.target = TargetId{id};
+            announcement.service = ServiceId{1};
             announcement.endpoint = {id, 9000};
-            announcement.incarnation = Incarnation {1};
+            announcement.incarnation = Incarnation{1};
             announcement.sequence = 1;
             announcement.slots = 3;
             announcement.connections = 60000;
@@ -264,15 +264,15 @@
     static BalancerSettings settings()
     {
         BalancerSettings settings;
-        settings.self = {BalancerId {1}, Incarnation {1'700'000'000'000}};
+        settings.self = {BalancerId{1}, Incarnation{1'700'000'000'000}};
         settings.connectionIdKeys = {{1, {1}}};
         for (std::uint16_t id = 1; id <= 8; ++id) {
-            settings.peers.push_back({BalancerId {id}, {id, 5000}});
+            settings.peers.push_back({BalancerId{id}, {id, 5000}});
         }
         return settings;
     }
 
-    TimePoint now {std::chrono::hours(1)};
+    TimePoint now{std::chrono::hours(1)};
     BalancerCore<DealtSlots> core;
 };
 
@@ -285,9 +285,9 @@
 void timeEstablished(benchmark::State &state)
 {
     const HotBalancer &hot = hotBalancer();
-    const SealedConnectionId sealed = hot.core.context().sealer.seal({ServiceId {1}, TargetId {1}, hot.core.context().peers.self(), FlowId {1}});
+    const SealedConnectionId sealed = hot.core.context().sealer.seal({ServiceId{1}, TargetId{1}, hot.core.context().peers.self(), FlowId{1}});
     for (auto _ : state) {
-        benchmark::DoNotOptimize(hot.core.route(sealed, ServiceId {1}));
+        benchmark::DoNotOptimize(hot.core.route(sealed, ServiceId{1}));
     }
 }
 
@@ -304,7 +304,7 @@
     HotBalancer hot;
     std::uint64_t nonce = 0;
     for (auto _ : state) {
-        hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, OpenFlow {++nonce});
+        hot.core.handleCaller(hot.now, ServiceId{1}, {7, 7}, OpenFlow{++nonce});
         benchmark::DoNotOptimize(hot.core.takeOutbox());
     }
 }
@@ -312,14 +312,14 @@
 void timeAdmission(benchmark::State &state)
 {
     HotBalancer hot;
-    hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, OpenFlow {1});
+    hot.core.handleCaller(hot.now, ServiceId{1}, {7, 7}, OpenFlow{1});
     const auto opened = std::get<FlowOpened>(hot.core.takeOutbox().front().message);
     std::uint32_t request = 0;
     for (auto _ : state) {
-        hot.core.handleCaller(hot.now, ServiceId {1}, {7, 7}, Request {opened.connectionId, RequestId {++request}, false, seconds(1), Bytes(64)});
+        hot.core.handleCaller(hot.now, ServiceId{1}, {7, 7}, Request{opened.connectionId, RequestId{++request}, false, seconds(1), Bytes(64)});
         for (const Outgoing &outgoing : hot.core.takeOutbox()) {
             if (const auto *run = std::get_if<RunRequest>(&outgoing.message)) {
-                hot.core.handleTarget(hot.now, outgoing.to, RunPart {run->attempt, 0, 1, {}});
+                hot.core.handleTarget(hot.now, outgoing.to, RunPart{run->attempt, 0, 1, {}});
             }
         }
         hot.core.takeOutbox();
@@ -335,13 +335,13 @@
     HotBalancer &hot = hotBalancer();
     std::uint64_t flow = 0;
     for (auto _ : state) {
-        benchmark::DoNotOptimize(chooseFeedTarget(hot.core.context().targets.targets(), ServiceId {1}, FlowId {++flow}, 8, std::nullopt, hot.now));
+        benchmark::DoNotOptimize(chooseFeedTarget(hot.core.context().targets.targets(), ServiceId{1}, FlowId{++flow}, 8, std::nullopt, hot.now));
     }
 }
 
 void timeDecoding(benchmark::State &state)
 {
-    const Bytes bytes = encodeMessage(Message(Request {{}, RequestId {1}, false, seconds(1), Bytes(64)}));
+    const Bytes bytes = encodeMessage(Message(Request{{}, RequestId{1}, false, seconds(1), Bytes(64)}));
     for (auto _ : state) {
         benchmark::DoNotOptimize(decodeMessage<Message>(bytes));
     }
@@ -354,7 +354,7 @@
         const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
         FlowTable table;
         for (std::uint64_t flow = 1; flow <= HeldFlows; ++flow) {
-            table.insert(FlowId {hashPair(flow, 1)}, Flow {});
+            table.insert(FlowId{hashPair(flow, 1)}, Flow{});
         }
         const std::size_t after = mallinfo2().uordblks + mallinfo2().hblkhd;
         state.counters["bytes_per_flow"] = static_cast<double>(after - before) / HeldFlows;
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -85,8 +85,8 @@
 SimulatedDeployment kathmandu()
 {
     SimulatedDeployment deployment;
-    deployment.services.push_back({ServiceId {1}, 14, 3, std::chrono::milliseconds(100), 1, false});
-    deployment.services.push_back({ServiceId {2}, 4, 3, std::chrono::milliseconds(150), 5, true});
+    deployment.services.push_back({ServiceId{1}, 14, 3, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 3, std::chrono::milliseconds(150), 5, true});
     return deployment;
 }
 
@@ -96,8 +96,8 @@
     deployment.dataCentres = 4;
     deployment.betweenDataCentres = std::chrono::microseconds(500);
     deployment.toCallers = std::chrono::milliseconds(1);
-    deployment.services.push_back({ServiceId {1}, 14, 2, std::chrono::milliseconds(100), 1, false});
-    deployment.services.push_back({ServiceId {2}, 4, 2, std::chrono::milliseconds(150), 5, true});
+    deployment.services.push_back({ServiceId{1}, 14, 2, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 2, std::chrono::milliseconds(150), 5, true});
     return deployment;
 }
 
@@ -133,7 +133,7 @@
     const SimulatedDeployment &deployment = m_options.deployment;
     for (int i = 1; i <= deployment.balancers; ++i) {
         BalancerNode node;
-        node.id = BalancerId {static_cast<std::uint16_t>(i)};
+        node.id = BalancerId{static_cast<std::uint16_t>(i)};
         node.dataCentre = (i - 1) % deployment.dataCentres + 1;
         node.endpoint = {BalancerNetwork + static_cast<std::uint32_t>(i), 5000};
         m_balancers.push_back(std::move(node));
@@ -142,7 +142,7 @@
     for (const SimulatedService &service : deployment.services) {
         for (int host = 0; host < service.hosts; ++host) {
             TargetNode target;
-            target.id = TargetId {++number};
+            target.id = TargetId{++number};
             target.service = &service;
             target.dataCentre = static_cast<int>(number) % deployment.dataCentres + 1;
             target.endpoint = {TargetNetwork + number, 9000};
@@ -269,8 +269,8 @@
 void Simulation<Policy>::startBalancer(BalancerNode &node)
 {
     BalancerSettings settings;
-    settings.self = {node.id, Incarnation {++node.run}};
-    settings.dataCentre = DataCentreId {static_cast<std::uint8_t>(node.dataCentre)};
+    settings.self = {node.id, Incarnation{++node.run}};
+    settings.dataCentre = DataCentreId{static_cast<std::uint8_t>(node.dataCentre)};
     settings.connectionIdKeys = {{1, {1, 2, 3}}};
     for (const BalancerNode &peer : m_balancers) {
         settings.peers.push_back({peer.id, peer.endpoint});
@@ -452,9 +452,9 @@
     Announcement announcement;
     announcement.target = target.id;
     announcement.service = target.service->id;
-    announcement.dataCentre = DataCentreId {static_cast<std::uint8_t>(target.dataCentre)};
+    announcement.dataCentre = DataCentreId{static_cast<std::uint8_t>(target.dataCentre)};
     announcement.endpoint = target.endpoint;
-    announcement.incarnation = Incarnation {run};
+    announcement.incarnation = Incarnation{run};
     announcement.sequence = ++target.sequence;
     announcement.slots = target.service->slots;
     announcement.connections = 2000;
@@ -492,7 +492,7 @@
             return;
         }
         target.feeds[attach->attachment] = {from.endpoint, attach->flow, attach->nextSequence};
-        answerFrom(target, from.endpoint, FeedAttached {attach->attachment, attach->flow});
+        answerFrom(target, from.endpoint, FeedAttached{attach->attachment, attach->flow});
         if (!known) {
             pushFeed(target, attach->attachment, target.run);
         }
@@ -509,7 +509,7 @@
     // The tag's lowest byte names the service that the caller asked.
     m_result.crossDeliveries += (tag & 0xffU) != value(target.service->id) ? 1 : 0;
     if (target.draining || target.running.size() >= target.service->slots) {
-        return answerFrom(target, from.endpoint, RunRefused {request.attempt});
+        return answerFrom(target, from.endpoint, RunRefused{request.attempt});
     }
     ++m_tally[tag].executions;
     setRunning(target, request.attempt, true);
@@ -522,7 +522,7 @@
         m_answeredWork += measuring() ? took : Duration(0);
         const auto count = static_cast<std::uint16_t>(target.service->parts);
         for (std::uint16_t part = 0; part < count; ++part) {
-            answerFrom(target, balancer, RunPart {request.attempt, part, count, request.body});
+            answerFrom(target, balancer, RunPart{request.attempt, part, count, request.body});
         }
     });
 }
@@ -566,7 +566,7 @@
         return;
     }
     Feed &feed = at->second;
-    answerFrom(target, feed.balancer, FeedPush {attachment, feed.flow, feed.next, packTag(feed.next)});
+    answerFrom(target, feed.balancer, FeedPush{attachment, feed.flow, feed.next, packTag(feed.next)});
     ++feed.next;
     after(FeedInterval, [this, &target, attachment, run] {
         pushFeed(target, attachment, run);
@@ -773,7 +773,7 @@
         freeAt.push(Duration(0));
     }
     LatencyHistogram latency;
-    Duration work {};
+    Duration work{};
     const Duration between(static_cast<std::int64_t>(static_cast<double>(service.serviceTime.count()) / (load * slots)));
     for (Duration now = exponentialOf(random, between); now < duration; now += exponentialOf(random, between)) {
         const Duration start = std::max(now, freeAt.top());
@@ -796,7 +796,7 @@
     const auto hosts = static_cast<std::size_t>(service.hosts);
     std::vector<std::vector<Duration>> runningUntil(hosts);
     std::vector<double> busy(hosts);
-    std::array<std::size_t, BalancerCount> turn {};
+    std::array<std::size_t, BalancerCount> turn{};
     BaselineResult result;
     double work = 0;
     const auto pick = [&](std::uint64_t flow, std::size_t count) {
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -20,10 +20,10 @@
 namespace Robinrail {
 
 struct SimulatedService {
-    ServiceId id {};
+    ServiceId id{};
     int hosts = 0;
     std::uint16_t slots = 0;
-    Duration serviceTime {}; // Mean; exponentially distributed.
+    Duration serviceTime{}; // Mean; exponentially distributed.
     int parts = 1;
     bool repeatable = false; // Its requests may be repeated.
 };
@@ -55,7 +55,7 @@
 };
 
 struct Fault {
-    Duration at {};
+    Duration at{};
     FaultKind kind = FaultKind::StopBalancer;
     int index = 0; // Balancer or data centre number from 1, or target number from 1.
 };
@@ -78,7 +78,7 @@
 
 struct SimulationResult {
     std::uint64_t sent = 0;
-    std::array<std::uint64_t, 4> outcomes {}; // By Outcome.
+    std::array<std::uint64_t, 4> outcomes{}; // By Outcome.
     std::uint64_t unanswered = 0;
     std::uint64_t brokenFlows = 0;
     std::uint64_t runTwice = 0;
@@ -87,7 +87,7 @@
     std::uint64_t crossDeliveries = 0;
     std::uint64_t lateWork = 0; // Attempts and attachments at a draining target after 3 s.
     std::uint64_t feedItems = 0;
-    Duration longestStall {};
+    Duration longestStall{};
     std::uint64_t retries = 0;
     std::uint64_t refusedAttempts = 0;
     std::uint64_t offloaded = 0;
@@ -95,8 +95,8 @@
     double imbalance = 1; // Highest over services of max/mean busy time of targets.
     double occupancyP99 = 0; // Of running/slots over targets and samples.
     double goodput = 0; // Answered slot time over the slot time that there was.
-    Duration p50 {};
-    Duration p99 {};
+    Duration p50{};
+    Duration p99{};
     double controlBytesPerSecond = 0; // Of the balancer with the most.
 
     // Everything deterministic, mixed into one number.
@@ -119,7 +119,7 @@
 
 private:
     struct BalancerNode {
-        BalancerId id {};
+        BalancerId id{};
         int dataCentre = 0;
         Endpoint endpoint;
         std::unique_ptr<BalancerCore<Policy>> core;
@@ -132,11 +132,11 @@
     };
     struct Feed {
         Endpoint balancer;
-        FlowId flow {};
+        FlowId flow{};
         std::uint64_t next = 1;
     };
     struct TargetNode {
-        TargetId id {};
+        TargetId id{};
         const SimulatedService *service = nullptr;
         int dataCentre = 0;
         Endpoint endpoint;
@@ -148,7 +148,7 @@
         std::uint64_t sequence = 0;
         std::set<AttemptKey> running;
         std::map<AttemptKey, Feed> feeds;
-        Duration busy {};
+        Duration busy{};
         TimePoint busySince;
     };
     struct CallerNode {
@@ -157,7 +157,7 @@
         bool feed = false;
         std::unique_ptr<CallerSession> session;
         std::map<RequestId, std::uint64_t> asked; // Tag of each open request.
-        Duration longestStall {};
+        Duration longestStall{};
         bool wrongItem = false;
     };
     struct Tally {
@@ -223,7 +223,7 @@
     std::set<int> m_cut;
     std::map<std::uint64_t, Tally> m_tally;
     std::uint64_t m_lastTag = 0;
-    Duration m_answeredWork {};
+    Duration m_answeredWork{};
     std::vector<std::uint64_t> m_occupancy; // Samples by tenth of a host's slots.
     LatencyHistogram m_latency;
     SimulationResult m_result;
@@ -232,8 +232,8 @@
 // The same arrivals at one central queue that knows everything: what no real balancer can beat.
 struct IdealResult {
     double goodput = 0;
-    Duration p50 {};
-    Duration p99 {};
+    Duration p50{};
+    Duration p99{};
 };
 IdealResult simulateIdeal(const SimulatedService &service, double load, Duration duration, Duration maxWait, std::uint64_t seed);
 
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-const TimePoint Start {std::chrono::hours(1)};
+const TimePoint Start{std::chrono::hours(1)};
 
 struct Point {
     double size = 0;
@@ -98,11 +98,11 @@
 Announcement announcementOf(std::uint32_t id, std::uint64_t sequence)
 {
     Announcement announcement;
-    announcement.target = TargetId {id};
-    announcement.service = ServiceId {static_cast<std::uint16_t>(id % 100 + 1)};
-    announcement.dataCentre = DataCentreId {1};
+    announcement.target = TargetId{id};
+    announcement.service = ServiceId{static_cast<std::uint16_t>(id % 100 + 1)};
+    announcement.dataCentre = DataCentreId{1};
     announcement.endpoint = {id, 9000};
-    announcement.incarnation = Incarnation {1'700'000'000'000};
+    announcement.incarnation = Incarnation{1'700'000'000'000};
     announcement.sequence = sequence;
     announcement.slots = 3;
     announcement.connections = 2000;
@@ -112,10 +112,10 @@
 BalancerSettings settingsWith(std::uint16_t peers)
 {
     BalancerSettings settings;
-    settings.self = {BalancerId {1}, Incarnation {1'700'000'000'000}};
+    settings.self = {BalancerId{1}, Incarnation{1'700'000'000'000}};
     settings.connectionIdKeys = {{1, {1}}};
     for (std::uint16_t id = 1; id <= peers + 1; ++id) {
-        settings.peers.push_back({BalancerId {id}, {id, 5000}});
+        settings.peers.push_back({BalancerId{id}, {id, 5000}});
     }
     return settings;
 }
@@ -123,8 +123,8 @@
 Heartbeat heartbeatFrom(std::uint16_t id, std::uint64_t counter)
 {
     Heartbeat heartbeat;
-    heartbeat.sender = {BalancerId {id}, Incarnation {1'700'000'000'000}};
-    heartbeat.dataCentre = DataCentreId {1};
+    heartbeat.sender = {BalancerId{id}, Incarnation{1'700'000'000'000}};
+    heartbeat.dataCentre = DataCentreId{1};
     heartbeat.counter = counter;
     heartbeat.bundleVersion = 7600;
     return heartbeat;
@@ -161,7 +161,7 @@
         const std::size_t before = heapBytes();
         FlowTable table;
         for (std::uint64_t flow = 1; flow <= static_cast<std::uint64_t>(size); ++flow) {
-            table.insert(FlowId {hashPair(flow, 1)}, Flow {});
+            table.insert(FlowId{hashPair(flow, 1)}, Flow{});
         }
         return static_cast<double>(heapBytes() - before);
     });
@@ -201,7 +201,7 @@
         return microsecondsOf(
             [&] {
                 Announcement restarted = announcementOf(1, 1);
-                restarted.incarnation = Incarnation {++incarnation};
+                restarted.incarnation = Incarnation{++incarnation};
                 core->context().targets.announce(Start, restarted);
                 core->tick(Start);
                 core->takeOutbox();
@@ -219,13 +219,13 @@
     });
     report("making and sealing those heartbeats", "us", "peer", {7, 50, 100, 200}, [](double size) {
         const auto core = balancerWith(static_cast<std::uint16_t>(size), 0);
-        DatagramGuard guard(ClusterKey {1}, {BalancerId {1}, Incarnation {1}});
+        DatagramGuard guard(ClusterKey{1}, {BalancerId{1}, Incarnation{1}});
         TimePoint now = Start;
         return microsecondsOf(
             [&] {
                 now += HeartbeatInterval;
                 for (std::uint16_t id = 2; id <= static_cast<std::uint16_t>(size) + 1; ++id) {
-                    core->context().peers.noteAlive(now, {BalancerId {id}, Incarnation {1'700'000'000'000}});
+                    core->context().peers.noteAlive(now, {BalancerId{id}, Incarnation{1'700'000'000'000}});
                 }
                 core->tick(now);
                 for (const Outgoing &outgoing : core->takeOutbox()) {
@@ -238,15 +238,15 @@
         Heartbeat heartbeat = heartbeatFrom(2, 1);
         const std::size_t empty = encodeMessage(Message(heartbeat)).size();
         for (std::uint32_t id = 1; id <= static_cast<std::uint32_t>(size); ++id) {
-            heartbeat.renewals.push_back({TargetId {50'000 + id}, 60'000, 100'000, 1500});
+            heartbeat.renewals.push_back({TargetId{50'000 + id}, 60'000, 100'000, 1500});
         }
         return static_cast<double>(encodeMessage(Message(heartbeat)).size() - empty);
     });
     report("opening and taking heartbeats", "us", "heartbeat", {10, 20, 40, 80}, [](double size) {
         const auto core = balancerWith(1, 0);
-        const ClusterKey key {1};
-        DatagramGuard sender(key, {BalancerId {2}, Incarnation {1'700'000'000'000}});
-        DatagramGuard receiver(key, {BalancerId {1}, Incarnation {1}});
+        const ClusterKey key{1};
+        DatagramGuard sender(key, {BalancerId{2}, Incarnation{1'700'000'000'000}});
+        DatagramGuard receiver(key, {BalancerId{1}, Incarnation{1}});
         std::uint64_t counter = 1;
         return microsecondsOf(
             [&] {
@@ -259,12 +259,12 @@
             20);
     });
     report("relaying packets, both ends", "us", "packet", {10, 20, 40, 80}, [](double size) {
-        const Bytes request = encodeMessage(Message(Request {{}, RequestId {1}, false, std::chrono::seconds(1), Bytes(64)}));
+        const Bytes request = encodeMessage(Message(Request{{}, RequestId{1}, false, std::chrono::seconds(1), Bytes(64)}));
         return microsecondsOf(
             [&] {
                 for (int i = 0; i < static_cast<int>(size); ++i) {
                     const auto message = decodeMessage<Message>(request);
-                    const Bytes relayed = encodeMessage(Message(RelayedPacket {{}, ServiceId {1}, {}, 1, 0, encodeMessage(*message)}));
+                    const Bytes relayed = encodeMessage(Message(RelayedPacket{{}, ServiceId{1}, {}, 1, 0, encodeMessage(*message)}));
                     const auto taken = decodeMessage<Message>(relayed);
                     decodeMessage<Message>(std::get<RelayedPacket>(*taken).packet);
                 }
@@ -280,11 +280,11 @@
     const KeyPair pair = generateKeyPair();
     const auto stateWith = [&pair](int versions) {
         ControlState state;
-        state.apply(Genesis {{{"first", pair.publicKey, OperatorRole::Administrator, false}}});
+        state.apply(Genesis{{{"first", pair.publicKey, OperatorRole::Administrator, false}}});
         for (int version = 0; version < versions; ++version) {
-            ChangeId id {};
+            ChangeId id{};
             randombytes_buf(id.data(), id.size());
-            state.apply(makeChange(id, "first", ProposeBundle {static_cast<std::uint64_t>(version), bundleOf(2)}, pair.secretKey));
+            state.apply(makeChange(id, "first", ProposeBundle{static_cast<std::uint64_t>(version), bundleOf(2)}, pair.secretKey));
         }
         return state;
     };
--- a/fuzz/fuzz_message.cpp
+++ b/fuzz/fuzz_message.cpp
@@ -17,15 +17,15 @@
         return 0;
     }
     BalancerSettings settings;
-    settings.self = {BalancerId {1}, Incarnation {1}};
-    settings.peers = {{BalancerId {1}, {1, 1}}, {BalancerId {2}, {2, 2}}};
+    settings.self = {BalancerId{1}, Incarnation{1}};
+    settings.peers = {{BalancerId{1}, {1, 1}}, {BalancerId{2}, {2, 2}}};
     settings.connectionIdKeys = {{1, {1}}};
     BalancerCore<DealtSlots> core(settings);
-    const ServiceSettings services[] = {{ServiceId {1}, "s"}};
-    const TimePoint now {std::chrono::hours(1)};
+    const ServiceSettings services[] = {{ServiceId{1}, "s"}};
+    const TimePoint now{std::chrono::hours(1)};
     core.applyBundle(now, 1, services);
     core.tick(now);
-    core.handleCaller(now, ServiceId {1}, {3, 3}, *message);
+    core.handleCaller(now, ServiceId{1}, {3, 3}, *message);
     core.handleTarget(now, {4, 4}, *message);
     core.handlePeer(now, {2, 2}, *message);
     core.tick(now + std::chrono::seconds(30));
--- a/src/answer_assembly.h
+++ b/src/answer_assembly.h
@@ -28,7 +28,7 @@
             m_count = count;
             m_parts.resize(count);
         }
-        const std::uint64_t bit = std::uint64_t {1} << index;
+        const std::uint64_t bit = std::uint64_t{1} << index;
         if ((m_present & bit) != 0) {
             return PartEffect::Ignored;
         }
--- a/src/balancer_context.h
+++ b/src/balancer_context.h
@@ -16,7 +16,7 @@
 
 // What the bundle says of one service.
 struct ServiceSettings {
-    ServiceId id {};
+    ServiceId id{};
     std::string name;
     Duration maxQueueDelay = std::chrono::milliseconds(250); // A request that would wait longer is refused at once.
     double retryRatio = 0.2; // Retries per request in the long run.
@@ -25,7 +25,7 @@
 // What a balancer is told at its start.
 struct BalancerSettings {
     BalancerKey self;
-    DataCentreId dataCentre {};
+    DataCentreId dataCentre{};
     std::vector<PeerAddress> peers;
     std::vector<VersionedMacKey> connectionIdKeys;
 };
@@ -52,8 +52,8 @@
     std::uint64_t feedItems = 0;
     std::uint64_t feedResyncs = 0;
     std::uint64_t feedRebinds = 0;
-    std::array<std::uint64_t, 4> outcomes {}; // By Outcome.
-    std::array<std::uint64_t, RejectReasonCount> rejected {}; // By RejectReason.
+    std::array<std::uint64_t, 4> outcomes{}; // By Outcome.
+    std::array<std::uint64_t, RejectReasonCount> rejected{}; // By RejectReason.
 };
 
 // Shared by the engines of one balancer. The engines write messages to the outbox, and the daemon,
--- a/src/balancer_core.cpp
+++ b/src/balancer_core.cpp
@@ -80,14 +80,14 @@
         const std::optional<BalancerKey> other = m_context.peers.chooseSuccessor();
         return other ? relay(now, packet, *other, message) : void();
     }
-    const FlowId id = insertFlow(now, packet, TargetId {});
+    const FlowId id = insertFlow(now, packet, TargetId{});
     const Flow *flow = m_context.flows.find(id);
     if (flow == nullptr) {
-        m_context.send(packet.caller, Refusal {FlowId {}, RequestId {}, Outcome::NotRun, RefusalReason::Overload, NoTargetRetryAfter});
+        m_context.send(packet.caller, Refusal{FlowId{}, RequestId{}, Outcome::NotRun, RefusalReason::Overload, NoTargetRetryAfter});
         return;
     }
     ++m_context.counters.flowsOpened;
-    m_context.send(packet.caller, FlowOpened {message.nonce, id, m_context.sealFor(id, *flow)});
+    m_context.send(packet.caller, FlowOpened{message.nonce, id, m_context.sealFor(id, *flow)});
     m_context.observe({.kind = EventKind::FlowOpened, .at = now, .service = packet.service, .flow = id});
 }
 
@@ -95,7 +95,7 @@
 FlowId BalancerCore<Policy>::insertFlow(TimePoint now, const CallerPacket &packet, TargetId target)
 {
     const BalancerKey self = m_context.peers.self();
-    const FlowId id {hashPair(hashPair(value(self.id), value(self.incarnation)), ++m_context.lastSerial)};
+    const FlowId id{hashPair(hashPair(value(self.id), value(self.incarnation)), ++m_context.lastSerial)};
     Flow flow;
     flow.service = packet.service;
     flow.caller = packet.caller;
@@ -270,7 +270,7 @@
 void BalancerCore<Policy>::sendMoved(const CallerPacket &packet, FlowId previous, FlowId id)
 {
     if (const Flow *flow = m_context.flows.find(id); flow != nullptr) {
-        m_context.send(packet.caller, FlowMoved {previous, id, m_context.sealFor(id, *flow)});
+        m_context.send(packet.caller, FlowMoved{previous, id, m_context.sealFor(id, *flow)});
     }
 }
 
@@ -327,7 +327,7 @@
     const Peer *peer = m_context.peers.find(owner.id);
     if (peer == nullptr || !peer->alive || peer->incarnation != owner.incarnation) {
         if (const auto *push = std::get_if<FeedPush>(&message)) {
-            m_context.send(target, DetachFeed {push->attachment});
+            m_context.send(target, DetachFeed{push->attachment});
         }
         return;
     }
@@ -336,7 +336,7 @@
         return m_context.reject(now, RejectReason::TooManyHops);
     }
     ++m_context.counters.packetsRelayed;
-    m_context.send(peer->endpoint, RelayedPacket {m_context.peers.self(), ServiceId {}, target, hops, 0, encodeMessage(message)});
+    m_context.send(peer->endpoint, RelayedPacket{m_context.peers.self(), ServiceId{}, target, hops, 0, encodeMessage(message)});
 }
 
 // ---- Packets of peers ----
@@ -407,7 +407,7 @@
     if (handover.to != m_context.peers.self()) {
         return;
     }
-    HandoverReceived received {handover.to, {}};
+    HandoverReceived received{handover.to, {}};
     for (const FlowHandover &entry : handover.flows) {
         received.flows.push_back(entry.flow);
         Flow flow;
@@ -423,7 +423,7 @@
         }
         ++m_context.counters.flowsReceived;
         m_previousOwners[value(entry.flow)] = {handover.from, now};
-        m_context.send(entry.caller, FlowMoved {entry.flow, entry.flow, m_context.sealFor(entry.flow, *inserted)});
+        m_context.send(entry.caller, FlowMoved{entry.flow, entry.flow, m_context.sealFor(entry.flow, *inserted)});
         if (entry.hasFeed) {
             m_feeds.resume(now, entry.flow, *inserted);
         }
--- a/src/balancer_core.h
+++ b/src/balancer_core.h
@@ -69,13 +69,13 @@
 private:
     // A caller's packet on its way through this balancer.
     struct CallerPacket {
-        ServiceId service {};
+        ServiceId service{};
         Endpoint caller;
         std::uint8_t hops = 0;
         std::optional<BalancerKey> relay;
     };
     struct Adopted {
-        FlowId flow {};
+        FlowId flow{};
         TimePoint at;
     };
     struct Previous {
--- a/src/balancer_daemon.cpp
+++ b/src/balancer_daemon.cpp
@@ -55,10 +55,10 @@
         BOOST_LEAF_AUTO(found, readFile(folder / MemoryFile));
         if (found && found->size() > ChecksumSize) {
             const auto kept = decodeMessage<std::variant<BalancerMemory>>(*found);
-            memory = kept ? std::get<BalancerMemory>(*kept) : BalancerMemory {};
+            memory = kept ? std::get<BalancerMemory>(*kept) : BalancerMemory{};
         }
     }
-    memory.incarnation = Incarnation {std::max<std::uint64_t>(value(memory.incarnation) + 1, static_cast<std::uint64_t>(wallClock.count()))};
+    memory.incarnation = Incarnation{std::max<std::uint64_t>(value(memory.incarnation) + 1, static_cast<std::uint64_t>(wallClock.count()))};
     if (!folder.empty()) {
         BOOST_LEAF_CHECK(replaceFile(folder / MemoryFile, encodeMessage(std::variant<BalancerMemory>(memory))));
     }
@@ -169,7 +169,7 @@
 
 bool BalancerDaemon::bind(Endpoint endpoint, Port::Kind kind, std::string service)
 {
-    auto port = std::make_unique<Port>(Port {Udp::socket(m_io), kind, std::move(service)});
+    auto port = std::make_unique<Port>(Port{Udp::socket(m_io), kind, std::move(service)});
     boost::system::error_code error;
     port->socket.open(Udp::v4(), error);
     port->socket.set_option(boost::asio::socket_base::receive_buffer_size(SocketBuffer), error);
@@ -306,7 +306,7 @@
 
 void BalancerDaemon::subscribe(LinkHandle link)
 {
-    m_links.send(link, Subscribe {{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
+    m_links.send(link, Subscribe{{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
 }
 
 void BalancerDaemon::onMessage(LinkHandle link, const LinkMessage &message)
@@ -336,7 +336,7 @@
         return;
     }
     for (const LinkHandle control : m_links.links(PeerRole::Control)) {
-        m_links.send(control, VersionReport {{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
+        m_links.send(control, VersionReport{{m_file.balancer, m_memory.incarnation}, m_rollout.version()});
     }
 }
 
@@ -501,8 +501,8 @@
 {
     BalancerContext &context = m_core.context();
     Json body;
-    FlowId flowId {};
-    SealedConnectionId sealed {};
+    FlowId flowId{};
+    SealedConnectionId sealed{};
     if (fromHex(id, sealed)) {
         const std::optional<ConnectionId> opened = context.sealer.open(sealed);
         if (!opened) {
@@ -515,7 +515,7 @@
         body["why"] = !owner ? "the named owner is gone" : *owner == opened->owner ? "the named owner is alive" : "the named owner handed its flows over";
         flowId = opened->flow;
     } else {
-        flowId = FlowId {std::strtoull(std::string(id).c_str(), nullptr, 10)};
+        flowId = FlowId{std::strtoull(std::string(id).c_str(), nullptr, 10)};
     }
     body["flow"] = std::to_string(value(flowId));
     const Flow *flow = context.flows.find(flowId);
@@ -545,7 +545,7 @@
     const bool signedByOperator = std::any_of(m_rollout.operators().begin(), m_rollout.operators().end(), [&](const OperatorRecord &record) {
         return record.name == order->operatorName && !record.revoked && verify(signedBytes(*order), order->signature, record.key);
     });
-    if (!signedByOperator || drain.balancer != BalancerKey {m_file.balancer, m_memory.incarnation}) {
+    if (!signedByOperator || drain.balancer != BalancerKey{m_file.balancer, m_memory.incarnation}) {
         return errorReply(HttpForbidden, "not-permitted", "signature, operator or incarnation does not fit");
     }
     LogLine(LogLevel::Info, "drain-ordered").with("operator", order->operatorName).with("target", value(drain.target));
@@ -604,7 +604,7 @@
     m_links.dropTraffic(PeerRole::Control, body.value("replicas", std::set<std::uint16_t>()));
     m_droppedPeers.clear();
     for (const std::uint16_t id : body.value("balancers", std::vector<std::uint16_t>())) {
-        m_droppedPeers.insert(BalancerId {id});
+        m_droppedPeers.insert(BalancerId{id});
     }
     return jsonReply({{"status", "ok"}});
 }
--- a/src/balancer_daemon.h
+++ b/src/balancer_daemon.h
@@ -29,7 +29,7 @@
 
 // What a balancer keeps in its data folder.
 struct BalancerMemory {
-    Incarnation incarnation {};
+    Incarnation incarnation{};
     std::uint64_t bundleVersion = 0;
     std::string bundle;
 
--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -168,11 +168,11 @@
     }
     Bundle bundle;
     for (const Json &entry : dataCentres) {
-        bundle.dataCentres.push_back({DataCentreId {entry.at("id").get<std::uint8_t>()}, entry.at("name")});
+        bundle.dataCentres.push_back({DataCentreId{entry.at("id").get<std::uint8_t>()}, entry.at("name")});
     }
     for (const Json &entry : services) {
         ServiceSettings service;
-        service.id = ServiceId {entry.at("id").get<std::uint16_t>()};
+        service.id = ServiceId{entry.at("id").get<std::uint16_t>()};
         service.name = entry.at("name");
         service.maxQueueDelay = std::chrono::milliseconds(entry.value("maxQueueDelayMs", 250));
         service.retryRatio = entry.value("retryRatio", service.retryRatio);
@@ -181,7 +181,7 @@
     const Json &policy = document->at("policy");
     bundle.policy.approvals = policy.at("approvals").get<std::uint32_t>();
     for (const Json &entry : policy.value("firstBalancers", Json::array())) {
-        bundle.policy.firstBalancers.push_back(BalancerId {entry.get<std::uint16_t>()});
+        bundle.policy.firstBalancers.push_back(BalancerId{entry.get<std::uint16_t>()});
     }
     return bundle;
 }
--- a/src/bundle.h
+++ b/src/bundle.h
@@ -23,7 +23,7 @@
 };
 
 struct DataCentre {
-    DataCentreId id {};
+    DataCentreId id{};
     std::string name;
 };
 
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -27,9 +27,9 @@
 void CallerSession::tick(TimePoint now)
 {
     if (!m_opened) {
-        if (m_openSent == TimePoint {} || now - m_openSent >= OpenRetryInterval) {
+        if (m_openSent == TimePoint{} || now - m_openSent >= OpenRetryInterval) {
             m_openSent = now;
-            m_outbox.emplace_back(OpenFlow {m_nonce});
+            m_outbox.emplace_back(OpenFlow{m_nonce});
         }
         return;
     }
@@ -53,7 +53,7 @@
     const bool quiet = now - m_lastItemAt >= QuietPollInterval && now - m_pollSent >= QuietPollInterval;
     if (m_withFeed && (now - m_pollSent >= PollInterval || quiet)) {
         m_pollSent = now;
-        m_outbox.emplace_back(PollFeed {m_connectionId, m_acknowledged});
+        m_outbox.emplace_back(PollFeed{m_connectionId, m_acknowledged});
     }
 }
 
@@ -88,7 +88,7 @@
 RequestId CallerSession::request(TimePoint now, bool repeatable, Duration deadline, Bytes body)
 {
     assert(m_opened);
-    const RequestId id {++m_lastRequest};
+    const RequestId id{++m_lastRequest};
     Pending &pending = m_pending[id];
     pending.original = id;
     pending.message = {m_connectionId, id, repeatable, deadline, std::move(body)};
@@ -103,7 +103,7 @@
 {
     const auto at = m_pending.find(request);
     if (at != m_pending.end()) {
-        m_outbox.emplace_back(CancelRequest {at->second.message.connectionId, request});
+        m_outbox.emplace_back(CancelRequest{at->second.message.connectionId, request});
     }
 }
 
@@ -158,7 +158,7 @@
         return isDue;
     });
     for (Repeat &repeat : due) {
-        const RequestId id {++m_lastRequest};
+        const RequestId id{++m_lastRequest};
         Pending &pending = m_pending[id];
         pending = std::move(repeat.pending);
         pending.attempts.clear();
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -29,11 +29,11 @@
 
 // How a request ended for the caller.
 struct CallResult {
-    RequestId request {};
+    RequestId request{};
     Outcome outcome = Outcome::OutcomeUnknown;
     bool timedOut = false; // Nothing final came; the outcome is unknown.
-    Duration took {};
-    Duration retryAfter {};
+    Duration took{};
+    Duration retryAfter{};
     std::vector<Bytes> parts; // Of an answered request, all of them in order.
 };
 
@@ -66,7 +66,7 @@
 private:
     struct Pending {
         Request message;
-        RequestId original {}; // What the program knows it as; another one after it was repeated.
+        RequestId original{}; // What the program knows it as; another one after it was repeated.
         bool mayHaveRun = false; // Under an earlier id, whose outcome was unknown.
         TimePoint sentFirst;
         TimePoint sentLast;
@@ -85,9 +85,9 @@
     bool m_withFeed;
     bool m_opened = false;
     TimePoint m_openSent;
-    FlowId m_flow {};
+    FlowId m_flow{};
     std::vector<FlowId> m_flows; // All that this session has had, newest last.
-    SealedConnectionId m_connectionId {};
+    SealedConnectionId m_connectionId{};
     std::uint32_t m_lastRequest = 0;
     std::map<RequestId, Pending> m_pending;
     struct Repeat {
--- a/src/codec.h
+++ b/src/codec.h
@@ -135,7 +135,7 @@
     }
     if constexpr (std::is_signed_v<T>) {
         const bool inRange = json.is_number_integer() && json.get<std::int64_t>() >= std::numeric_limits<T>::min();
-        number = inRange ? static_cast<T>(json.get<std::int64_t>()) : T {};
+        number = inRange ? static_cast<T>(json.get<std::int64_t>()) : T{};
         return inRange;
     }
     return false;
@@ -144,7 +144,7 @@
 template<Enumeration T>
 bool fromJson(const Json &json, T &number)
 {
-    std::underlying_type_t<T> plain {};
+    std::underlying_type_t<T> plain{};
     const bool taken = fromJson(json, plain);
     number = static_cast<T>(plain);
     return taken;
--- a/src/connection_id.cpp
+++ b/src/connection_id.cpp
@@ -47,7 +47,7 @@
 
 SealedConnectionId ConnectionIdSealer::seal(const ConnectionId &id) const
 {
-    SealedConnectionId sealed {};
+    SealedConnectionId sealed{};
     std::uint8_t *at = sealed.data();
     at = store(at, m_keys.front().version);
     at = store(at, value(id.service));
@@ -66,7 +66,7 @@
     if (key == nullptr) {
         return std::nullopt;
     }
-    std::array<std::uint8_t, ConnectionIdMacSize> mac {};
+    std::array<std::uint8_t, ConnectionIdMacSize> mac{};
     computeMac(sealed.data(), key->key, mac.data());
     if (sodium_memcmp(mac.data(), sealed.data() + ConnectionIdContentSize, mac.size()) != 0) {
         return std::nullopt;
--- a/src/connection_id.h
+++ b/src/connection_id.h
@@ -12,10 +12,10 @@
 // What a connection id says. Any balancer can route a packet from this alone, because the fabric
 // may hand the packet to a balancer that has never seen the flow (kin: QUIC-LB, Cheetah).
 struct ConnectionId {
-    ServiceId service {};
-    TargetId target {};
+    ServiceId service{};
+    TargetId target{};
     BalancerKey owner;
-    FlowId flow {};
+    FlowId flow{};
 
     bool operator==(const ConnectionId &) const = default;
 };
@@ -31,7 +31,7 @@
 // A key with the version that travels in each id sealed by it.
 struct VersionedMacKey {
     std::uint8_t version = 0;
-    MacKey key {};
+    MacKey key{};
 };
 
 // Seals and opens connection ids. Several key versions are accepted at once, so that keys rotate
--- a/src/control_command.h
+++ b/src/control_command.h
@@ -15,7 +15,7 @@
 using ChangeId = std::array<std::uint8_t, 16>;
 
 // Largest bundle text, bytes.
-inline constexpr std::size_t MaxBundleSize = std::size_t {1} << 20U;
+inline constexpr std::size_t MaxBundleSize = std::size_t{1} << 20U;
 
 // Longest name of an operator, bytes.
 inline constexpr std::size_t MaxOperatorName = 64;
@@ -38,7 +38,7 @@
 
 // Approves the proposal that was made under another change id.
 struct ApproveBundle {
-    ChangeId proposal {};
+    ChangeId proposal{};
 
     auto fields()
     {
@@ -64,7 +64,7 @@
 // Adds an operator or replaces its key and role. A revoked operator can sign nothing any more.
 struct SetOperator {
     std::string name;
-    PublicKey key {};
+    PublicKey key{};
     OperatorRole role = OperatorRole::Author;
     bool revoked = false;
 
@@ -79,10 +79,10 @@
 // A change as it is signed, sent and replicated. `receivedAt` is set by the leader for the audit trail
 // only and is not signed; seconds since the epoch.
 struct SignedChange {
-    ChangeId change {};
+    ChangeId change{};
     std::string operatorName;
     Bytes content; // An encoded ControlChange.
-    Signature signature {};
+    Signature signature{};
     std::int64_t receivedAt = 0;
 
     auto fields()
@@ -94,7 +94,7 @@
 // An operator's key and what it may sign.
 struct OperatorRecord {
     std::string name;
-    PublicKey key {};
+    PublicKey key{};
     OperatorRole role = OperatorRole::Author;
     bool revoked = false;
 
@@ -121,7 +121,7 @@
 // through the log, as a stop must work without a quorum.
 struct DrainOrder {
     BalancerKey balancer;
-    TargetId target {}; // 0: the balancer itself.
+    TargetId target{}; // 0: the balancer itself.
 
     auto fields()
     {
@@ -151,7 +151,7 @@
     std::uint64_t version = 0; // Accepted as this version, or the version in the way; 0: awaits approvals.
     std::uint32_t approvals = 0;
     std::uint32_t approvalsRequired = 0;
-    ChangeId winner {};
+    ChangeId winner{};
     std::string detail;
 
     bool operator==(const ChangeResult &) const = default;
--- a/src/control_core.h
+++ b/src/control_core.h
@@ -57,7 +57,7 @@
 private:
     struct Waiting {
         std::uint64_t ticket = 0;
-        Term term {};
+        Term term{};
     };
     void applyEntry(const LogEntry &entry);
     void answerReads();
@@ -65,7 +65,7 @@
 
     RaftCore m_raft;
     ControlState m_state;
-    LogIndex m_applied {};
+    LogIndex m_applied{};
     std::map<LogIndex, Waiting> m_waiting;
     std::vector<ReadReady> m_reads; // Confirmed, but not applied far enough yet.
     std::set<std::uint64_t> m_openReads; // Asked for and not confirmed.
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -50,7 +50,7 @@
                [this](LinkHandle link, const Hello &peer) {
                    m_offered.erase(link);
                    if (peer.role == PeerRole::Balancer) {
-                       m_tracker.disconnect(BalancerId {peer.id});
+                       m_tracker.disconnect(BalancerId{peer.id});
                    }
                }})
     , m_http(io,
@@ -160,7 +160,7 @@
 
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
-    const RaftEnvelope envelope {m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
+    const RaftEnvelope envelope{m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
     for (const LinkHandle link : m_links.linksTo(PeerRole::Control, value(send.to.id), true)) {
         m_links.send(link, envelope);
     }
@@ -174,7 +174,7 @@
     m_nextJoin = now + JoinInterval;
     for (const ReplicaAddress &replica : m_file.replicas) {
         if (replica.id != m_file.replica) {
-            sendRaft({{replica.id, 0}, JoinRequest {m_core.raft().self()}});
+            sendRaft({{replica.id, 0}, JoinRequest{m_core.raft().self()}});
         }
     }
 }
@@ -272,7 +272,7 @@
     m_nextBeat = now + ControlBeatInterval;
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
         const BundleVersion *version = m_core.state().versionFor(subscriber.balancer.id);
-        const ControlBeat message {version != nullptr ? version->version : 0, m_core.raft().inContact(now)};
+        const ControlBeat message{version != nullptr ? version->version : 0, m_core.raft().inContact(now)};
         for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
             m_links.send(link, message);
         }
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -17,7 +17,7 @@
 namespace Robinrail {
 
 // The core's clock runs in steps of this.
-inline constexpr std::chrono::milliseconds ControlTick {15};
+inline constexpr std::chrono::milliseconds ControlTick{15};
 
 // A replica without a cluster asks to be taken in this often.
 inline constexpr Duration JoinInterval = std::chrono::milliseconds(400);
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -190,7 +190,7 @@
         return refused(ChangeRefusal::Malformed);
     }
     std::vector<OperatorRecord> changed = m_operators;
-    const OperatorRecord replacement {set.name, set.key, set.role, set.revoked};
+    const OperatorRecord replacement{set.name, set.key, set.role, set.revoked};
     const auto at = std::find_if(changed.begin(), changed.end(), [&set](const OperatorRecord &record) {
         return record.name == set.name;
     });
@@ -301,7 +301,7 @@
     entry.change = change.change;
     entry.refusal = result.refusal;
     entry.version = result.version;
-    entry.previous = m_audit.empty() ? ChainHash {} : m_audit.back().hash;
+    entry.previous = m_audit.empty() ? ChainHash{} : m_audit.back().hash;
     entry.hash = hashOf(entry);
     m_audit.push_back(std::move(entry));
     while (m_audit.size() > MaxAuditRecords) {
@@ -353,7 +353,7 @@
     AuditRecord content = record;
     content.hash = {};
     const Bytes bytes = detail::Json::to_cbor(detail::toJson(content));
-    ChainHash hash {};
+    ChainHash hash{};
     crypto_generichash(hash.data(), hash.size(), bytes.data(), bytes.size(), nullptr, 0);
     return hash;
 }
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -31,11 +31,11 @@
     std::int64_t receivedAt = 0;
     std::string operatorName;
     std::string action;
-    ChangeId change {};
+    ChangeId change{};
     ChangeRefusal refusal = ChangeRefusal::None;
     std::uint64_t version = 0;
-    ChainHash previous {};
-    ChainHash hash {};
+    ChainHash previous{};
+    ChainHash hash{};
 
     auto fields()
     {
@@ -51,7 +51,7 @@
 
 struct BundleVersion {
     std::uint64_t version = 0;
-    ChangeId change {};
+    ChangeId change{};
     std::string author;
     std::string text;
     RolloutStage stage = RolloutStage::All;
@@ -64,7 +64,7 @@
 };
 
 struct Proposal {
-    ChangeId change {};
+    ChangeId change{};
     std::string author;
     std::uint64_t baseVersion = 0;
     std::string text;
@@ -77,7 +77,7 @@
 };
 
 struct RememberedChange {
-    ChangeId change {};
+    ChangeId change{};
     ChangeResult result;
 
     auto fields()
--- a/src/datagram_guard.cpp
+++ b/src/datagram_guard.cpp
@@ -72,7 +72,7 @@
     appendInteger(bytes, value(m_self.incarnation), NumberSize);
     appendInteger(bytes, ++m_sent, NumberSize);
     bytes.insert(bytes.end(), payload.begin(), payload.end());
-    std::array<std::uint8_t, MacSize> mac {};
+    std::array<std::uint8_t, MacSize> mac{};
     crypto_shorthash_siphash24(mac.data(), bytes.data(), bytes.size(), m_key.data());
     bytes.insert(bytes.end(), mac.begin(), mac.end());
     return bytes;
@@ -84,14 +84,14 @@
         return std::nullopt;
     }
     const BytesView content = datagram.first(datagram.size() - MacSize);
-    std::array<std::uint8_t, MacSize> mac {};
+    std::array<std::uint8_t, MacSize> mac{};
     crypto_shorthash_siphash24(mac.data(), content.data(), content.size(), m_key.data());
     if (sodium_memcmp(mac.data(), datagram.data() + content.size(), MacSize) != 0) {
         return std::nullopt;
     }
     Opened opened;
-    opened.sender.id = BalancerId {static_cast<std::uint16_t>(readInteger(content.first(SenderSize)))};
-    opened.sender.incarnation = Incarnation {readInteger(content.subspan(SenderSize, NumberSize))};
+    opened.sender.id = BalancerId{static_cast<std::uint16_t>(readInteger(content.first(SenderSize)))};
+    opened.sender.incarnation = Incarnation{readInteger(content.subspan(SenderSize, NumberSize))};
     const std::uint64_t number = readInteger(content.subspan(SenderSize + NumberSize, NumberSize));
     opened.payload = content.subspan(HeaderSize);
     Sender &sender = m_senders[opened.sender.id];
--- a/src/datagram_guard.h
+++ b/src/datagram_guard.h
@@ -44,10 +44,10 @@
 
 private:
     struct Sender {
-        Incarnation incarnation {};
+        Incarnation incarnation{};
         ReplayWindow window;
     };
-    MacKey m_key {};
+    MacKey m_key{};
     BalancerKey m_self;
     std::uint64_t m_sent = 0;
     std::map<BalancerId, Sender> m_senders;
--- a/src/durable_file.cpp
+++ b/src/durable_file.cpp
@@ -41,7 +41,7 @@
 
 leaf::error_id failure(FileError error, const std::filesystem::path &path)
 {
-    return leaf::new_error(error, FileErrorContext {path.string(), errno});
+    return leaf::new_error(error, FileErrorContext{path.string(), errno});
 }
 
 } // namespace
@@ -55,7 +55,7 @@
         }
         return failure(FileError::Open, path);
     }
-    constexpr std::size_t ChunkSize = std::size_t {64} << 10U;
+    constexpr std::size_t ChunkSize = std::size_t{64} << 10U;
     Bytes bytes;
     for (;;) {
         const std::size_t before = bytes.size();
--- a/src/event.h
+++ b/src/event.h
@@ -36,12 +36,12 @@
 struct Event {
     EventKind kind = EventKind::FlowOpened;
     TimePoint at;
-    ServiceId service {};
-    FlowId flow {};
-    RequestId request {};
-    TargetId target {};
-    BalancerId peer {};
-    Duration took {}; // From the attempt to its whole answer, for RequestAnswered.
+    ServiceId service{};
+    FlowId flow{};
+    RequestId request{};
+    TargetId target{};
+    BalancerId peer{};
+    Duration took{}; // From the attempt to its whole answer, for RequestAnswered.
     std::uint8_t detail = 0; // An Outcome for RequestRefused, a RejectReason for PacketRejected.
 };
 
--- a/src/feed_engine.cpp
+++ b/src/feed_engine.cpp
@@ -65,7 +65,7 @@
     ++flow->nextSequence;
     flow->lastPush = CoarseTime(now);
     ++m_context.counters.feedItems;
-    m_context.send(flow->caller, FeedItem {push.flow, push.sequence, push.body});
+    m_context.send(flow->caller, FeedItem{push.flow, push.sequence, push.body});
 }
 
 void FeedEngine::attached(Endpoint target, const FeedAttached &message)
@@ -78,7 +78,7 @@
 {
     Flow *flow = m_context.flows.find(id);
     if (flow == nullptr || flow->attachment != attachment.serial) {
-        m_context.send(target, DetachFeed {attachment});
+        m_context.send(target, DetachFeed{attachment});
         return nullptr;
     }
     flow->unansweredResyncs = 0;
@@ -97,7 +97,7 @@
     }
     if (Target *target = m_context.targets.find(flow.target); target != nullptr) {
         target->feeds -= target->feeds > 0 ? 1 : 0;
-        m_context.send(target->announcement.endpoint, DetachFeed {{m_context.peers.self(), flow.attachment}});
+        m_context.send(target->announcement.endpoint, DetachFeed{{m_context.peers.self(), flow.attachment}});
     }
     flow.attachment = 0;
 }
@@ -119,7 +119,7 @@
 bool FeedEngine::attach(TimePoint now, FlowId id, Flow &flow, std::optional<TargetId> avoid)
 {
     const std::size_t members = m_context.peers.members().size();
-    Target *target = chooseFeedTarget(m_context.targets.targets(), flow.service, id, members, avoid, now);
+    Target *target = chooseFeedTarget(m_context.targets.targetsOf(flow.service), flow.service, id, members, avoid, now);
     if (target == nullptr) {
         return false; // The next poll tries again.
     }
@@ -141,7 +141,7 @@
     }
     flow.lastPush = CoarseTime(now);
     ++m_context.counters.feedResyncs;
-    const AttachFeed attach {{m_context.peers.self(), flow.attachment}, id, flow.nextSequence};
+    const AttachFeed attach{{m_context.peers.self(), flow.attachment}, id, flow.nextSequence};
     m_context.send(target->announcement.endpoint, attach);
 }
 
--- a/src/flow_table.cpp
+++ b/src/flow_table.cpp
@@ -41,7 +41,7 @@
         m_bits = shift < WindowSize ? m_bits << shift : 0;
         m_highest = number;
     }
-    m_bits |= std::uint64_t {1} << (m_highest - number);
+    m_bits |= std::uint64_t{1} << (m_highest - number);
     return before;
 }
 
--- a/src/flow_table.h
+++ b/src/flow_table.h
@@ -52,8 +52,8 @@
     CoarseTime lastActive;
     CoarseTime lastPush; // When the feed last moved on, for spotting lost items.
     Endpoint caller;
-    TargetId target {}; // Affinity of the flow, and where its feed is attached.
-    ServiceId service {};
+    TargetId target{}; // Affinity of the flow, and where its feed is attached.
+    ServiceId service{};
     std::uint16_t busy = 0; // Requests queued or running.
     std::uint8_t unansweredResyncs = 0; // Of the feed, in a row.
     bool handedOver = false; // Sent to the successor, not yet confirmed by it.
--- a/src/gossip.cpp
+++ b/src/gossip.cpp
@@ -66,21 +66,24 @@
     std::erase_if(m_news, [](const News &news) {
         return news.repeats <= 0;
     });
-    const bool gossips = m_counter % RenewalInterval == 0;
-    const std::optional<BalancerId> gossipPeer = gossips ? nextGossipPeer() : std::nullopt;
+    const std::vector<BalancerId> gossipPeers = nextGossipPeers();
+    Heartbeat longer = common;
+    if (!gossipPeers.empty()) {
+        longer.renewals = takeRenewals(now);
+    }
+    const std::span<const Target> targets = std::as_const(m_context.targets).targets();
     for (const Peer &peer : m_context.peers.peers()) {
-        if (peer.id != gossipPeer) {
+        const auto gossiped = std::find(gossipPeers.begin(), gossipPeers.end(), peer.id);
+        if (gossiped == gossipPeers.end()) {
             m_context.send(peer.endpoint, common);
             continue;
         }
-        Heartbeat longer = common;
-        longer.renewals = takeRenewals(now);
-        const std::span<const Target> targets = std::as_const(m_context.targets).targets();
-        if (!targets.empty() && longer.news.empty()) {
-            // Anti-entropy: one full announcement in turn repairs whatever news was lost.
-            longer.news.push_back(newsOf(now, targets[m_rotation++ % targets.size()]));
+        Heartbeat own = longer;
+        if (!targets.empty() && own.news.empty() && gossiped == gossipPeers.begin() && m_counter % AntiEntropyInterval == 0) {
+            // One full announcement in turn repairs whatever news was lost.
+            own.news.push_back(newsOf(now, targets[m_rotation++ % targets.size()]));
         }
-        m_context.send(peer.endpoint, longer);
+        m_context.send(peer.endpoint, own);
     }
 }
 
@@ -132,35 +135,45 @@
     }
 }
 
+// Begins where the last one ended, so that with more targets than fit all have their turn.
 std::vector<TargetRenewal> Gossip::takeRenewals(TimePoint now)
 {
     std::vector<TargetRenewal> renewals;
-    for (const Target &target : std::as_const(m_context.targets).targets()) {
-        std::uint64_t &gossiped = m_renewed[value(target.id())];
-        if (target.announcement.sequence > gossiped && renewals.size() < MaxRenewalsPerHeartbeat) {
-            gossiped = target.announcement.sequence;
-            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.lastHeard);
-            TargetRenewal renewal;
-            renewal.target = target.id();
-            renewal.incarnationBits = incarnationBits(target.announcement.incarnation);
-            renewal.sequence = target.announcement.sequence;
-            renewal.ageMilliseconds = static_cast<std::uint16_t>(std::min<std::int64_t>(age.count(), UINT16_MAX));
-            renewals.push_back(renewal);
+    const std::span<const Target> targets = std::as_const(m_context.targets).targets();
+    for (std::size_t step = 0; step < targets.size() && renewals.size() < MaxRenewalsPerHeartbeat; ++step) {
+        const Target &target = targets[m_renewalTurn++ % targets.size()];
+        Renewed &gossiped = m_renewed[value(target.id())];
+        const bool restarted = target.announcement.incarnation != gossiped.incarnation;
+        if (restarted || target.lastHeard - gossiped.heard >= RenewalGap) {
+            gossiped = {target.announcement.incarnation, target.lastHeard};
+            renewals.push_back(renewalOf(now, target));
         }
     }
     return renewals;
 }
 
-std::optional<BalancerId> Gossip::nextGossipPeer()
+TargetRenewal Gossip::renewalOf(TimePoint now, const Target &target) const
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.lastHeard);
+    TargetRenewal renewal;
+    renewal.target = target.id();
+    renewal.incarnationBits = incarnationBits(target.announcement.incarnation);
+    renewal.sequence = target.announcement.sequence;
+    renewal.ageMilliseconds = static_cast<std::uint16_t>(std::min<std::int64_t>(age.count(), UINT16_MAX));
+    return renewal;
+}
+
+std::vector<BalancerId> Gossip::nextGossipPeers()
 {
+    std::vector<BalancerId> chosen;
     const std::span<const Peer> peers = std::as_const(m_context.peers).peers();
-    for (std::size_t step = 0; step < peers.size(); ++step) {
+    for (std::size_t step = 0; step < peers.size() && chosen.size() < RenewalFanOut; ++step) {
         const Peer &peer = peers[m_gossipTurn++ % peers.size()];
         if (peer.alive) {
-            return peer.id;
+            chosen.push_back(peer.id);
         }
     }
-    return std::nullopt;
+    return chosen;
 }
 
 } // namespace Robinrail
--- a/src/http.h
+++ b/src/http.h
@@ -14,8 +14,8 @@
 namespace Robinrail {
 
 // Largest request body, bytes, and how long a connection may take for one request.
-inline constexpr std::size_t MaxHttpBody = std::size_t {2} << 20U;
-inline constexpr std::chrono::seconds HttpTimeout {10};
+inline constexpr std::size_t MaxHttpBody = std::size_t{2} << 20U;
+inline constexpr std::chrono::seconds HttpTimeout{10};
 
 // Most open connections; one more is closed at once.
 inline constexpr std::size_t MaxHttpConnections = 128;
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -8,7 +8,7 @@
 namespace Robinrail {
 
 // Largest message on a link, bytes; a snapshot of the control state must fit.
-inline constexpr std::size_t MaxLinkMessage = std::size_t {64} << 20U;
+inline constexpr std::size_t MaxLinkMessage = std::size_t{64} << 20U;
 
 // A raft message with its addressee. A replica drops what is for another cluster or another disk: a
 // message to a voter whose disk was lost must not reach the replica that took its place. `to.disk` 0
@@ -42,7 +42,7 @@
     std::uint64_t version = 0;
     std::uint64_t baseVersion = 0;
     std::string document;
-    std::array<std::uint8_t, 32> digest {};
+    std::array<std::uint8_t, 32> digest{};
     std::vector<OperatorRecord> operators;
 
     auto fields()
--- a/src/main_control.cpp
+++ b/src/main_control.cpp
@@ -51,11 +51,11 @@
 leaf::result<void> bootstrap(RaftStorage &storage, const ControlFile &file)
 {
     if (!storage.fresh()) {
-        return leaf::new_error(StorageError::ForeignFolder, StorageContext {file.dataFolder.string(), "--bootstrap needs an empty folder"});
+        return leaf::new_error(StorageError::ForeignFolder, StorageContext{file.dataFolder.string(), "--bootstrap needs an empty folder"});
     }
     BOOST_LEAF_CHECK(storage.setCluster(randomNumber()));
-    const ReplicaKey self {file.replica, storage.identity().disk};
-    const RaftDurable durable = RaftCore::bootstrap(self, encodeMessage(ControlCommand(Genesis {file.firstOperators})));
+    const ReplicaKey self{file.replica, storage.identity().disk};
+    const RaftDurable durable = RaftCore::bootstrap(self, encodeMessage(ControlCommand(Genesis{file.firstOperators})));
     RaftOutput first;
     first.hard = durable.hard;
     first.entries = durable.log;
--- a/src/message.h
+++ b/src/message.h
@@ -54,8 +54,8 @@
 
 struct FlowOpened {
     std::uint64_t nonce = 0;
-    FlowId flow {};
-    SealedConnectionId connectionId {};
+    FlowId flow{};
+    SealedConnectionId connectionId{};
 
     auto fields()
     {
@@ -65,10 +65,10 @@
 
 // A request on an open flow. timeLeft is what remains of its deadline, so clocks need not agree.
 struct Request {
-    SealedConnectionId connectionId {};
-    RequestId request {};
+    SealedConnectionId connectionId{};
+    RequestId request{};
     bool repeatable = false;
-    Duration timeLeft {};
+    Duration timeLeft{};
     Bytes body;
 
     auto fields()
@@ -78,8 +78,8 @@
 };
 
 struct CancelRequest {
-    SealedConnectionId connectionId {};
-    RequestId request {};
+    SealedConnectionId connectionId{};
+    RequestId request{};
 
     auto fields()
     {
@@ -89,7 +89,7 @@
 
 // Subscribes to the feed of the flow and keeps it alive; acknowledges every item up to `acknowledged`.
 struct PollFeed {
-    SealedConnectionId connectionId {};
+    SealedConnectionId connectionId{};
     std::uint64_t acknowledged = 0;
 
     auto fields()
@@ -100,8 +100,8 @@
 
 // One part of an answer. Parts of different attempts never mix, as `attempt` tells them apart.
 struct AnswerPart {
-    FlowId flow {};
-    RequestId request {};
+    FlowId flow{};
+    RequestId request{};
     std::uint64_t attempt = 0;
     std::uint16_t index = 0;
     std::uint16_t count = 0;
@@ -116,11 +116,11 @@
 // The final answer to a request that was given up on. It is sent at once; retryAfter says when
 // asking again makes sense.
 struct Refusal {
-    FlowId flow {};
-    RequestId request {};
+    FlowId flow{};
+    RequestId request{};
     Outcome outcome = Outcome::NotRun;
     RefusalReason reason = RefusalReason::Overload;
-    Duration retryAfter {};
+    Duration retryAfter{};
 
     auto fields()
     {
@@ -129,7 +129,7 @@
 };
 
 struct FeedItem {
-    FlowId flow {};
+    FlowId flow{};
     std::uint64_t sequence = 0;
     Bytes body;
 
@@ -142,9 +142,9 @@
 // The flow has another owner from now on, and maybe another number; the caller uses the new id in
 // later packets.
 struct FlowMoved {
-    FlowId previous {};
-    FlowId flow {};
-    SealedConnectionId connectionId {};
+    FlowId previous{};
+    FlowId flow{};
+    SealedConnectionId connectionId{};
 
     auto fields()
     {
@@ -171,11 +171,11 @@
 // `sequence` grows with every announcement of one incarnation. `reportedRunning` may lag or lie and
 // is shown to operators only.
 struct Announcement {
-    TargetId target {};
-    ServiceId service {};
-    DataCentreId dataCentre {};
+    TargetId target{};
+    ServiceId service{};
+    DataCentreId dataCentre{};
     Endpoint endpoint;
-    Incarnation incarnation {};
+    Incarnation incarnation{};
     std::uint64_t sequence = 0;
     std::uint16_t slots = 0;
     std::uint16_t connections = 0;
@@ -190,7 +190,7 @@
 
 struct RunRequest {
     AttemptKey attempt;
-    Duration timeLeft {};
+    Duration timeLeft{};
     Bytes body;
 
     auto fields()
@@ -234,7 +234,7 @@
 // answers with FeedAttached at once, as the feed itself may be quiet.
 struct AttachFeed {
     AttemptKey attachment;
-    FlowId flow {};
+    FlowId flow{};
     std::uint64_t nextSequence = 1;
 
     auto fields()
@@ -245,7 +245,7 @@
 
 struct FeedAttached {
     AttemptKey attachment;
-    FlowId flow {};
+    FlowId flow{};
 
     auto fields()
     {
@@ -264,7 +264,7 @@
 
 struct FeedPush {
     AttemptKey attachment;
-    FlowId flow {};
+    FlowId flow{};
     std::uint64_t sequence = 0;
     Bytes body;
 
@@ -280,7 +280,7 @@
 // of the service, so that load hints cost no control traffic.
 struct RelayedPacket {
     BalancerKey relay;
-    ServiceId service {};
+    ServiceId service{};
     Endpoint caller;
     std::uint8_t hops = 0;
     std::uint16_t freeSlots = 0;
@@ -297,8 +297,8 @@
 struct OffloadRequest {
     AttemptKey attempt;
     BalancerKey executor;
-    ServiceId service {};
-    Duration timeLeft {};
+    ServiceId service{};
+    Duration timeLeft{};
     Bytes body;
 
     auto fields()
@@ -311,8 +311,8 @@
 // keeps a balancer that joins from starting a warm target slowly.
 struct TargetNews {
     Announcement announcement;
-    Duration age {};
-    Duration knownFor {};
+    Duration age{};
+    Duration knownFor{};
 
     auto fields()
     {
@@ -323,7 +323,7 @@
 // Renewal of a target that the receiver already knows; a fifth of the size of its announcement. Only the
 // low bits of the incarnation are sent: another incarnation is announced in full before it is renewed.
 struct TargetRenewal {
-    TargetId target {};
+    TargetId target{};
     std::uint16_t incarnationBits = 0;
     std::uint64_t sequence = 0;
     std::uint16_t ageMilliseconds = 0;
@@ -337,7 +337,7 @@
 // Periodic sign of life to peers. `successor` is set once a stopping balancer has handed its flows on.
 struct Heartbeat {
     BalancerKey sender;
-    DataCentreId dataCentre {};
+    DataCentreId dataCentre{};
     std::uint64_t counter = 0;
     bool stopping = false;
     std::optional<BalancerKey> successor;
@@ -353,9 +353,9 @@
 
 // State of one flow that moves to the successor of a stopping balancer.
 struct FlowHandover {
-    FlowId flow {};
-    ServiceId service {};
-    TargetId target {};
+    FlowId flow{};
+    ServiceId service{};
+    TargetId target{};
     Endpoint caller;
     std::uint32_t highestRequest = 0;
     std::uint64_t requestWindow = 0;
--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -20,18 +20,18 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CallTimeout {2500};
-constexpr std::chrono::milliseconds RetryPause {100};
+constexpr std::chrono::milliseconds CallTimeout{2500};
+constexpr std::chrono::milliseconds RetryPause{100};
 
 // Long enough for an election and the client's own time-outs.
-constexpr std::chrono::seconds GiveUpAfter {15};
+constexpr std::chrono::seconds GiveUpAfter{15};
 
 constexpr unsigned HttpUnavailable = 503;
 constexpr unsigned HttpErrorFrom = 400;
 
 leaf::error_id fault(ClientError error, std::string text)
 {
-    return leaf::new_error(error, ClientFault {std::move(text)});
+    return leaf::new_error(error, ClientFault{std::move(text)});
 }
 
 leaf::result<std::string> readText(const std::filesystem::path &path)
@@ -65,7 +65,7 @@
             config.control.push_back(parseEndpoint(entry.get<std::string>()).value());
         }
         for (const Json &entry : document->at("balancers")) {
-            config.balancers.push_back({BalancerId {entry.at("balancer").get<std::uint16_t>()}, parseEndpoint(entry.at("admin").get<std::string>()).value()});
+            config.balancers.push_back({BalancerId{entry.at("balancer").get<std::uint16_t>()}, parseEndpoint(entry.at("admin").get<std::string>()).value()});
         }
         config.token = document->at("token").get<std::string>();
         config.operatorName = document->value("operator", "");
@@ -99,7 +99,7 @@
     while (!text.empty() && (text.back() == '\n' || text.back() == ' ')) {
         text.pop_back();
     }
-    SecretKey key {};
+    SecretKey key{};
     if (!fromHex(text, key)) {
         return fault(ClientError::BadInput, path.string() + ": not a key file");
     }
@@ -108,7 +108,7 @@
 
 ChangeId randomChangeId()
 {
-    ChangeId id {};
+    ChangeId id{};
     randombytes_buf(id.data(), id.size());
     return id;
 }
--- a/src/operator_client.h
+++ b/src/operator_client.h
@@ -26,7 +26,7 @@
 };
 
 struct BalancerAddress {
-    BalancerId id {};
+    BalancerId id{};
     Endpoint admin;
 };
 
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -22,11 +22,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds WatchPause {200};
+constexpr std::chrono::milliseconds WatchPause{200};
 
 leaf::error_id badInput(std::string text)
 {
-    return leaf::new_error(ClientError::BadInput, ClientFault {std::move(text)});
+    return leaf::new_error(ClientError::BadInput, ClientFault{std::move(text)});
 }
 
 bool given(const CommandArguments &arguments, const std::string &name)
@@ -121,7 +121,7 @@
     BOOST_LEAF_AUTO(text, checkedBundle(textOf(arguments, "FILE")));
     BOOST_LEAF_AUTO(base, numberOf(arguments, "--base"));
     BOOST_LEAF_AUTO(client, makeClient(arguments));
-    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(ControlChange(ProposeBundle {base, text}))));
+    BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(ControlChange(ProposeBundle{base, text}))));
     std::ofstream out(textOf(arguments, "--out"));
     out << toApi(change).dump() << '\n';
     if (!out) {
@@ -211,7 +211,7 @@
 leaf::result<int> rolloutSteer(const CommandArguments &arguments, RolloutAction action)
 {
     BOOST_LEAF_AUTO(version, numberOf(arguments, "VERSION"));
-    return submitChange(arguments, SteerRollout {version, action});
+    return submitChange(arguments, SteerRollout{version, action});
 }
 
 leaf::result<int> operatorSet(const CommandArguments &arguments)
@@ -343,8 +343,8 @@
             continue;
         }
         BOOST_LEAF_AUTO(balancerStatus, client.callBalancer(balancer, "GET", "/v1/status"));
-        const BalancerKey key {balancer.id, Incarnation {balancerStatus["incarnation"].get<std::uint64_t>()}};
-        const DrainOrder order {key, TargetId {vm ? 0 : static_cast<std::uint32_t>(id)}};
+        const BalancerKey key{balancer.id, Incarnation{balancerStatus["incarnation"].get<std::uint64_t>()}};
+        const DrainOrder order{key, TargetId{vm ? 0 : static_cast<std::uint32_t>(id)}};
         BOOST_LEAF_AUTO(change, client.signAs(encodeMessage(std::variant<DrainOrder>(order))));
         BOOST_LEAF_AUTO(answer, client.callBalancer(balancer, "POST", "/v1/drain", {}, toApi(change).dump()));
         print(arguments, answer);
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -20,16 +20,16 @@
 
 // Where a peer listens, from the settings.
 struct PeerAddress {
-    BalancerId id {};
+    BalancerId id{};
     Endpoint endpoint;
 };
 
 // What is known of one peer.
 struct Peer {
-    BalancerId id {};
+    BalancerId id{};
     Endpoint endpoint;
-    DataCentreId dataCentre {};
-    Incarnation incarnation {}; // 0 until the first heartbeat.
+    DataCentreId dataCentre{};
+    Incarnation incarnation{}; // 0 until the first heartbeat.
     std::uint64_t counter = 0; // Of the newest heartbeat in this incarnation.
     TimePoint lastHeard;
     bool alive = false;
@@ -80,8 +80,8 @@
 
     // Balancers that may be given new work, this one included unless it stops, in order of their id.
     struct Member {
-        BalancerId id {};
-        DataCentreId dataCentre {};
+        BalancerId id{};
+        DataCentreId dataCentre{};
     };
     std::vector<Member> members() const;
 
--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -21,12 +21,12 @@
 
 LogIndex next(LogIndex index)
 {
-    return LogIndex {value(index) + 1};
+    return LogIndex{value(index) + 1};
 }
 
 LogIndex previous(LogIndex index)
 {
-    return LogIndex {value(index) - 1};
+    return LogIndex{value(index) - 1};
 }
 
 Bytes encodeConfig(const ClusterConfig &config)
@@ -67,16 +67,16 @@
 RaftDurable RaftCore::bootstrap(ReplicaKey self, Bytes firstCommand)
 {
     RaftDurable durable;
-    durable.hard.term = Term {1};
+    durable.hard.term = Term{1};
     LogEntry entry;
-    entry.term = Term {1};
-    entry.index = LogIndex {1};
+    entry.term = Term{1};
+    entry.index = LogIndex{1};
     entry.kind = EntryKind::Config;
     entry.data = encodeConfig({{{self, true}}});
     durable.log.push_back(std::move(entry));
     LogEntry first;
-    first.term = Term {1};
-    first.index = LogIndex {2};
+    first.term = Term{1};
+    first.index = LogIndex{2};
     first.kind = EntryKind::Command;
     first.data = std::move(firstCommand);
     durable.log.push_back(std::move(first));
@@ -114,7 +114,7 @@
     m_role = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
     m_leader = {};
     m_votes = {m_self};
-    const Term term {value(m_hard.term) + 1};
+    const Term term{value(m_hard.term) + 1};
     if (!preVote) {
         setTerm(term, m_self);
     }
@@ -123,7 +123,7 @@
     }
     for (const ReplicaMember &member : config().members) {
         if (member.voter && member.key != m_self) {
-            send(member.key, VoteRequest {term, preVote, lastIndex(), lastTerm()});
+            send(member.key, VoteRequest{term, preVote, lastIndex(), lastTerm()});
         }
     }
 }
@@ -135,12 +135,12 @@
         return; // Nobody may depose a leader that is heard (section 4.2.3).
     }
     if (request.term < m_hard.term) {
-        return send(from, VoteReply {m_hard.term, request.preVote, false});
+        return send(from, VoteReply{m_hard.term, request.preVote, false});
     }
     const bool upToDate = std::pair(request.lastTerm, request.lastIndex) >= std::pair(lastTerm(), lastIndex());
     if (request.preVote) {
         const bool granted = upToDate && request.term > m_hard.term;
-        return send(from, VoteReply {granted ? request.term : m_hard.term, true, granted});
+        return send(from, VoteReply{granted ? request.term : m_hard.term, true, granted});
     }
     if (request.term > m_hard.term) {
         becomeFollower(now, request.term, {});
@@ -152,12 +152,12 @@
         setTerm(m_hard.term, from);
         resetElectionTimer(now);
     }
-    send(from, VoteReply {m_hard.term, false, granted});
+    send(from, VoteReply{m_hard.term, false, granted});
 }
 
 void RaftCore::onVoteReply(TimePoint now, ReplicaKey from, const VoteReply &reply)
 {
-    const Term asked {value(m_hard.term) + (reply.preVote ? 1 : 0)};
+    const Term asked{value(m_hard.term) + (reply.preVote ? 1 : 0)};
     if (reply.term > asked || (!reply.granted && reply.term > m_hard.term)) {
         return becomeFollower(now, reply.term, {});
     }
@@ -193,7 +193,7 @@
     m_reads.clear();
     for (const ReplicaMember &member : config().members) {
         if (member.key != m_self) {
-            m_progress[member.key] = {LogIndex {0}, next(lastIndex()), 0, now, {}};
+            m_progress[member.key] = {LogIndex{0}, next(lastIndex()), 0, now, {}};
         }
     }
     append(EntryKind::Noop, {});
@@ -209,7 +209,7 @@
 void RaftCore::setTerm(Term term, ReplicaKey votedFor)
 {
     assert(term >= m_hard.term);
-    const HardState hard {term, votedFor};
+    const HardState hard{term, votedFor};
     if (hard != m_hard) {
         m_hard = hard;
         m_output.hard = hard;
@@ -243,12 +243,12 @@
 void RaftCore::onAppend(TimePoint now, ReplicaKey from, const AppendRequest &request)
 {
     if (request.term < m_hard.term) {
-        return send(from, AppendReply {m_hard.term, false, LogIndex {0}, request.round});
+        return send(from, AppendReply{m_hard.term, false, LogIndex{0}, request.round});
     }
     becomeFollower(now, request.term, from);
     m_leaderHeard = now;
     if (request.previousIndex > lastIndex()) {
-        return send(from, AppendReply {m_hard.term, false, lastIndex(), request.round});
+        return send(from, AppendReply{m_hard.term, false, lastIndex(), request.round});
     }
     std::span<const LogEntry> entries = request.entries;
     LogIndex previousIndex = request.previousIndex;
@@ -258,16 +258,16 @@
         entries = entries.subspan(1);
     }
     if (previousIndex < m_snapshot.index) {
-        return send(from, AppendReply {m_hard.term, true, m_snapshot.index, request.round});
+        return send(from, AppendReply{m_hard.term, true, m_snapshot.index, request.round});
     }
     if (request.previousIndex >= m_snapshot.index && termAt(request.previousIndex) != request.previousTerm) {
         assert(request.previousIndex > m_commit);
-        return send(from, AppendReply {m_hard.term, false, m_commit, request.round});
+        return send(from, AppendReply{m_hard.term, false, m_commit, request.round});
     }
     storeEntries(entries);
     const LogIndex agreed = request.entries.empty() ? previousIndex : std::max(previousIndex, request.entries.back().index);
     commitTo(std::min(request.commit, agreed));
-    send(from, AppendReply {m_hard.term, true, agreed, request.round});
+    send(from, AppendReply{m_hard.term, true, agreed, request.round});
 }
 
 void RaftCore::storeEntries(std::span<const LogEntry> entries)
@@ -329,7 +329,7 @@
 void RaftCore::onSnapshot(TimePoint now, ReplicaKey from, const InstallSnapshot &install)
 {
     if (install.term < m_hard.term) {
-        return send(from, AppendReply {m_hard.term, false, LogIndex {0}, install.round});
+        return send(from, AppendReply{m_hard.term, false, LogIndex{0}, install.round});
     }
     becomeFollower(now, install.term, from);
     m_leaderHeard = now;
@@ -348,7 +348,7 @@
         m_output.snapshot = m_snapshot;
         m_role = RaftRole::Follower;
     }
-    send(from, AppendReply {m_hard.term, true, m_commit, install.round});
+    send(from, AppendReply{m_hard.term, true, m_commit, install.round});
 }
 
 void RaftCore::onJoin(TimePoint now, const JoinRequest &request)
@@ -429,11 +429,11 @@
 
 void RaftCore::sendSnapshot(TimePoint now, ReplicaKey to, Progress &progress)
 {
-    if (progress.snapshotSent != TimePoint {} && now - progress.snapshotSent < SnapshotRetry) {
+    if (progress.snapshotSent != TimePoint{} && now - progress.snapshotSent < SnapshotRetry) {
         return;
     }
     progress.snapshotSent = now;
-    send(to, InstallSnapshot {m_hard.term, m_round, m_snapshot});
+    send(to, InstallSnapshot{m_hard.term, m_round, m_snapshot});
 }
 
 // An entry is committed when a quorum has it, and only counted in the leader's own term (section 3.6.2).
@@ -446,7 +446,7 @@
     for (const ReplicaMember &member : config().members) {
         if (member.voter) {
             const auto at = m_progress.find(member.key);
-            matches.push_back(member.key == m_self ? lastIndex() : at != m_progress.end() ? at->second.match : LogIndex {0});
+            matches.push_back(member.key == m_self ? lastIndex() : at != m_progress.end() ? at->second.match : LogIndex{0});
         }
     }
     if (matches.empty()) {
@@ -556,7 +556,7 @@
         if (member.voter || progress == m_progress.end()) {
             continue;
         }
-        const bool caughtUp = value(progress->second.match) + PromotionLag >= value(lastIndex()) && progress->second.match > LogIndex {0};
+        const bool caughtUp = value(progress->second.match) + PromotionLag >= value(lastIndex()) && progress->second.match > LogIndex{0};
         const bool alive = now - progress->second.lastHeard < ElectionTimeout;
         if (!caughtUp || !alive) {
             continue;
@@ -584,7 +584,7 @@
     });
     for (const ReplicaMember &member : config.members) {
         if (member.key != m_self && !m_progress.contains(member.key)) {
-            m_progress[member.key] = {LogIndex {0}, LogIndex {1}, 0, {}, {}};
+            m_progress[member.key] = {LogIndex{0}, LogIndex{1}, 0, {}, {}};
         }
     }
     advanceCommit();
@@ -712,7 +712,7 @@
         return m_snapshot.term;
     }
     const LogEntry *entry = entryAt(index);
-    return entry != nullptr ? entry->term : Term {0};
+    return entry != nullptr ? entry->term : Term{0};
 }
 
 Term RaftCore::lastTerm() const
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -26,7 +26,7 @@
 
 // Most entries, and about the most bytes of them, in one append request.
 inline constexpr std::size_t MaxEntriesPerAppend = 256;
-inline constexpr std::size_t MaxAppendBytes = std::size_t {512} << 10U;
+inline constexpr std::size_t MaxAppendBytes = std::size_t{512} << 10U;
 
 // A learner becomes a voter when it lacks at most this many entries.
 inline constexpr std::uint64_t PromotionLag = 16;
@@ -54,7 +54,7 @@
 // A read may be answered once `index` is applied.
 struct ReadReady {
     std::uint64_t ticket = 0;
-    LogIndex index {};
+    LogIndex index{};
 };
 
 // What the driver must do, in this order: install the snapshot, persist hard state and entries (cutting
@@ -118,8 +118,8 @@
 private:
     // A leader's view of one other member.
     struct Progress {
-        LogIndex match {};
-        LogIndex next {};
+        LogIndex match{};
+        LogIndex next{};
         std::uint64_t ackedRound = 0;
         TimePoint lastHeard;
         TimePoint snapshotSent;
@@ -127,10 +127,10 @@
     struct PendingRead {
         std::uint64_t ticket = 0;
         std::uint64_t round = 0;
-        LogIndex index {};
+        LogIndex index{};
     };
     struct ConfigAt {
-        LogIndex index {};
+        LogIndex index{};
         ClusterConfig config;
     };
 
@@ -175,8 +175,8 @@
     std::vector<ConfigAt> m_configs; // By index; the last one is in force.
     RaftRole m_role = RaftRole::Follower;
     ReplicaKey m_leader;
-    LogIndex m_commit {};
-    LogIndex m_applied {};
+    LogIndex m_commit{};
+    LogIndex m_applied{};
     TimePoint m_electionDue;
     TimePoint m_heartbeatDue;
     TimePoint m_leaderHeard;
--- a/src/raft_message.h
+++ b/src/raft_message.h
@@ -17,7 +17,7 @@
 // A replica together with the disk that holds its votes and its log. A replica whose disk was lost has
 // another disk number, hence is another voter: it can't vote with forgotten state.
 struct ReplicaKey {
-    ReplicaId id {};
+    ReplicaId id{};
     std::uint64_t disk = 0;
 
     auto operator<=>(const ReplicaKey &) const = default;
@@ -59,8 +59,8 @@
 };
 
 struct LogEntry {
-    Term term {};
-    LogIndex index {};
+    Term term{};
+    LogIndex index{};
     EntryKind kind = EntryKind::Noop;
     Bytes data; // A command, or an encoded ClusterConfig.
 
@@ -74,7 +74,7 @@
 
 // What a replica must have synced before it answers.
 struct HardState {
-    Term term {};
+    Term term{};
     ReplicaKey votedFor; // Replica 0: nobody.
 
     bool operator==(const HardState &) const = default;
@@ -87,8 +87,8 @@
 
 // The state machine as of one index, with the configuration of that index.
 struct Snapshot {
-    LogIndex index {};
-    Term term {};
+    LogIndex index{};
+    Term term{};
     ClusterConfig config;
     Bytes state;
 
@@ -99,10 +99,10 @@
 };
 
 struct VoteRequest {
-    Term term {};
+    Term term{};
     bool preVote = false;
-    LogIndex lastIndex {};
-    Term lastTerm {};
+    LogIndex lastIndex{};
+    Term lastTerm{};
 
     auto fields()
     {
@@ -111,7 +111,7 @@
 };
 
 struct VoteReply {
-    Term term {};
+    Term term{};
     bool preVote = false;
     bool granted = false;
 
@@ -124,10 +124,10 @@
 // Entries after (previousIndex, previousTerm); without entries a heartbeat. `round` numbers the
 // leader's broadcasts, so that a quorum of replies proves that it still led at that broadcast.
 struct AppendRequest {
-    Term term {};
-    LogIndex previousIndex {};
-    Term previousTerm {};
-    LogIndex commit {};
+    Term term{};
+    LogIndex previousIndex{};
+    Term previousTerm{};
+    LogIndex commit{};
     std::uint64_t round = 0;
     std::vector<LogEntry> entries;
 
@@ -139,9 +139,9 @@
 
 // On success everything up to `index` is synced; otherwise `index` is where the logs may still agree.
 struct AppendReply {
-    Term term {};
+    Term term{};
     bool success = false;
-    LogIndex index {};
+    LogIndex index{};
     std::uint64_t round = 0;
 
     auto fields()
@@ -151,7 +151,7 @@
 };
 
 struct InstallSnapshot {
-    Term term {};
+    Term term{};
     std::uint64_t round = 0;
     Snapshot snapshot;
 
--- a/src/raft_storage.cpp
+++ b/src/raft_storage.cpp
@@ -21,7 +21,7 @@
 // A record: magic, length of the payload, checksum over length and payload, payload.
 constexpr std::uint32_t RecordMagic = 0x52524c31;
 constexpr std::size_t RecordHeader = 16;
-constexpr std::uint32_t MaxRecord = std::uint32_t {64} << 20U;
+constexpr std::uint32_t MaxRecord = std::uint32_t{64} << 20U;
 
 constexpr const char *IdentityFile = "identity";
 constexpr const char *LogFile = "log";
@@ -41,7 +41,7 @@
 template<typename Integer>
 Integer loadInteger(BytesView bytes, std::size_t at)
 {
-    Integer number {};
+    Integer number{};
     std::memcpy(&number, bytes.data() + at, sizeof(Integer));
     return number;
 }
@@ -90,7 +90,7 @@
 
 leaf::error_id failure(StorageError error, const std::filesystem::path &file, std::string detail)
 {
-    return leaf::new_error(error, StorageContext {file.string(), std::move(detail)});
+    return leaf::new_error(error, StorageContext{file.string(), std::move(detail)});
 }
 
 // Turns an error of the file layer into one of this layer.
@@ -243,7 +243,7 @@
         }
     }
     m_logBytes = at;
-    const LogIndex covered = m_durable.snapshot ? m_durable.snapshot->index : LogIndex {0};
+    const LogIndex covered = m_durable.snapshot ? m_durable.snapshot->index : LogIndex{0};
     std::erase_if(m_durable.log, [covered](const LogEntry &entry) {
         return entry.index <= covered;
     });
--- a/src/raft_storage.h
+++ b/src/raft_storage.h
@@ -37,7 +37,7 @@
 struct StorageIdentity {
     std::uint32_t format = StorageFormat;
     std::uint64_t cluster = 0; // 0 until the replica has joined one.
-    ReplicaId replica {};
+    ReplicaId replica{};
     std::uint64_t disk = 0;
 
     auto fields()
--- a/src/request_engine.cpp
+++ b/src/request_engine.cpp
@@ -48,17 +48,15 @@
 template<SlotPolicy Policy>
 void RequestEngine<Policy>::applyServices(std::span<const ServiceSettings> services)
 {
-    std::vector<ServiceLine> lines;
+    std::unordered_map<std::uint16_t, ServiceLine> lines;
     for (const ServiceSettings &settings : services) {
-        ServiceLine *known = lineOf(settings.id);
-        ServiceLine line;
-        if (known != nullptr) {
+        ServiceLine &line = lines[value(settings.id)];
+        if (ServiceLine *known = lineOf(settings.id); known != nullptr) {
             line = std::move(*known);
         } else {
             line.budget = RetryBudget(settings.retryRatio);
         }
         line.settings = settings;
-        lines.push_back(std::move(line));
     }
     m_lines = std::move(lines);
 }
@@ -66,9 +64,7 @@
 template<SlotPolicy Policy>
 bool RequestEngine<Policy>::knowsService(ServiceId service) const
 {
-    return std::any_of(m_lines.begin(), m_lines.end(), [service](const ServiceLine &line) {
-        return line.settings.id == service;
-    });
+    return m_lines.contains(value(service));
 }
 
 // ---- Admission ----
@@ -78,7 +74,7 @@
 {
     Flow *flow = m_context.flows.find(flowId);
     assert(flow != nullptr);
-    const RequestKey key {flowId, request.request};
+    const RequestKey key{flowId, request.request};
     if (flow->window.take(request.request) != RequestAge::Fresh) {
         ++m_context.counters.duplicatesDropped;
         if (!isPending(key) && !resend(key, caller)) {
@@ -102,7 +98,7 @@
     if (timeLeft <= Duration::zero()) {
         return giveUp(now, key, RefusalReason::Deadline, MinRetryAfter);
     }
-    if (line == nullptr || !anyServing(m_context.targets.targets(), flow->service)) {
+    if (line == nullptr || !anyServing(m_context.targets.targetsOf(flow->service), flow->service)) {
         return giveUp(now, key, RefusalReason::NoTarget, NoTargetRetryAfter);
     }
     line->budget.noteRequest();
@@ -131,7 +127,7 @@
 template<SlotPolicy Policy>
 Duration RequestEngine<Policy>::estimateWait(TimePoint now, const ServiceLine &line) const
 {
-    const std::span<const Target> targets = m_context.targets.targets();
+    const std::span<const Target> targets = m_context.targets.targetsOf(line.settings.id);
     std::uint32_t share = std::max(1U, countShare(targets, line.settings.id));
     if (Policy::OffloadsToPeers) {
         // What waits here may run at any balancer, so a small own share alone does not mean a long wait.
@@ -150,7 +146,7 @@
 void RequestEngine<Policy>::refuseUncertain(FlowId flow, Endpoint caller, RequestId request, RefusalReason reason)
 {
     ++m_context.counters.outcomes[static_cast<std::size_t>(Outcome::OutcomeUnknown)];
-    m_context.send(caller, Refusal {flow, request, Outcome::OutcomeUnknown, reason, Duration::zero()});
+    m_context.send(caller, Refusal{flow, request, Outcome::OutcomeUnknown, reason, Duration::zero()});
 }
 
 template<SlotPolicy Policy>
@@ -189,7 +185,7 @@
 template<SlotPolicy Policy>
 bool RequestEngine<Policy>::place(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line)
 {
-    Target *target = chooseAttemptTarget(m_context.targets.targets(), pending.service, pending.avoid, now);
+    Target *target = chooseAttemptTarget(m_context.targets.targetsOf(pending.service), pending.service, pending.avoid, now);
     if (target != nullptr) {
         sendAttempt(now, key, pending, *target, line);
         return true;
@@ -208,7 +204,7 @@
     ++pending.unresolvedAttempts;
     occupy(now, record, attempt.serial, target, line);
     limitAttempt(now, pending, attempt.serial, line);
-    m_context.send(target.announcement.endpoint, RunRequest {attempt, pending.deadline - now, pending.body});
+    m_context.send(target.announcement.endpoint, RunRequest{attempt, pending.deadline - now, pending.body});
     m_context.observe({.kind = EventKind::RequestSent, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .target = target.id()});
 }
 
@@ -237,7 +233,7 @@
 template<SlotPolicy Policy>
 bool RequestEngine<Policy>::offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line)
 {
-    const bool mayProbe = pending.probes < MaxProbes && countShare(m_context.targets.targets(), pending.service) == 0;
+    const bool mayProbe = pending.probes < MaxProbes && countShare(m_context.targets.targetsOf(pending.service), pending.service) == 0;
     Peer *peer = choosePeer(pending.service, m_context.lastSerial, mayProbe);
     if (peer == nullptr) {
         return false;
@@ -256,7 +252,7 @@
     ++pending.unresolvedAttempts;
     ++m_context.counters.attemptsOffloaded;
     limitAttempt(now, pending, attempt.serial, line);
-    m_context.send(peer->endpoint, OffloadRequest {attempt, peer->key(), pending.service, pending.deadline - now, pending.body});
+    m_context.send(peer->endpoint, OffloadRequest{attempt, peer->key(), pending.service, pending.deadline - now, pending.body});
     m_context.observe({.kind = EventKind::RequestOffloaded, .at = now, .service = pending.service, .flow = key.flow, .request = key.request, .peer = peer->id});
     return true;
 }
@@ -289,10 +285,10 @@
         return;
     }
     ServiceLine *line = lineOf(offload.service);
-    Target *target = line != nullptr ? chooseAttemptTarget(m_context.targets.targets(), offload.service, {}, now) : nullptr;
+    Target *target = line != nullptr ? chooseAttemptTarget(m_context.targets.targetsOf(offload.service), offload.service, {}, now) : nullptr;
     const bool busy = target == nullptr || line->queue.size() > 0;
     if (busy || m_context.peers.stopping() || offload.timeLeft <= Duration::zero()) {
-        m_context.send(peer, RunRefused {offload.attempt});
+        m_context.send(peer, RunRefused{offload.attempt});
         return;
     }
     const AttemptKey attempt = m_context.nextAttempt();
@@ -303,7 +299,7 @@
     record.originEndpoint = peer;
     occupy(now, record, attempt.serial, *target, *line);
     m_timers.push({now + std::min(offload.timeLeft, MaxTimeLeft), TimerKind::AttemptEnd, attempt.serial, {}});
-    m_context.send(target->announcement.endpoint, RunRequest {attempt, offload.timeLeft, offload.body});
+    m_context.send(target->announcement.endpoint, RunRequest{attempt, offload.timeLeft, offload.body});
 }
 
 template<SlotPolicy Policy>
@@ -359,7 +355,7 @@
         return;
     }
     if (attempt.kind == AttemptKind::Hosted) {
-        m_context.send(attempt.originEndpoint, RunPart {attempt.origin, part.index, part.count, part.body});
+        m_context.send(attempt.originEndpoint, RunPart{attempt.origin, part.index, part.count, part.body});
     }
     if (effect == PartEffect::Completed) {
         return answer(now, part.attempt.serial, attempt);
@@ -394,7 +390,7 @@
         std::vector<Bytes> &parts = attempt.assembly.parts();
         const auto count = static_cast<std::uint16_t>(parts.size());
         for (std::uint16_t index = 0; index < count; ++index) {
-            messages.emplace_back(AnswerPart {key.flow, key.request, serial, index, static_cast<std::uint16_t>(parts.size()), std::move(parts[index])});
+            messages.emplace_back(AnswerPart{key.flow, key.request, serial, index, static_cast<std::uint16_t>(parts.size()), std::move(parts[index])});
         }
         ++m_context.counters.outcomes[static_cast<std::size_t>(Outcome::Answered)];
         m_context.observe({.kind = EventKind::RequestAnswered,
@@ -427,7 +423,7 @@
         noteRefusal(*target, now);
     }
     if (attempt.kind == AttemptKind::Hosted) {
-        m_context.send(attempt.originEndpoint, RunRefused {attempt.origin});
+        m_context.send(attempt.originEndpoint, RunRefused{attempt.origin});
         return;
     }
     const auto pending = m_pending.find(attempt.request);
@@ -450,7 +446,7 @@
 void RequestEngine<Policy>::retryOrRefuse(TimePoint now, RequestKey key, Pending &pending, RefusalReason reason)
 {
     ServiceLine *line = lineOf(pending.service);
-    const std::span<Target> targets = m_context.targets.targets();
+    const std::span<Target> targets = m_context.targets.targetsOf(pending.service);
     const bool another = std::any_of(targets.begin(), targets.end(), [&pending](const Target &target) {
         const bool avoided = std::find(pending.avoid.begin(), pending.avoid.end(), target.id()) != pending.avoid.end();
         return !avoided && target.state == TargetState::Serving && target.announcement.service == pending.service;
@@ -488,7 +484,7 @@
                        .flow = key.flow,
                        .request = key.request,
                        .detail = static_cast<std::uint8_t>(outcome)});
-    settle(now, key, {Refusal {key.flow, key.request, outcome, reason, retryAfter}});
+    settle(now, key, {Refusal{key.flow, key.request, outcome, reason, retryAfter}});
 }
 
 template<SlotPolicy Policy>
@@ -521,7 +517,7 @@
         return;
     }
     Attempt &attempt = at->second;
-    const CancelRun cancel {{m_context.peers.self(), serial}};
+    const CancelRun cancel{{m_context.peers.self(), serial}};
     if (attempt.kind == AttemptKind::Offloaded) {
         if (const Peer *peer = m_context.peers.find(attempt.executor.id); peer != nullptr) {
             m_context.send(peer->endpoint, cancel);
@@ -619,8 +615,10 @@
     if (Policy::OffloadsToPeers) {
         renewProbes();
     }
-    for (ServiceLine &line : m_lines) {
-        pump(now, line);
+    for (auto &[service, line] : m_lines) {
+        if (line.queue.size() > 0) {
+            pump(now, line);
+        }
     }
 }
 
@@ -629,7 +627,7 @@
 void RequestEngine<Policy>::renewProbes()
 {
     for (auto &[key, pending] : m_pending) {
-        if (pending.attempt == 0 && countShare(m_context.targets.targets(), pending.service) == 0) {
+        if (pending.attempt == 0 && countShare(m_context.targets.targetsOf(pending.service), pending.service) == 0) {
             pending.probes = 0;
         }
     }
@@ -707,7 +705,7 @@
     if (!Policy::OffloadsToPeers || m_context.peers.stopping() || queued(service) > 0) {
         return 0;
     }
-    return static_cast<std::uint16_t>(countFreeSlots(m_context.targets.targets(), service, now));
+    return static_cast<std::uint16_t>(countFreeSlots(m_context.targets.targetsOf(service), service, now));
 }
 
 template<SlotPolicy Policy>
@@ -719,19 +717,15 @@
 template<SlotPolicy Policy>
 std::size_t RequestEngine<Policy>::queued(ServiceId service) const
 {
-    const auto line = std::find_if(m_lines.begin(), m_lines.end(), [service](const ServiceLine &candidate) {
-        return candidate.settings.id == service;
-    });
-    return line != m_lines.end() ? line->queue.size() : 0;
+    const auto line = m_lines.find(value(service));
+    return line != m_lines.end() ? line->second.queue.size() : 0;
 }
 
 template<SlotPolicy Policy>
 typename RequestEngine<Policy>::ServiceLine *RequestEngine<Policy>::lineOf(ServiceId service)
 {
-    const auto line = std::find_if(m_lines.begin(), m_lines.end(), [service](const ServiceLine &candidate) {
-        return candidate.settings.id == service;
-    });
-    return line != m_lines.end() ? &*line : nullptr;
+    const auto line = m_lines.find(value(service));
+    return line != m_lines.end() ? &line->second : nullptr;
 }
 
 template class RequestEngine<OwnCounts>;
--- a/src/request_engine.h
+++ b/src/request_engine.h
@@ -93,7 +93,7 @@
     };
 
     struct Pending {
-        ServiceId service {};
+        ServiceId service{};
         Endpoint caller;
         TimePoint deadline;
         bool repeatable = false;
@@ -113,8 +113,8 @@
     struct Attempt {
         AttemptKind kind = AttemptKind::Local;
         RequestKey request;
-        ServiceId service {};
-        TargetId target {};
+        ServiceId service{};
+        TargetId target{};
         BalancerKey executor;
         AttemptKey origin;
         Endpoint originEndpoint;
@@ -175,7 +175,7 @@
     void deal(TimePoint now);
 
     BalancerContext &m_context;
-    std::vector<ServiceLine> m_lines;
+    std::unordered_map<std::uint16_t, ServiceLine> m_lines; // By service.
     std::unordered_map<RequestKey, Pending, RequestKeyHash> m_pending;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     std::unordered_map<std::uint64_t, OffloadWindow> m_offloads; // By hash of the peer run.
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -14,7 +14,7 @@
 std::array<std::uint8_t, 32> digestOf(const Json &document)
 {
     const std::string text = document.dump();
-    std::array<std::uint8_t, 32> digest {};
+    std::array<std::uint8_t, 32> digest{};
     crypto_generichash(digest.data(), digest.size(), reinterpret_cast<const unsigned char *>(text.data()), text.size(), nullptr, 0);
     return digest;
 }
--- a/src/secure_links.cpp
+++ b/src/secure_links.cpp
@@ -45,7 +45,7 @@
         return;
     }
     const bool dialled = tag != 0;
-    const auto [at, added] = m_links.emplace(handle, Link {SecureSession(m_key, m_role, m_id, dialled), dialled});
+    const auto [at, added] = m_links.emplace(handle, Link{SecureSession(m_key, m_role, m_id, dialled), dialled});
     m_hub.send(handle, at->second.session.hello());
 }
 
--- a/src/secure_session.cpp
+++ b/src/secure_session.cpp
@@ -66,7 +66,7 @@
     frame.reserve(CounterSize + payload.size() + FrameMacSize);
     appendCounter(frame, ++m_sent);
     frame.insert(frame.end(), payload.begin(), payload.end());
-    std::array<std::uint8_t, FrameMacSize> mac {};
+    std::array<std::uint8_t, FrameMacSize> mac{};
     crypto_generichash(mac.data(), mac.size(), frame.data(), frame.size(), m_sendKey.data(), m_sendKey.size());
     frame.insert(frame.end(), mac.begin(), mac.end());
     return frame;
@@ -78,7 +78,7 @@
         return std::nullopt;
     }
     const BytesView content = frame.first(frame.size() - FrameMacSize);
-    std::array<std::uint8_t, FrameMacSize> mac {};
+    std::array<std::uint8_t, FrameMacSize> mac{};
     crypto_generichash(mac.data(), mac.size(), content.data(), content.size(), m_receiveKey.data(), m_receiveKey.size());
     if (sodium_memcmp(mac.data(), frame.data() + content.size(), FrameMacSize) != 0) {
         return std::nullopt;
@@ -116,7 +116,7 @@
     const Bytes other = encodeMessage(std::variant<Hello>(acceptor));
     material.insert(material.end(), other.begin(), other.end());
     material.push_back(fromDialler ? 1 : 0);
-    ClusterKey key {};
+    ClusterKey key{};
     crypto_generichash(key.data(), key.size(), material.data(), material.size(), m_key.data(), m_key.size());
     return key;
 }
--- a/src/secure_session.h
+++ b/src/secure_session.h
@@ -22,7 +22,7 @@
 struct Hello {
     PeerRole role = PeerRole::Balancer;
     std::uint16_t id = 0;
-    std::array<std::uint8_t, 16> nonce {};
+    std::array<std::uint8_t, 16> nonce{};
 
     auto fields()
     {
@@ -66,8 +66,8 @@
     bool m_dialled;
     Hello m_own;
     std::optional<Hello> m_peer;
-    ClusterKey m_sendKey {};
-    ClusterKey m_receiveKey {};
+    ClusterKey m_sendKey{};
+    ClusterKey m_receiveKey{};
     std::uint64_t m_sent = 0;
     std::uint64_t m_received = 0;
     bool m_established = false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -21,7 +21,7 @@
 
 leaf::error_id invalid(const std::filesystem::path &path, JsonFault fault)
 {
-    return leaf::new_error(SettingsError::Invalid, SettingsFault {path.string(), std::move(fault)});
+    return leaf::new_error(SettingsError::Invalid, SettingsFault{path.string(), std::move(fault)});
 }
 
 leaf::result<Json> loadDocument(const std::filesystem::path &path, std::string_view schema)
@@ -35,7 +35,7 @@
                             return std::optional<Bytes>();
                         }));
     if (!bytes) {
-        return leaf::new_error(SettingsError::Unreadable, SettingsFault {path.string(), {"", "no readable file", "a settings file"}});
+        return leaf::new_error(SettingsError::Unreadable, SettingsFault{path.string(), {"", "no readable file", "a settings file"}});
     }
     JsonFault fault;
     const std::optional<Json> document = parseStrictJson({reinterpret_cast<const char *>(bytes->data()), bytes->size()}, fault);
@@ -65,13 +65,13 @@
         if (!parsed) {
             fail(pointer, at(pointer).dump(), "an IPv4 address and port such as \"127.0.0.1:4000\"");
         }
-        return parsed.value_or(Endpoint {});
+        return parsed.value_or(Endpoint{});
     }
 
     template<std::size_t N>
     std::array<std::uint8_t, N> key(const std::string &pointer)
     {
-        std::array<std::uint8_t, N> bytes {};
+        std::array<std::uint8_t, N> bytes{};
         if (!fromHex(at(pointer).get<std::string>(), bytes)) {
             fail(pointer, "a text that is not a key", std::to_string(N * 2) + " hexadecimal digits");
         }
@@ -81,7 +81,7 @@
     void fail(const std::string &pointer, std::string found, std::string expected)
     {
         if (!m_fault) {
-            m_fault = JsonFault {pointer, std::move(found), std::move(expected)};
+            m_fault = JsonFault{pointer, std::move(found), std::move(expected)};
         }
     }
 
@@ -120,7 +120,7 @@
     if (at == declared.end()) {
         reader.fail("/dataCentre", "\"" + file.dataCentre + "\"", "one of the data centres in /dataCentres");
     }
-    file.dataCentreId = DataCentreId {static_cast<std::uint8_t>(at - declared.begin() + 1)};
+    file.dataCentreId = DataCentreId{static_cast<std::uint8_t>(at - declared.begin() + 1)};
 }
 
 void readPeers(Reader &reader, BalancerFile &file)
@@ -128,7 +128,7 @@
     std::set<BalancerId> seen;
     for (std::size_t i = 0; i < reader.at("/peers").size(); ++i) {
         PeerAddress peer;
-        peer.id = BalancerId {reader.at(indexed("/peers", i, "balancer")).get<std::uint16_t>()};
+        peer.id = BalancerId{reader.at(indexed("/peers", i, "balancer")).get<std::uint16_t>()};
         peer.endpoint = reader.endpoint(indexed("/peers", i, "address"));
         if (!seen.insert(peer.id).second) {
             reader.fail(indexed("/peers", i, "balancer"), std::to_string(value(peer.id)) + " twice", "each balancer once");
@@ -163,7 +163,7 @@
     BOOST_LEAF_AUTO(document, loadDocument(path, balancerSettingsSchema()));
     Reader reader(document);
     BalancerFile file;
-    file.balancer = BalancerId {reader.at("/balancer").get<std::uint16_t>()};
+    file.balancer = BalancerId{reader.at("/balancer").get<std::uint16_t>()};
     readDataCentre(reader, file);
     for (std::size_t i = 0; i < reader.at("/services").size(); ++i) {
         file.services.push_back({reader.at(indexed("/services", i, "name")).get<std::string>(), reader.endpoint(indexed("/services", i, "listen"))});
@@ -192,13 +192,13 @@
     BOOST_LEAF_AUTO(document, loadDocument(path, controlSettingsSchema()));
     Reader reader(document);
     ControlFile file;
-    file.replica = ReplicaId {reader.at("/replica").get<std::uint16_t>()};
+    file.replica = ReplicaId{reader.at("/replica").get<std::uint16_t>()};
     file.listen = reader.endpoint("/listen/links");
     file.adminListen = reader.endpoint("/listen/admin");
     bool selfListed = false;
     for (std::size_t i = 0; i < reader.at("/replicas").size(); ++i) {
         ReplicaAddress address;
-        address.id = ReplicaId {reader.at(indexed("/replicas", i, "replica")).get<std::uint16_t>()};
+        address.id = ReplicaId{reader.at(indexed("/replicas", i, "replica")).get<std::uint16_t>()};
         address.endpoint = reader.endpoint(indexed("/replicas", i, "links"));
         address.admin = reader.endpoint(indexed("/replicas", i, "admin"));
         selfListed = selfListed || address.id == file.replica;
@@ -239,7 +239,7 @@
     if (error || parseError != std::errc() || end != digits.data() + digits.size()) {
         return std::nullopt;
     }
-    return Endpoint {static_cast<std::uint32_t>(address.to_uint()), port};
+    return Endpoint{static_cast<std::uint32_t>(address.to_uint()), port};
 }
 
 std::string addressText(Endpoint endpoint)
--- a/src/settings.h
+++ b/src/settings.h
@@ -35,16 +35,16 @@
 };
 
 struct BalancerFile {
-    BalancerId balancer {};
+    BalancerId balancer{};
     std::string dataCentre;
-    DataCentreId dataCentreId {}; // Position in the list of declared data centres, from 1.
+    DataCentreId dataCentreId{}; // Position in the list of declared data centres, from 1.
     std::vector<ServiceListen> services;
     Endpoint peerListen;
     Endpoint targetListen;
     Endpoint adminListen;
     std::vector<PeerAddress> peers;
     std::vector<Endpoint> control;
-    ClusterKey clusterKey {};
+    ClusterKey clusterKey{};
     std::vector<VersionedMacKey> connectionIdKeys; // Newest first.
     std::string adminToken;
     std::filesystem::path dataFolder; // Empty: nothing is kept.
@@ -53,17 +53,17 @@
 };
 
 struct ReplicaAddress {
-    ReplicaId id {};
+    ReplicaId id{};
     Endpoint endpoint;
     Endpoint admin;
 };
 
 struct ControlFile {
-    ReplicaId replica {};
+    ReplicaId replica{};
     Endpoint listen;
     Endpoint adminListen;
     std::vector<ReplicaAddress> replicas;
-    ClusterKey clusterKey {};
+    ClusterKey clusterKey{};
     std::string adminToken;
     std::filesystem::path dataFolder;
     std::vector<OperatorRecord> firstOperators; // Used at bootstrap only.
--- a/src/settled_answers.h
+++ b/src/settled_answers.h
@@ -15,12 +15,12 @@
 inline constexpr Duration AnswerCacheTime = std::chrono::seconds(5);
 
 // Most bytes of answer bodies that are kept; the oldest go first.
-inline constexpr std::size_t AnswerCacheBytes = std::size_t {32} << 20U;
+inline constexpr std::size_t AnswerCacheBytes = std::size_t{32} << 20U;
 
 // A request within a deployment.
 struct RequestKey {
-    FlowId flow {};
-    RequestId request {};
+    FlowId flow{};
+    RequestId request{};
 
     auto operator<=>(const RequestKey &) const = default;
 };
--- a/src/signature.cpp
+++ b/src/signature.cpp
@@ -19,7 +19,7 @@
 
 Signature sign(BytesView message, const SecretKey &key)
 {
-    Signature signature {};
+    Signature signature{};
     crypto_sign_detached(signature.data(), nullptr, message.data(), message.size(), key.data());
     return signature;
 }
--- a/src/signature.h
+++ b/src/signature.h
@@ -16,8 +16,8 @@
 using Signature = std::array<std::uint8_t, 64>;
 
 struct KeyPair {
-    PublicKey publicKey {};
-    SecretKey secretKey {};
+    PublicKey publicKey{};
+    SecretKey secretKey{};
 };
 
 KeyPair generateKeyPair();
--- a/src/slot_policy.cpp
+++ b/src/slot_policy.cpp
@@ -71,10 +71,10 @@
 void DealtTargets::deal(std::span<Target *const> targets, std::span<const PeerTable::Member> members, BalancerId self, TimePoint now)
 {
     const auto oneCard = [](const Target &) {
-        return std::uint16_t {1};
+        return std::uint16_t{1};
     };
     dealInTurn(targets, members, self, oneCard, [now](Target &target, std::uint16_t mine) {
-        target.share = mine > 0 ? usableSlots(target, now) : std::uint16_t {0};
+        target.share = mine > 0 ? usableSlots(target, now) : std::uint16_t{0};
     });
 }
 
--- a/src/standin_caller.cpp
+++ b/src/standin_caller.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds StepInterval {10};
+constexpr std::chrono::milliseconds StepInterval{10};
 constexpr Duration RequestDeadline = std::chrono::seconds(2);
 constexpr std::uint32_t CallerNetwork = 0x7f020000; // 127.2.0.0
 
@@ -35,7 +35,7 @@
     std::unique_ptr<DatagramSocket> socket;
     TimePoint nextRequest;
     std::uint64_t feedItems = 0;
-    Duration longestStall {};
+    Duration longestStall{};
     bool wrongItem = false;
     std::map<RequestId, StandinBody> asked;
 };
@@ -77,7 +77,7 @@
         flow->feed = feed;
         flow->repeatable = repeatable;
         flow->session = std::make_unique<CallerSession>(m_flows.size() + 1, feed);
-        flow->socket = std::make_unique<DatagramSocket>(m_io, Endpoint {CallerNetwork + caller, 0}, [this, at = flow.get()](Endpoint, BytesView bytes) {
+        flow->socket = std::make_unique<DatagramSocket>(m_io, Endpoint{CallerNetwork + caller, 0}, [this, at = flow.get()](Endpoint, BytesView bytes) {
             if (const auto message = decodeMessage<Message>(bytes)) {
                 at->session->receive(monotonicNow(), *message);
                 collect(*at);
@@ -170,7 +170,7 @@
         int opened = 0;
         int broken = 0;
         std::uint64_t items = 0;
-        Duration longestStall {};
+        Duration longestStall{};
         for (const std::unique_ptr<CallerFlow> &flow : m_flows) {
             opened += flow->session->opened() ? 1 : 0;
             const bool feedBroken = flow->feed && (flow->wrongItem || flow->longestStall >= BrokenAfter || now - flow->session->lastItemAt() >= BrokenAfter);
@@ -205,7 +205,7 @@
     std::vector<std::unique_ptr<CallerFlow>> m_flows;
     std::uint32_t m_lastNumber = 0;
     std::uint64_t m_sent = 0;
-    std::array<std::uint64_t, 4> m_outcomes {};
+    std::array<std::uint64_t, 4> m_outcomes{};
     std::uint64_t m_timedOut = 0;
     std::uint64_t m_wrongAnswers = 0;
     std::vector<std::string> m_notRun;
--- a/src/standin_common.h
+++ b/src/standin_common.h
@@ -95,7 +95,7 @@
 
     void drain()
     {
-        std::array<std::uint8_t, 2048> buffer {};
+        std::array<std::uint8_t, 2048> buffer{};
         for (;;) {
             boost::asio::ip::udp::endpoint from;
             boost::system::error_code error;
--- a/src/standin_fabric.cpp
+++ b/src/standin_fabric.cpp
@@ -54,7 +54,7 @@
         std::unique_ptr<DatagramSocket> &socket = m_callers[caller];
         if (!socket) {
             // The caller's own address with any port, so that balancers tell callers apart.
-            socket = std::make_unique<DatagramSocket>(m_io, Endpoint {caller.address, 0}, [this, caller](Endpoint, BytesView bytes) {
+            socket = std::make_unique<DatagramSocket>(m_io, Endpoint{caller.address, 0}, [this, caller](Endpoint, BytesView bytes) {
                 m_socket.send(caller, bytes);
             });
         }
--- a/src/standin_target.cpp
+++ b/src/standin_target.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds AnnounceInterval {1};
+constexpr std::chrono::seconds AnnounceInterval{1};
 
 // New work that comes later than this after the first draining announcement is counted as late.
 constexpr Duration DrainGrace = std::chrono::seconds(3);
@@ -50,7 +50,7 @@
     };
     struct Feed {
         Endpoint balancer;
-        FlowId flow {};
+        FlowId flow{};
         std::uint64_t next = 1;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
@@ -98,11 +98,11 @@
     void sendAnnouncement()
     {
         Announcement announcement;
-        announcement.target = TargetId {m_options.id};
-        announcement.service = ServiceId {m_options.service};
-        announcement.dataCentre = DataCentreId {m_options.dataCentre};
+        announcement.target = TargetId{m_options.id};
+        announcement.service = ServiceId{m_options.service};
+        announcement.dataCentre = DataCentreId{m_options.dataCentre};
         announcement.endpoint = m_endpoint;
-        announcement.incarnation = Incarnation {m_incarnation};
+        announcement.incarnation = Incarnation{m_incarnation};
         announcement.sequence = ++m_sequence;
         announcement.slots = m_options.slots;
         announcement.connections = m_options.connections;
@@ -138,7 +138,7 @@
         m_lateWork += late() ? 1 : 0;
         if (m_draining || m_runs.size() >= m_options.slots) {
             ++m_refused;
-            m_socket.send(from, RunRefused {run.attempt});
+            m_socket.send(from, RunRefused{run.attempt});
             return;
         }
         const std::optional<StandinBody> body = unpackBody(run.body);
@@ -152,7 +152,7 @@
         auto timer = std::make_unique<boost::asio::steady_timer>(m_io, took);
         timer->async_wait([this, from, attempt = run.attempt, body](const boost::system::error_code &error) {
             if (!error) {
-                answer(from, attempt, body.value_or(StandinBody {}));
+                answer(from, attempt, body.value_or(StandinBody{}));
             }
         });
         m_runs[run.attempt] = {std::move(timer)};
@@ -163,7 +163,7 @@
         const auto count = static_cast<std::uint16_t>(m_options.parts);
         for (std::uint16_t part = 0; part < count; ++part) {
             body.part = part;
-            m_socket.send(from, RunPart {attempt, part, count, packBody(body)});
+            m_socket.send(from, RunPart{attempt, part, count, packBody(body)});
         }
         m_runs.erase(attempt);
     }
@@ -179,7 +179,7 @@
         feed.balancer = from;
         feed.flow = attach.flow;
         feed.next = attach.nextSequence;
-        m_socket.send(from, FeedAttached {attach.attachment, attach.flow});
+        m_socket.send(from, FeedAttached{attach.attachment, attach.flow});
         if (!feed.timer) {
             feed.timer = std::make_unique<boost::asio::steady_timer>(m_io);
             push(attach.attachment);
@@ -195,7 +195,7 @@
         Feed &feed = at->second;
         StandinBody body;
         body.number = static_cast<std::uint32_t>(feed.next);
-        m_socket.send(feed.balancer, FeedPush {attachment, feed.flow, feed.next, packBody(body)});
+        m_socket.send(feed.balancer, FeedPush{attachment, feed.flow, feed.next, packBody(body)});
         ++feed.next;
         feed.timer->expires_after(std::chrono::milliseconds(m_options.feedMs));
         feed.timer->async_wait([this, attachment](const boost::system::error_code &error) {
@@ -222,7 +222,7 @@
     std::vector<std::string> m_executed;
     int m_lateWork = 0;
     int m_refused = 0;
-    std::chrono::microseconds m_busy {};
+    std::chrono::microseconds m_busy{};
 };
 
 } // namespace
--- a/src/target_table.cpp
+++ b/src/target_table.cpp
@@ -14,11 +14,25 @@
     return std::pair(announcement.incarnation, announcement.sequence);
 }
 
-auto lowerBound(auto &targets, TargetId id)
+auto placeOf(const Announcement &announcement)
 {
-    return std::lower_bound(targets.begin(), targets.end(), id, [](const Target &target, TargetId wanted) {
-        return target.id() < wanted;
+    return std::pair(announcement.service, announcement.target);
+}
+
+auto lowerBound(auto &targets, ServiceId service, TargetId id)
+{
+    return std::lower_bound(targets.begin(), targets.end(), std::pair(service, id), [](const Target &target, const auto &wanted) {
+        return placeOf(target.announcement) < wanted;
+    });
+}
+
+auto rangeOf(auto &targets, ServiceId service)
+{
+    const auto first = lowerBound(targets, service, TargetId{0});
+    const auto last = std::find_if(first, targets.end(), [service](const Target &target) {
+        return target.announcement.service != service;
     });
+    return std::span(first, last);
 }
 
 } // namespace
@@ -29,6 +43,9 @@
         return AnnouncementEffect::Stale;
     }
     Target *known = find(announcement.target);
+    if (known != nullptr && known->announcement.service != announcement.service) {
+        return AnnouncementEffect::Stale;
+    }
     if (known != nullptr && known->announcement.incarnation == announcement.incarnation) {
         // A balancer that joined late learns here that the target is warm already.
         known->firstHeard = std::min(known->firstHeard, now - knownFor);
@@ -95,8 +112,13 @@
             changed = true;
         }
     }
-    std::erase_if(m_targets, [now](const Target &target) {
-        return target.state == TargetState::Lost && target.running == 0 && target.feeds == 0 && now - target.lastHeard >= TombstoneTime;
+    std::erase_if(m_targets, [this, now](const Target &target) {
+        const bool unused = target.running == 0 && target.feeds == 0;
+        const bool forgotten = target.state == TargetState::Lost && unused && now - target.lastHeard >= TombstoneTime;
+        if (forgotten) {
+            m_services.erase(target.id());
+        }
+        return forgotten;
     });
     m_version += changed ? 1 : 0;
     return changed;
@@ -104,14 +126,24 @@
 
 Target *TargetTable::find(TargetId id)
 {
-    const auto at = lowerBound(m_targets, id);
-    return at != m_targets.end() && at->id() == id ? &*at : nullptr;
+    const auto service = m_services.find(id);
+    return service != m_services.end() ? &*lowerBound(m_targets, service->second, id) : nullptr;
 }
 
 const Target *TargetTable::find(TargetId id) const
 {
-    const auto at = lowerBound(m_targets, id);
-    return at != m_targets.end() && at->id() == id ? &*at : nullptr;
+    const auto service = m_services.find(id);
+    return service != m_services.end() ? &*lowerBound(m_targets, service->second, id) : nullptr;
+}
+
+std::span<Target> TargetTable::targetsOf(ServiceId service)
+{
+    return rangeOf(m_targets, service);
+}
+
+std::span<const Target> TargetTable::targetsOf(ServiceId service) const
+{
+    return rangeOf(m_targets, service);
 }
 
 std::span<Target> TargetTable::targets()
@@ -133,7 +165,8 @@
 {
     Target fresh;
     fresh.announcement = announcement;
-    return *m_targets.insert(lowerBound(m_targets, announcement.target), fresh);
+    m_services[announcement.target] = announcement.service;
+    return *m_targets.insert(lowerBound(m_targets, announcement.service, announcement.target), fresh);
 }
 
 std::uint16_t incarnationBits(Incarnation incarnation)
--- a/src/target_table.h
+++ b/src/target_table.h
@@ -10,7 +10,7 @@
 namespace Robinrail {
 
 // A target that has not been heard of for this long is taken for lost.
-inline constexpr Duration TargetLease = std::chrono::seconds(8);
+inline constexpr Duration TargetLease = std::chrono::seconds(12);
 
 // A lost or drained target is remembered for this long, so that late gossip cannot revive it.
 inline constexpr Duration TombstoneTime = std::chrono::seconds(60);
@@ -61,7 +61,8 @@
 };
 
 // Keeps targets by lease. Per target the highest (incarnation, sequence) wins; draining is final
-// within an incarnation, because a target that said it leaves must not get new work from late news.
+// within an incarnation, because a target that said it leaves must not get new work from late news. A
+// known target keeps its service; an announcement for another one is stale until the target is forgotten.
 class TargetTable
 {
 public:
@@ -77,10 +78,14 @@
     Target *find(TargetId id);
     const Target *find(TargetId id) const;
 
-    // All known targets, tombstones included, in order of their id.
+    // All known targets, tombstones included, in order of service and id.
     std::span<Target> targets();
     std::span<const Target> targets() const;
 
+    // Those of one service; what a request costs must not grow with the other services.
+    std::span<Target> targetsOf(ServiceId service);
+    std::span<const Target> targetsOf(ServiceId service) const;
+
     // Changes whenever a target joins, drains, is lost or comes back.
     std::uint64_t version() const;
 
@@ -88,6 +93,7 @@
     Target &insert(const Announcement &announcement);
 
     std::vector<Target> m_targets;
+    boost::unordered_flat_map<TargetId, ServiceId> m_services; // Where each target stands in the order.
     std::uint64_t m_version = 0;
 };
 
--- a/src/types.h
+++ b/src/types.h
@@ -85,8 +85,8 @@
 
 // One run of one balancer; the unit of ownership and of fencing.
 struct BalancerKey {
-    BalancerId id {};
-    Incarnation incarnation {};
+    BalancerId id{};
+    Incarnation incarnation{};
 
     auto operator<=>(const BalancerKey &) const = default;
 };
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -33,7 +33,7 @@
     }
     for (int i = 1; i <= options.replicas; ++i) {
         Node fresh;
-        fresh.key = {ReplicaId {static_cast<std::uint16_t>(i)}, ++m_lastDisk};
+        fresh.key = {ReplicaId{static_cast<std::uint16_t>(i)}, ++m_lastDisk};
         fresh.clockRate = 1 + m_options.clockSkew * (2 * uniform() - 1);
         m_nodes.push_back(std::move(fresh));
     }
@@ -87,7 +87,7 @@
         const auto turn = m_now.time_since_epoch() / TickStep % (JoinStep / TickStep);
         if (node.core->raft().role() == RaftRole::Joining && turn == 0) {
             for (const Node &other : m_nodes) {
-                send(node, {{other.key.id, 0}, JoinRequest {node.key}});
+                send(node, {{other.key.id, 0}, JoinRequest{node.key}});
             }
         }
         flush(node);
@@ -271,11 +271,11 @@
 
 SignedChange ControlCluster::makeProposal(std::uint64_t base, const std::string &operatorName)
 {
-    ChangeId id {};
+    ChangeId id{};
     for (std::uint8_t &byte : id) {
         byte = static_cast<std::uint8_t>(m_random());
     }
-    return makeChange(id, operatorName, ProposeBundle {base, EmptyBundle}, m_keys.at(operatorName).secretKey);
+    return makeChange(id, operatorName, ProposeBundle{base, EmptyBundle}, m_keys.at(operatorName).secretKey);
 }
 
 void ControlCluster::submit(int number, const SignedChange &change)
@@ -298,7 +298,7 @@
 int ControlCluster::leader() const
 {
     int best = 0;
-    Term bestTerm {};
+    Term bestTerm{};
     for (const Node &each : m_nodes) {
         if (each.up && !each.frozen && each.core->raft().role() == RaftRole::Leader && each.core->raft().term() > bestTerm) {
             best = value(each.key.id);
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -15,7 +15,7 @@
 void checkAll()
 {
     if constexpr (Index < std::variant_size_v<Variant>) {
-        const Variant message {std::in_place_index<Index>};
+        const Variant message{std::in_place_index<Index>};
         const Bytes bytes = encodeMessage(message);
         const std::optional<Variant> decoded = decodeMessage<Variant>(bytes);
         REQUIRE(decoded);
@@ -38,9 +38,9 @@
 TEST_CASE("contents survive the round trip")
 {
     Heartbeat heartbeat;
-    heartbeat.sender = {BalancerId {9}, Incarnation {1'700'000'000'000}};
-    heartbeat.successor = BalancerKey {BalancerId {2}, Incarnation {5}};
-    heartbeat.renewals.push_back({TargetId {4}, 6, 77, 1500});
+    heartbeat.sender = {BalancerId{9}, Incarnation{1'700'000'000'000}};
+    heartbeat.successor = BalancerKey{BalancerId{2}, Incarnation{5}};
+    heartbeat.renewals.push_back({TargetId{4}, 6, 77, 1500});
     const std::optional<Message> decoded = decodeMessage<Message>(encodeMessage(Message(heartbeat)));
     REQUIRE(decoded);
     const auto &same = std::get<Heartbeat>(*decoded);
@@ -67,7 +67,7 @@
 TEST_CASE("truncated, changed and random bytes never do harm")
 {
     pcg64 random(7);
-    const Bytes sound = encodeMessage(Message(Announcement {}));
+    const Bytes sound = encodeMessage(Message(Announcement{}));
     for (std::size_t size = 0; size < sound.size(); ++size) {
         CHECK_FALSE(decodeMessage<Message>(BytesView(sound).first(size)));
     }
@@ -82,7 +82,7 @@
         decodeMessage<Message>(noise);
     }
     // An array header that claims more than memory can hold made the library throw.
-    CHECK_FALSE(decodeMessage<Message>(Bytes {0x9b, 0x34, 0x5f, 1, 2, 3, 4, 5, 6}));
+    CHECK_FALSE(decodeMessage<Message>(Bytes{0x9b, 0x34, 0x5f, 1, 2, 3, 4, 5, 6}));
     // Nesting as deep as a datagram allows.
     decodeMessage<Message>(Bytes(MaxDatagramSize, 0x81));
 }
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -43,7 +43,7 @@
 {
     return rc::gen::apply(
         [](int step, int number, unsigned set) {
-            return Action {static_cast<Step>(step), number, set};
+            return Action{static_cast<Step>(step), number, set};
         },
         rc::gen::inRange(0, static_cast<int>(Step::Resend) + 1),
         rc::gen::inRange(1, replicas + 1),
@@ -305,6 +305,6 @@
     const int old = cluster.leader();
     cluster.partition(1U << static_cast<unsigned>(old - 1));
     ControlCore &core = cluster.core(old);
-    core.read(TimePoint {std::chrono::hours(1)}, 4711);
+    core.read(TimePoint{std::chrono::hours(1)}, 4711);
     CHECK(core.takeOutput().reads.empty());
 }
--- a/tests/test_control_state.cpp
+++ b/tests/test_control_state.cpp
@@ -27,7 +27,7 @@
 
     SignedChange change(const char *name, const ControlChange &content)
     {
-        ChangeId id {};
+        ChangeId id{};
         id[0] = ++lastId;
         return makeChange(id, name, content, std::string_view(name) == "admin" ? admin.secretKey : author.secretKey);
     }
@@ -48,45 +48,45 @@
 TEST_CASE("a change applies once, and its resend gets the first answer, also after a snapshot")
 {
     Fixture fixture;
-    const SignedChange change = fixture.change("admin", ProposeBundle {0, bundleText(1)});
+    const SignedChange change = fixture.change("admin", ProposeBundle{0, bundleText(1)});
     const ChangeResult first = fixture.state.apply(change);
     CHECK(first.version == 1);
-    fixture.apply("admin", ProposeBundle {1, bundleText(1)});
+    fixture.apply("admin", ProposeBundle{1, bundleText(1)});
     CHECK(fixture.state.apply(change) == first);
     ControlState restored;
     REQUIRE(restored.restore(fixture.state.serialize()));
     CHECK(restored.apply(change) == first);
     CHECK(restored.latestVersion() == 2);
-    CHECK_FALSE(restored.restore(Bytes {1, 2, 3}));
+    CHECK_FALSE(restored.restore(Bytes{1, 2, 3}));
 }
 
 TEST_CASE("a bundle that asks for two operators waits for the second")
 {
     Fixture fixture;
-    fixture.apply("admin", ProposeBundle {0, bundleText(2)});
-    const SignedChange proposal = fixture.change("author", ProposeBundle {1, bundleText(2)});
+    fixture.apply("admin", ProposeBundle{0, bundleText(2)});
+    const SignedChange proposal = fixture.change("author", ProposeBundle{1, bundleText(2)});
     CHECK(fixture.state.apply(proposal).version == 0);
     CHECK(fixture.state.latestVersion() == 1);
-    CHECK(fixture.apply("author", ApproveBundle {proposal.change}).refusal == ChangeRefusal::AlreadyApproved);
-    CHECK(fixture.apply("admin", ApproveBundle {proposal.change}).version == 2);
-    CHECK(fixture.apply("admin", ApproveBundle {proposal.change}).refusal == ChangeRefusal::VersionConflict);
-    CHECK(fixture.apply("admin", ApproveBundle {ChangeId {99}}).refusal == ChangeRefusal::UnknownProposal);
+    CHECK(fixture.apply("author", ApproveBundle{proposal.change}).refusal == ChangeRefusal::AlreadyApproved);
+    CHECK(fixture.apply("admin", ApproveBundle{proposal.change}).version == 2);
+    CHECK(fixture.apply("admin", ApproveBundle{proposal.change}).refusal == ChangeRefusal::VersionConflict);
+    CHECK(fixture.apply("admin", ApproveBundle{ChangeId{99}}).refusal == ChangeRefusal::UnknownProposal);
 }
 
 TEST_CASE("who may not sign is refused, and the refusal stands in the audit trail")
 {
     Fixture fixture;
-    SignedChange forged = fixture.change("admin", ProposeBundle {0, bundleText(1)});
+    SignedChange forged = fixture.change("admin", ProposeBundle{0, bundleText(1)});
     forged.signature[0] ^= 1;
     CHECK(fixture.state.apply(forged).refusal == ChangeRefusal::BadSignature);
-    CHECK(fixture.apply("nobody", ProposeBundle {0, bundleText(1)}).refusal == ChangeRefusal::UnknownOperator);
-    const SetOperator revoke {"author", fixture.author.publicKey, OperatorRole::Author, true};
+    CHECK(fixture.apply("nobody", ProposeBundle{0, bundleText(1)}).refusal == ChangeRefusal::UnknownOperator);
+    const SetOperator revoke{"author", fixture.author.publicKey, OperatorRole::Author, true};
     CHECK(fixture.apply("author", revoke).refusal == ChangeRefusal::NotPermitted);
     CHECK(fixture.apply("admin", revoke).refusal == ChangeRefusal::None);
-    CHECK(fixture.apply("author", ProposeBundle {0, bundleText(1)}).refusal == ChangeRefusal::RevokedOperator);
-    const SetOperator last {"admin", fixture.admin.publicKey, OperatorRole::Author, false};
+    CHECK(fixture.apply("author", ProposeBundle{0, bundleText(1)}).refusal == ChangeRefusal::RevokedOperator);
+    const SetOperator last{"admin", fixture.admin.publicKey, OperatorRole::Author, false};
     CHECK(fixture.apply("admin", last).refusal == ChangeRefusal::LastAdministrator);
-    CHECK(fixture.apply("admin", ProposeBundle {0, "{}"}).refusal == ChangeRefusal::InvalidBundle);
+    CHECK(fixture.apply("admin", ProposeBundle{0, "{}"}).refusal == ChangeRefusal::InvalidBundle);
     CHECK(fixture.state.audit().size() == 7);
     CHECK(fixture.state.audit().front().refusal == ChangeRefusal::BadSignature);
 }
@@ -94,7 +94,7 @@
 TEST_CASE("a forged change does not burn the change id of the true one")
 {
     Fixture fixture;
-    const SignedChange change = fixture.change("admin", ProposeBundle {0, bundleText(1)});
+    const SignedChange change = fixture.change("admin", ProposeBundle{0, bundleText(1)});
     SignedChange forged = change;
     forged.signature[3] ^= 1;
     fixture.state.apply(forged);
@@ -105,7 +105,7 @@
 {
     Fixture fixture;
     for (std::uint64_t version = 0; version < 5; ++version) {
-        fixture.apply("admin", ProposeBundle {version, bundleText(1)});
+        fixture.apply("admin", ProposeBundle{version, bundleText(1)});
     }
     std::vector<AuditRecord> records(fixture.state.audit().begin(), fixture.state.audit().end());
     CHECK_FALSE(firstBrokenRecord(records));
@@ -124,28 +124,28 @@
 TEST_CASE("a staged version reaches the first balancers, then all, or is stopped")
 {
     Fixture fixture;
-    fixture.apply("admin", ProposeBundle {0, bundleText(1)});
-    fixture.apply("admin", ProposeBundle {1, bundleText(1, R"(, "firstBalancers": [3])")});
-    CHECK(fixture.state.versionFor(BalancerId {3})->version == 2);
-    CHECK(fixture.state.versionFor(BalancerId {4})->version == 1);
-    CHECK(fixture.apply("author", SteerRollout {1, RolloutAction::Continue}).refusal == ChangeRefusal::NoSuchRollout);
-    CHECK(fixture.apply("author", SteerRollout {2, RolloutAction::Stop}).refusal == ChangeRefusal::None);
-    CHECK(fixture.state.versionFor(BalancerId {4})->version == 1);
-    CHECK(fixture.state.versionFor(BalancerId {3})->version == 2);
-    CHECK(fixture.apply("author", SteerRollout {2, RolloutAction::Continue}).refusal == ChangeRefusal::NoSuchRollout);
-    fixture.apply("admin", ProposeBundle {2, bundleText(1)});
-    CHECK(fixture.state.versionFor(BalancerId {4})->version == 3);
+    fixture.apply("admin", ProposeBundle{0, bundleText(1)});
+    fixture.apply("admin", ProposeBundle{1, bundleText(1, R"(, "firstBalancers": [3])")});
+    CHECK(fixture.state.versionFor(BalancerId{3})->version == 2);
+    CHECK(fixture.state.versionFor(BalancerId{4})->version == 1);
+    CHECK(fixture.apply("author", SteerRollout{1, RolloutAction::Continue}).refusal == ChangeRefusal::NoSuchRollout);
+    CHECK(fixture.apply("author", SteerRollout{2, RolloutAction::Stop}).refusal == ChangeRefusal::None);
+    CHECK(fixture.state.versionFor(BalancerId{4})->version == 1);
+    CHECK(fixture.state.versionFor(BalancerId{3})->version == 2);
+    CHECK(fixture.apply("author", SteerRollout{2, RolloutAction::Continue}).refusal == ChangeRefusal::NoSuchRollout);
+    fixture.apply("admin", ProposeBundle{2, bundleText(1)});
+    CHECK(fixture.state.versionFor(BalancerId{4})->version == 3);
 }
 
 TEST_CASE("a balancer applies offers whole, only upward, by delta or by the whole")
 {
     Fixture fixture;
-    fixture.apply("admin", ProposeBundle {0, bundleText(1)});
+    fixture.apply("admin", ProposeBundle{0, bundleText(1)});
     std::string long2 = bundleText(1, R"(, "firstBalancers": [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17])");
-    fixture.apply("admin", ProposeBundle {1, long2});
+    fixture.apply("admin", ProposeBundle{1, long2});
     std::string long3 = long2;
     long3.replace(long3.find("17"), 2, "18");
-    fixture.apply("admin", ProposeBundle {2, long3});
+    fixture.apply("admin", ProposeBundle{2, long3});
     const auto offer = [&](std::uint64_t from, std::uint64_t to) {
         return makeOffer(fixture.state.find(from), *fixture.state.find(to), fixture.state.operators());
     };
@@ -171,10 +171,10 @@
 TEST_CASE("a version is confirmed only while a replica in contact with a quorum says so")
 {
     Fixture fixture;
-    fixture.apply("admin", ProposeBundle {0, bundleText(1)});
+    fixture.apply("admin", ProposeBundle{0, bundleText(1)});
     RolloutAgent agent;
     agent.take(makeOffer(nullptr, *fixture.state.find(1), {}));
-    const TimePoint start {std::chrono::seconds(100)};
+    const TimePoint start{std::chrono::seconds(100)};
     CHECK_FALSE(agent.confirmed(start));
     agent.noteBeat(start, {1, false});
     CHECK_FALSE(agent.confirmed(start));
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -22,23 +22,23 @@
     std::set<std::uint32_t> taken;
     for (int i = 0; i < 100'000; ++i) {
         const auto id = static_cast<std::uint32_t>(1 + i / 3 + random() % 100);
-        if (window.take(RequestId {id}) == RequestAge::Fresh) {
+        if (window.take(RequestId{id}) == RequestAge::Fresh) {
             CHECK(taken.insert(id).second);
         }
     }
     CHECK(taken.size() > 20'000);
-    CHECK(window.look(RequestId {window.highest()}) == RequestAge::Seen);
-    CHECK(window.look(RequestId {window.highest() - 64}) == RequestAge::BelowWindow);
+    CHECK(window.look(RequestId{window.highest()}) == RequestAge::Seen);
+    CHECK(window.look(RequestId{window.highest() - 64}) == RequestAge::BelowWindow);
 }
 
 TEST_CASE("a request window survives being handed over")
 {
     RequestWindow window;
-    window.take(RequestId {5});
-    window.take(RequestId {3});
+    window.take(RequestId{5});
+    window.take(RequestId{3});
     RequestWindow copy(window.highest(), window.bits());
-    CHECK(copy.take(RequestId {3}) == RequestAge::Seen);
-    CHECK(copy.take(RequestId {4}) == RequestAge::Fresh);
+    CHECK(copy.take(RequestId{3}) == RequestAge::Seen);
+    CHECK(copy.take(RequestId{4}) == RequestAge::Fresh);
 }
 
 TEST_CASE("an answer is complete only with all parts, in any order, each once")
@@ -50,7 +50,7 @@
     CHECK(assembly.add(3, 3, {9}) == PartEffect::Ignored);
     CHECK(assembly.add(0, 3, {0}) == PartEffect::Taken);
     CHECK(assembly.add(1, 3, {1}) == PartEffect::Completed);
-    CHECK(assembly.parts() == std::vector<Bytes> {{0}, {1}, {2}});
+    CHECK(assembly.parts() == std::vector<Bytes>{{0}, {1}, {2}});
     CHECK(AnswerAssembly().add(0, 0, {}) == PartEffect::Ignored);
     CHECK(AnswerAssembly().add(0, MaxAnswerParts + 1, {}) == PartEffect::Ignored);
 }
@@ -87,9 +87,9 @@
 TEST_CASE("settled answers are given again for a while")
 {
     SettledAnswers settled;
-    const TimePoint start {std::chrono::seconds(100)};
-    const RequestKey key {FlowId {1}, RequestId {2}};
-    settled.remember(start, key, {Refusal {}});
+    const TimePoint start{std::chrono::seconds(100)};
+    const RequestKey key{FlowId{1}, RequestId{2}};
+    settled.remember(start, key, {Refusal{}});
     CHECK(settled.find(key).size() == 1);
     settled.expire(start + AnswerCacheTime - Duration(1));
     CHECK(settled.size() == 1);
@@ -99,12 +99,12 @@
 
 TEST_CASE("datagrams are taken once, from those who hold the key, and not from an older run")
 {
-    const ClusterKey key {1};
-    DatagramGuard old(key, {BalancerId {1}, Incarnation {1}});
-    DatagramGuard sender(key, {BalancerId {1}, Incarnation {2}});
-    DatagramGuard stranger({2}, {BalancerId {1}, Incarnation {3}});
-    DatagramGuard receiver(key, {BalancerId {2}, Incarnation {1}});
-    const Bytes payload {1, 2, 3};
+    const ClusterKey key{1};
+    DatagramGuard old(key, {BalancerId{1}, Incarnation{1}});
+    DatagramGuard sender(key, {BalancerId{1}, Incarnation{2}});
+    DatagramGuard stranger({2}, {BalancerId{1}, Incarnation{3}});
+    DatagramGuard receiver(key, {BalancerId{2}, Incarnation{1}});
+    const Bytes payload{1, 2, 3};
     const Bytes first = sender.seal(payload);
     const Bytes second = sender.seal(payload);
     CHECK(receiver.open(second));
--- a/tests/test_proofs.cpp
+++ b/tests/test_proofs.cpp
@@ -177,6 +177,17 @@
     }
 }
 
+TEST_CASE("without any fault no target is taken for lost and nothing ends as unknown")
+{
+    forSeeds(
+        [](SimulationOptions &options) {
+            options.duration = seconds(60);
+        },
+        [](const SimulationResult &result) {
+            CHECK(result.outcomes[static_cast<std::size_t>(Outcome::OutcomeUnknown)] == 0);
+        });
+}
+
 TEST_CASE("the same seed gives the same run")
 {
     SimulationOptions options = optionsFor(1);
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -45,7 +45,7 @@
     const std::string fault = leaf::try_handle_all(
         [&]() -> leaf::result<std::string> {
             BOOST_LEAF_AUTO(file, loadBalancerFile(path));
-            CHECK(file.dataCentreId == DataCentreId {2});
+            CHECK(file.dataCentreId == DataCentreId{2});
             return std::string();
         },
         [](const SettingsFault &found) {
@@ -127,7 +127,7 @@
 
 TEST_CASE("a session is established only between holders of the key, and frames can't be played again")
 {
-    const ClusterKey key {1};
+    const ClusterKey key{1};
     const auto meet = [](const ClusterKey &one, const ClusterKey &other) {
         SecureSession dialler(one, PeerRole::Balancer, 1, true);
         SecureSession acceptor(other, PeerRole::Control, 2, false);
@@ -146,9 +146,9 @@
     const Bytes proof = dialler.proof();
     CHECK(acceptor.receive(proof) == SecureSession::Event::Established);
     CHECK(acceptor.peer().id == 1);
-    const Bytes frame = dialler.seal(Bytes {1, 2});
+    const Bytes frame = dialler.seal(Bytes{1, 2});
     CHECK(acceptor.receive(frame) == SecureSession::Event::Payload);
-    CHECK(acceptor.payload() == Bytes {1, 2});
+    CHECK(acceptor.payload() == Bytes{1, 2});
     CHECK(acceptor.receive(frame) == SecureSession::Event::Failed);
     SecureSession reflected(key, PeerRole::Balancer, 1, true);
     reflected.receive(reflected.hello());
--- a/tests/test_storage.cpp
+++ b/tests/test_storage.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr ReplicaId Self {1};
+constexpr ReplicaId Self{1};
 
 // A folder of its own for each case, removed at the end.
 class Folder
@@ -42,13 +42,13 @@
 
 LogEntry entryOf(std::uint64_t index, std::uint64_t term)
 {
-    return {Term {term}, LogIndex {index}, EntryKind::Command, Bytes(20, static_cast<std::uint8_t>(index))};
+    return {Term{term}, LogIndex{index}, EntryKind::Command, Bytes(20, static_cast<std::uint8_t>(index))};
 }
 
 RaftOutput outputOf(std::uint64_t term, std::vector<LogEntry> entries)
 {
     RaftOutput output;
-    output.hard = HardState {Term {term}, {}};
+    output.hard = HardState{Term{term}, {}};
     output.entries = std::move(entries);
     return output;
 }
@@ -119,7 +119,7 @@
     }));
     CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) -> leaf::result<void> {
         const RaftDurable durable = storage.takeDurable();
-        CHECK(durable.hard.term == Term {4});
+        CHECK(durable.hard.term == Term{4});
         REQUIRE(durable.log.size() == 2);
         CHECK(durable.log[1] == entryOf(2, 4));
         return {};
@@ -170,7 +170,7 @@
           == StorageError::ForeignFolder);
     const auto other = leaf::try_handle_all(
         [&]() -> leaf::result<StorageError> {
-            BOOST_LEAF_CHECK(RaftStorage::open(folder.path(), ReplicaId {2}, 1));
+            BOOST_LEAF_CHECK(RaftStorage::open(folder.path(), ReplicaId{2}, 1));
             return StorageError::Io;
         },
         [](StorageError error) {
@@ -192,19 +192,19 @@
     writeThree(folder.path());
     CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) -> leaf::result<void> {
         Snapshot snapshot;
-        snapshot.index = LogIndex {2};
-        snapshot.term = Term {2};
+        snapshot.index = LogIndex{2};
+        snapshot.term = Term{2};
         snapshot.state = {1, 2, 3};
         const LogEntry rest[] = {entryOf(3, 3)};
         const std::uint64_t before = storage.logBytes();
-        BOOST_LEAF_CHECK(storage.compact(snapshot, HardState {Term {3}, {}}, rest));
+        BOOST_LEAF_CHECK(storage.compact(snapshot, HardState{Term{3}, {}}, rest));
         CHECK(storage.logBytes() < before);
         return {};
     }));
     CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) -> leaf::result<void> {
         const RaftDurable durable = storage.takeDurable();
-        CHECK(durable.snapshot->state == Bytes {1, 2, 3});
-        CHECK(durable.hard.term == Term {3});
+        CHECK(durable.snapshot->state == Bytes{1, 2, 3});
+        CHECK(durable.hard.term == Term{3});
         CHECK(durable.log.size() == 1);
         return {};
     }));
@@ -220,9 +220,9 @@
     fs::copy(folder.path(), old.path(), fs::copy_options::recursive | fs::copy_options::overwrite_existing);
     CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) {
         Snapshot snapshot;
-        snapshot.index = LogIndex {2};
-        snapshot.term = Term {2};
-        return storage.compact(snapshot, HardState {Term {3}, {}}, {});
+        snapshot.index = LogIndex{2};
+        snapshot.term = Term{2};
+        return storage.compact(snapshot, HardState{Term{3}, {}}, {});
     }));
     fs::copy_file(old.path() / "log", folder.path() / "log", fs::copy_options::overwrite_existing);
     CHECK(entriesIn(folder.path()) == 1);
