Share schedules of faults between bench and tests; true sizes of messages

Change: the schedules live in bench/simulation, incarnations are milliseconds since 1970 as in life.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -80,13 +80,6 @@
     SimulationOptions options;
 };
 
-void makeNoisy(SimulationOptions &options)
-{
-    options.drop = 0.1;
-    options.duplicate = 0.1;
-    options.late = 0.1;
-}
-
 std::vector<Scenario> scenariosOf(const std::string &place, const SimulatedDeployment &deployment, std::uint64_t seed)
 {
     SimulationOptions base;
@@ -106,21 +99,8 @@
             options.load = load;
         });
     }
-    add("stop all 8 balancers in turn", [](SimulationOptions &options) {
-        options.duration = seconds(125);
-        for (int number = 1; number <= 8; ++number) {
-            options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
-            options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
-        }
-    });
-    add("replace all 18 targets in turn", [](SimulationOptions &options) {
-        options.duration = seconds(95);
-        for (int number = 1; number <= 18; ++number) {
-            options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
-            options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
-            options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
-        }
-    });
+    add("stop all 8 balancers in turn", stopEveryBalancer);
+    add("replace all 18 targets in turn", replaceEveryTarget);
     add("kill a balancer", [](SimulationOptions &options) {
         options.faults = {{seconds(5), FaultKind::KillBalancer, 3}};
     });
@@ -133,22 +113,8 @@
     add("kill a target, silence another", [](SimulationOptions &options) {
         options.faults = {{seconds(5), FaultKind::KillTarget, 1}, {seconds(8), FaultKind::SilenceTarget, 2}};
     });
-    add("10% lost, doubled, late", makeNoisy);
-    add("all together", [](SimulationOptions &options) {
-        makeNoisy(options);
-        options.duration = seconds(60);
-        options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
-                          {seconds(8), FaultKind::StopBalancer, 5},
-                          {seconds(9), FaultKind::DrainTarget, 4},
-                          {seconds(12), FaultKind::StartBalancer, 3},
-                          {seconds(14), FaultKind::KillTarget, 4},
-                          {seconds(15), FaultKind::FreezeBalancer, 1},
-                          {seconds(22), FaultKind::ThawBalancer, 1},
-                          {seconds(24), FaultKind::CutDataCentre, 2},
-                          {seconds(32), FaultKind::JoinDataCentre, 2},
-                          {seconds(33), FaultKind::StartTarget, 4},
-                          {seconds(36), FaultKind::KillBalancer, 8}};
-    });
+    add("10% lost, doubled, late", loseDoubleAndDelay);
+    add("all together", bringAllTogether);
     return scenarios;
 }
 
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -101,6 +101,56 @@
     return deployment;
 }
 
+void stopEveryBalancer(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    options.duration = seconds(125);
+    for (int number = 1; number <= options.deployment.balancers; ++number) {
+        options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
+        options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
+    }
+}
+
+void replaceEveryTarget(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    options.duration = seconds(95);
+    int hosts = 0;
+    for (const SimulatedService &service : options.deployment.services) {
+        hosts += service.hosts;
+    }
+    for (int number = 1; number <= hosts; ++number) {
+        options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
+        options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
+        options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
+    }
+}
+
+void loseDoubleAndDelay(SimulationOptions &options)
+{
+    options.drop = 0.1;
+    options.duplicate = 0.1;
+    options.late = 0.1;
+}
+
+void bringAllTogether(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    loseDoubleAndDelay(options);
+    options.duration = seconds(60);
+    options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
+                      {seconds(8), FaultKind::StopBalancer, 5},
+                      {seconds(9), FaultKind::DrainTarget, 4},
+                      {seconds(12), FaultKind::StartBalancer, 3},
+                      {seconds(14), FaultKind::KillTarget, 4},
+                      {seconds(15), FaultKind::FreezeBalancer, 1},
+                      {seconds(22), FaultKind::ThawBalancer, 1},
+                      {seconds(24), FaultKind::CutDataCentre, 2},
+                      {seconds(32), FaultKind::JoinDataCentre, 2},
+                      {seconds(33), FaultKind::StartTarget, 4},
+                      {seconds(36), FaultKind::KillBalancer, 8}};
+}
+
 std::uint64_t SimulationResult::signature() const
 {
     std::uint64_t mixed = 0;
@@ -269,7 +319,7 @@
 void Simulation<Policy>::startBalancer(BalancerNode &node)
 {
     BalancerSettings settings;
-    settings.self = {node.id, Incarnation{++node.run}};
+    settings.self = {node.id, Incarnation{FirstIncarnation + ++node.run}};
     settings.dataCentre = DataCentreId{static_cast<std::uint8_t>(node.dataCentre)};
     settings.connectionIdKeys = {{1, {1, 2, 3}}};
     for (const BalancerNode &peer : m_balancers) {
@@ -454,7 +504,7 @@
     announcement.service = target.service->id;
     announcement.dataCentre = DataCentreId{static_cast<std::uint8_t>(target.dataCentre)};
     announcement.endpoint = target.endpoint;
-    announcement.incarnation = Incarnation{run};
+    announcement.incarnation = Incarnation{FirstIncarnation + run};
     announcement.sequence = ++target.sequence;
     announcement.slots = target.service->slots;
     announcement.connections = 2000;
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -76,6 +76,12 @@
     std::vector<Fault> faults; // Times after the warm-up.
 };
 
+// Schedules that benchmark and tests share.
+void stopEveryBalancer(SimulationOptions &options);
+void replaceEveryTarget(SimulationOptions &options);
+void loseDoubleAndDelay(SimulationOptions &options); // A tenth of the packets each.
+void bringAllTogether(SimulationOptions &options);
+
 struct SimulationResult {
     std::uint64_t sent = 0;
     std::array<std::uint64_t, 4> outcomes{}; // By Outcome.
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -326,22 +326,22 @@
         return versions;
     };
     report("delta of one changed service", "bytes", "service", {10, 100, 500, 1000}, [&](double size) {
-        const auto [old, fresh] = versionsOf(size);
-        return static_cast<double>(encodeMessage(std::variant<BundleOffer>(makeOffer(&old, fresh, {}))).size());
+        const auto versions = versionsOf(size);
+        return static_cast<double>(encodeMessage(std::variant<BundleOffer>(makeOffer(&versions.first, versions.second, {}))).size());
     });
     report("making a delta", "us", "service", {10, 100, 500, 1000}, [&](double size) {
-        const auto [old, fresh] = versionsOf(size);
+        const auto versions = versionsOf(size);
         return microsecondsOf(
             [&] {
-                makeOffer(&old, fresh, {});
+                makeOffer(&versions.first, versions.second, {});
             },
             2);
     });
     report("applying a delta at a balancer", "us", "service", {10, 100, 500, 1000}, [&](double size) {
-        const auto [old, fresh] = versionsOf(size);
-        const BundleOffer offer = makeOffer(&old, fresh, {});
+        const auto versions = versionsOf(size);
+        const BundleOffer offer = makeOffer(&versions.first, versions.second, {});
         RolloutAgent agent;
-        agent.take(makeOffer(nullptr, old, {}));
+        agent.take(makeOffer(nullptr, versions.first, {}));
         return microsecondsOf(
             [&] {
                 RolloutAgent copy = agent;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -38,7 +38,7 @@
     'if (flow->window.take(request.request) != RequestAge::Fresh) {' \
     'if (flow->window.take(request.request) != RequestAge::Fresh && (isPending(key) || !m_settled.find(key).empty())) {' \
     '*repeated packet*,*tenth of the packets*'
-mutate "no check of the service in the id" src/balancer_core.cpp 'if (id->service != service) {' 'if (id->service == ServiceId{}) {' \
+mutate "no check of the service in the id" src/balancer_core.cpp 'if (id->service != service) {' 'if (id->service != service && value(service) == 0) {' \
     '*never reaches another*'
 mutate "no check of the MAC" src/connection_id.cpp \
     'if (sodium_memcmp(mac.data(), sealed.data() + ConnectionIdContentSize, mac.size()) != 0) {' 'if (mac.empty()) {' '*1.2 million*'
--- a/tests/test_proofs.cpp
+++ b/tests/test_proofs.cpp
@@ -43,54 +43,30 @@
     }
 }
 
-void makeNoisy(SimulationOptions &options)
-{
-    options.drop = 0.1;
-    options.duplicate = 0.1;
-    options.late = 0.1;
-}
-
 } // namespace
 
 TEST_CASE("every balancer is stopped in turn with feeds open: no broken flow")
 {
-    forSeeds(
-        [](SimulationOptions &options) {
-            options.duration = seconds(125);
-            for (int number = 1; number <= 8; ++number) {
-                options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
-                options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
-            }
-        },
-        [](const SimulationResult &result) {
-            CHECK(result.brokenFlows == 0);
-            CHECK(result.stoppedBalancers == 8);
-            CHECK(result.longestStall < seconds(2));
-            CHECK(result.unanswered == 0);
-        });
+    forSeeds(stopEveryBalancer, [](const SimulationResult &result) {
+        CHECK(result.brokenFlows == 0);
+        CHECK(result.stoppedBalancers == 8);
+        CHECK(result.longestStall < seconds(2));
+        CHECK(result.unanswered == 0);
+    });
 }
 
 TEST_CASE("every target is replaced in turn: no broken flow, and no new work after 3 s")
 {
-    forSeeds(
-        [](SimulationOptions &options) {
-            options.duration = seconds(95);
-            for (int number = 1; number <= 18; ++number) {
-                options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
-                options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
-                options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
-            }
-        },
-        [](const SimulationResult &result) {
-            CHECK(result.brokenFlows == 0);
-            CHECK(result.lateWork == 0);
-            CHECK(result.unanswered == 0);
-        });
+    forSeeds(replaceEveryTarget, [](const SimulationResult &result) {
+        CHECK(result.brokenFlows == 0);
+        CHECK(result.lateWork == 0);
+        CHECK(result.unanswered == 0);
+    });
 }
 
 TEST_CASE("a tenth of the packets lost, doubled and late: answers are whole or refused once")
 {
-    forSeeds(makeNoisy, [](const SimulationResult &result) {
+    forSeeds(loseDoubleAndDelay, [](const SimulationResult &result) {
         CHECK(result.brokenFlows == 0);
         CHECK(result.sent >= result.outcomes[0]);
     });
@@ -143,23 +119,7 @@
 
 TEST_CASE("all of it together")
 {
-    forSeeds(
-        [](SimulationOptions &options) {
-            makeNoisy(options);
-            options.duration = seconds(60);
-            options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
-                              {seconds(8), FaultKind::StopBalancer, 5},
-                              {seconds(9), FaultKind::DrainTarget, 4},
-                              {seconds(12), FaultKind::StartBalancer, 3},
-                              {seconds(14), FaultKind::KillTarget, 4},
-                              {seconds(15), FaultKind::FreezeBalancer, 1},
-                              {seconds(22), FaultKind::ThawBalancer, 1},
-                              {seconds(24), FaultKind::CutDataCentre, 2},
-                              {seconds(32), FaultKind::JoinDataCentre, 2},
-                              {seconds(33), FaultKind::StartTarget, 4},
-                              {seconds(36), FaultKind::KillBalancer, 8}};
-        },
-        [](const SimulationResult &) {});
+    forSeeds(bringAllTogether, [](const SimulationResult &) {});
 }
 
 TEST_CASE("a balancer that joins under traffic routes as well as the others once it is ready")
@@ -192,6 +152,6 @@
 {
     SimulationOptions options = optionsFor(1);
     options.duration = seconds(10);
-    makeNoisy(options);
+    loseDoubleAndDelay(options);
     CHECK(Simulation<DealtSlots>(options).run().signature() == Simulation<DealtSlots>(options).run().signature());
 }
