--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -196,14 +196,18 @@
 check "and takes the new version when it is joined again" wait_for 20 caught_up
 
 check "the audit trail is whole" robinrail audit verify
-check "settings with a fault are refused with 2" bash -c "
-    sed 's/"dataCentre": "ktm-bhakta"/"dataCentre": "nowhere"/' '$work/balancer-2.json' > '$work/bad.json'
-    '$bin/robinrail-balancer' --settings='$work/bad.json' --check 2> /dev/null
-    [ \$? -eq 2 ]"
-check "a folder of another replica is refused with 3" bash -c "
-    sed 's/\"replica\": 1,/\"replica\": 2,/; s/control-2\"/control-1\"/' '$work/control-1.json' > '$work/foreign.json'
-    timeout 10 '$bin/robinrail-control' --settings='$work/foreign.json' > /dev/null 2>&1
-    [ \$? -eq 3 ]"
+bad_settings_refused() {
+    sed 's/"dataCentre": "ktm-bhakta"/"dataCentre": "nowhere"/' "$work/balancer-2.json" > "$work/bad.json"
+    "$bin/robinrail-balancer" --settings="$work/bad.json" --check > /dev/null 2>&1
+    [ $? -eq 2 ]
+}
+check "settings with a fault are refused with 2" bad_settings_refused
+foreign_folder_refused() {
+    sed 's/"replica": 1,$/"replica": 2,/; s/control-2"/control-1"/' "$work/control-1.json" > "$work/foreign.json"
+    timeout 10 "$bin/robinrail-control" --settings="$work/foreign.json" > /dev/null 2>&1
+    [ $? -eq 3 ]
+}
+check "a folder of another replica is refused with 3" foreign_folder_refused
 
 echo "daemon checks that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
