--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -83,6 +83,7 @@
 void report(const char *name, const char *unit, const char *per, const std::vector<double> &sizes, const std::function<double(double)> &measure)
 {
     std::vector<Point> points;
+    points.reserve(sizes.size());
     for (const double size : sizes) {
         points.push_back({size, measure(size)});
     }
