Bound the files that are read whole; let the full-disk test bring about a full disk

Cause: the sanitizer run aborted for want of memory: the test of a full disk linked the log to /dev/full, which reads as zeros without end, and opening read it until memory ran out (26 s of system time in each run of the tests).

Ruled out: a leak in the library; all other cases ran clean.

Change: a file above 512 MiB is an error; the test limits the file size, so that the write fails as on a full disk; a new test opens an endless log.

--- a/src/durable_file.cpp
+++ b/src/durable_file.cpp
@@ -65,6 +65,10 @@
             return failure(FileError::Read, path);
         }
         bytes.resize(before + static_cast<std::size_t>(got));
+        if (bytes.size() > MaxFileSize) {
+            errno = EFBIG;
+            return failure(FileError::Read, path);
+        }
         if (got == 0) {
             return std::optional<Bytes>(std::move(bytes));
         }
--- a/src/durable_file.h
+++ b/src/durable_file.h
@@ -26,7 +26,10 @@
     int errorNumber = 0;
 };
 
-// The whole file; empty optional if it does not exist.
+// Largest file that is read whole, bytes. A device or a runaway file must not take all memory.
+inline constexpr std::size_t MaxFileSize = std::size_t{512} << 20U;
+
+// The whole file; empty optional if it does not exist, an error if it is larger than MaxFileSize.
 boost::leaf::result<std::optional<Bytes>> readFile(const std::filesystem::path &path);
 
 // Writes a temporary file, syncs it, renames it over `path` and syncs the folder.
--- a/tests/test_storage.cpp
+++ b/tests/test_storage.cpp
@@ -5,7 +5,9 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <fstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace Robinrail;
@@ -232,11 +234,27 @@
 {
     const Folder folder;
     writeThree(folder.path());
-    // /dev/full answers every write with "no space left".
-    fs::remove(folder.path() / "log");
-    fs::create_symlink("/dev/full", folder.path() / "log");
-    const std::optional<StorageError> error = withStorage(folder.path(), [](RaftStorage &storage) {
-        return storage.persist(outputOf(9, {entryOf(1, 9)}));
+    // A limit on file sizes makes the next write fail as a full disk does.
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    const std::optional<StorageError> error = withStorage(folder.path(), [&](RaftStorage &storage) {
+        rlimit small = before;
+        small.rlim_cur = storage.logBytes();
+        ::setrlimit(RLIMIT_FSIZE, &small);
+        auto result = storage.persist(outputOf(9, {entryOf(4, 9)}));
+        ::setrlimit(RLIMIT_FSIZE, &before);
+        return result;
     });
     CHECK(error == StorageError::Io);
+    CHECK(entriesIn(folder.path()) == 3);
+}
+
+TEST_CASE("a log without an end is refused and does not take all memory")
+{
+    const Folder folder;
+    writeThree(folder.path());
+    fs::remove(folder.path() / "log");
+    fs::create_symlink("/dev/zero", folder.path() / "log");
+    CHECK(openError(folder.path()) == StorageError::Io);
 }
