--- a/src/bundle.h
+++ b/src/bundle.h
@@ -49,6 +49,7 @@
 std::string_view bundleSchema();
 std::string_view balancerSettingsSchema();
 std::string_view controlSettingsSchema();
+std::string_view steeringSettingsSchema();
 
 // Parses and checks a bundle text; empty with `fault` set if it is not valid.
 std::optional<Bundle> parseBundle(std::string_view text, JsonFault &fault);
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -42,7 +42,7 @@
     , m_links(io,
               m_file.clusterKey,
               PeerRole::Control,
-              value(m_file.replica),
+              static_cast<std::uint16_t>(value(m_file.replica)),
               {[](LinkHandle, const Hello &) {},
                [this](LinkHandle link, const Hello &peer, const LinkMessage &message) {
                    onMessage(link, peer, message);
@@ -161,7 +161,7 @@
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
     const RaftEnvelope envelope{m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
-    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, value(send.to.id), true)) {
+    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)), true)) {
         m_links.send(link, envelope);
     }
 }
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -47,6 +47,23 @@
 
 } // namespace
 
+Bytes ControlState::encodeChange(const SignedChange &change)
+{
+    return encodeMessage(ControlCommand(change));
+}
+
+ChangeResult ControlState::applyCommand(BytesView bytes)
+{
+    const std::optional<ControlCommand> command = decodeMessage<ControlCommand>(bytes);
+    if (const auto *change = command ? std::get_if<SignedChange>(&*command) : nullptr) {
+        return apply(*change);
+    }
+    if (command) {
+        apply(std::get<Genesis>(*command));
+    }
+    return {};
+}
+
 void ControlState::apply(const Genesis &genesis)
 {
     if (m_operators.empty()) {
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -89,6 +89,16 @@
 class ControlState
 {
 public:
+    using Change = SignedChange;
+    using Result = ChangeResult;
+
+    // Entries of this many bytes are replaced by a snapshot, which itself may hold 64 bundles of 1 MiB.
+    static constexpr std::size_t CompactionBytes = std::size_t{64} << 20U;
+
+    // A change as the replicated log carries it, and a command of the log applied.
+    static Bytes encodeChange(const SignedChange &change);
+    ChangeResult applyCommand(BytesView command);
+
     // Takes the first operators; does nothing if there are any.
     void apply(const Genesis &genesis);
 
--- /dev/null
+++ b/src/flow_steering.cpp
@@ -0,0 +1,376 @@
+// SPDX-License-Identifier: MIT
+// Flow steering: implementation.
+#include "flow_steering.h"
+
+#include <algorithm>
+
+namespace Robinrail {
+
+namespace {
+
+std::uint64_t packed(Endpoint endpoint)
+{
+    return std::uint64_t{endpoint.address} << 16U | endpoint.port;
+}
+
+// Whether one sequence number lies behind another on their circle.
+bool behind(std::uint32_t one, std::uint32_t other)
+{
+    return static_cast<std::int32_t>(one - other) < 0;
+}
+
+constexpr std::array<std::string_view, SteeringReasonCount> ReasonNames = {
+    "new-flow", "repeated-opening", "other-target", "open-flow", "pinned-flow", "no-route", "no-target", "route-dropped", "target-left", "unknown-token"};
+
+} // namespace
+
+std::string_view nameOf(SteeringReason reason)
+{
+    return ReasonNames[static_cast<std::size_t>(reason)];
+}
+
+template<SteeringChoice Choice>
+BasicFlowSteering<Choice>::BasicFlowSteering(DataCentreId dataCentre)
+    : m_dataCentre(dataCentre)
+{
+}
+
+// ---- Routes ----
+
+template<SteeringChoice Choice>
+bool BasicFlowSteering<Choice>::apply(const RoutingTable &table)
+{
+    if (table.version <= m_table.version) {
+        return false;
+    }
+    for (const auto &[address, route] : m_routes) {
+        m_dropped[address] = table.version;
+    }
+    m_table = table;
+    m_routes.clear();
+    for (const Route &route : m_table.routes) {
+        m_routes[packed(route.address)] = &route;
+        m_dropped.erase(packed(route.address));
+    }
+    return true;
+}
+
+template<SteeringChoice Choice>
+std::uint64_t BasicFlowSteering<Choice>::version() const
+{
+    return m_table.version;
+}
+
+// ---- Packets ----
+
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::steer(TimePoint now, const FlowPacket &packet)
+{
+    const SteeringDecision decision = packet.opening ? open(now, packet) : follow(now, packet);
+    ++m_counts[static_cast<std::size_t>(decision.reason)];
+    return decision;
+}
+
+// An opening packet. The same copy goes to the same target. A later copy says that the target stayed silent
+// for 200 ms or more, or that a packet was lost; either way another target is the better bet.
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::open(TimePoint now, const FlowPacket &packet)
+{
+    const auto found = m_routes.find(packed(packet.route));
+    if (found == m_routes.end()) {
+        return reset(SteeringReason::NoRoute, packet);
+    }
+    const FlowKey key{packet.caller, packet.route};
+    Flow *flow = remember(now, key);
+    SteeringReason reason = SteeringReason::NewFlow;
+    FlowToken avoid{};
+    // A late copy on an open flow must not find it a second target; a first copy is a new flow on an old port.
+    const bool late = flow != nullptr && flow->open && packet.copy > 0;
+    if (late || (flow != nullptr && !flow->open && value(flow->target) != 0)) {
+        SteeredTarget *first = m_targets.find(flow->target);
+        if ((late || packet.copy <= flow->copy) && first != nullptr && first->record.phase == TargetPhase::Serving) {
+            return forward(SteeringReason::RepeatedOpening, *first);
+        }
+        if (packet.copy > flow->copy && first != nullptr) {
+            suspect(now, *first);
+            avoid = flow->target;
+            reason = SteeringReason::OtherTarget;
+        }
+    }
+    const ChoiceContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
+    SteeredTarget *target = choose(context, *found->second, avoid);
+    if (target == nullptr) {
+        return reset(SteeringReason::NoTarget, packet);
+    }
+    if (flow != nullptr) {
+        assign(*flow, *target);
+        flow->copy = packet.copy;
+        flow->open = false;
+    }
+    return forward(reason, *target);
+}
+
+// A packet of a flow that its target has answered: the token says which target that is.
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::follow(TimePoint now, const FlowPacket &packet)
+{
+    if (m_dropped.contains(packed(packet.route))) {
+        return packet.reset ? drop(SteeringReason::RouteDropped) : reset(SteeringReason::RouteDropped, packet);
+    }
+    FlowToken token = packet.token;
+    SteeringReason reason = SteeringReason::OpenFlow;
+    Flow *flow = remember(now, {packet.caller, packet.route});
+    if (flow != nullptr && flow->open && flow->target != token && m_targets.find(flow->target) != nullptr) {
+        // Two targets answered copies of the opening packet. The flow is open at the one that the first
+        // packet named; the token changed when the other one's answer came late.
+        token = flow->target;
+        reason = SteeringReason::PinnedFlow;
+    }
+    SteeredTarget *target = m_targets.find(token);
+    if (target == nullptr) {
+        return drop(SteeringReason::UnknownToken);
+    }
+    if (target->record.phase == TargetPhase::Left && now - target->leftAt >= LeftGrace) {
+        return packet.reset ? drop(SteeringReason::TargetLeft) : reset(SteeringReason::TargetLeft, packet);
+    }
+    if (flow != nullptr) {
+        assign(*flow, *target);
+        observe(now, packet, *flow);
+    }
+    return forward(reason, *target);
+}
+
+// What a packet tells about load and about the target's health.
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::observe(TimePoint now, const FlowPacket &packet, Flow &flow)
+{
+    SteeredTarget &target = *m_targets.find(flow.target);
+    const bool answered = !flow.open || behind(flow.acknowledged, packet.acknowledged);
+    flow.open = true;
+    if (answered) {
+        flow.acknowledged = packet.acknowledged;
+        setBusy(flow, false);
+        m_targets.sawAlive(now, target);
+    }
+    if (packet.dataBytes > 0) {
+        const bool repeated = flow.busy && !behind(flow.sequence, packet.sequence);
+        if (!repeated) {
+            flow.sequence = packet.sequence;
+            flow.sentAt = CoarseTime(now);
+        } else if (target.alive + flow.sentAt.elapsed(now) <= now) {
+            // Data is sent again, and nothing came from the target since it was sent first.
+            suspect(now, target);
+        }
+        setBusy(flow, true);
+    }
+    if (packet.closing || packet.reset) {
+        release(flow);
+    }
+}
+
+// ---- Choice ----
+
+template<SteeringChoice Choice>
+SteeredTarget *BasicFlowSteering<Choice>::choose(const ChoiceContext &context, const Route &route, FlowToken avoid)
+{
+    const std::string &service = serviceOf(route, context.flowHash);
+    SteeredTarget *target = chooseOf(context, service, avoid);
+    for (std::size_t i = 0; target == nullptr && i < route.services.size(); ++i) {
+        if (route.services[i].weight > 0) {
+            target = chooseOf(context, m_table.services[route.services[i].service], avoid);
+        }
+    }
+    return target;
+}
+
+// The best of the targets without a blemish; if there are none, of those that are only suspect or silent.
+template<SteeringChoice Choice>
+SteeredTarget *BasicFlowSteering<Choice>::chooseOf(const ChoiceContext &context, const std::string &service, FlowToken avoid)
+{
+    enum class Blemish : std::uint8_t {
+        None,
+        Suspect,
+        Silent,
+        Avoided,
+    };
+    const auto blemishOf = [&](const SteeredTarget &target) {
+        if (target.token == avoid) {
+            return Blemish::Avoided;
+        }
+        if (target.vouchers.empty()) {
+            return Blemish::Silent;
+        }
+        return target.suspect(context.now) ? Blemish::Suspect : Blemish::None;
+    };
+    const std::span<SteeredTarget *const> targets = m_targets.ofService(service);
+    for (const Blemish worst : {Blemish::None, Blemish::Suspect, Blemish::Silent, Blemish::Avoided}) {
+        m_candidates.clear();
+        std::copy_if(targets.begin(), targets.end(), std::back_inserter(m_candidates), [&](const SteeredTarget *target) {
+            return target->record.phase == TargetPhase::Serving && !target->ambiguous && blemishOf(*target) <= worst;
+        });
+        if (!m_candidates.empty()) {
+            return Choice::pick(m_candidates, context);
+        }
+    }
+    return nullptr;
+}
+
+// The flow's hash divides flows by weight, so that all copies of an opening packet get the same service.
+template<SteeringChoice Choice>
+const std::string &BasicFlowSteering<Choice>::serviceOf(const Route &route, std::uint64_t flowHash) const
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &service : route.services) {
+        total += service.weight;
+    }
+    std::uint64_t point = total > 0 ? hashPair(flowHash, total) % total : 0;
+    for (const WeightedService &service : route.services) {
+        if (point < service.weight) {
+            return m_table.services[service.service];
+        }
+        point -= service.weight;
+    }
+    return m_table.services[route.services.front().service];
+}
+
+// ---- Flows ----
+
+template<SteeringChoice Choice>
+detail::SteeredFlow *BasicFlowSteering<Choice>::remember(TimePoint now, const FlowKey &key)
+{
+    auto at = m_flows.find(key);
+    if (at == m_flows.end()) {
+        if (m_flows.size() >= MaxSteeredFlows) {
+            return nullptr;
+        }
+        at = m_flows.emplace(key, Flow{}).first;
+    }
+    at->second.seen = CoarseTime(now);
+    return &at->second;
+}
+
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::assign(Flow &flow, SteeredTarget &target)
+{
+    if (flow.counted && flow.target == target.token) {
+        return;
+    }
+    release(flow);
+    flow.target = target.token;
+    flow.counted = true;
+    ++target.flows;
+}
+
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::release(Flow &flow)
+{
+    setBusy(flow, false);
+    SteeredTarget *target = flow.counted ? m_targets.find(flow.target) : nullptr;
+    if (target != nullptr && target->flows > 0) {
+        --target->flows;
+    }
+    flow.counted = false;
+}
+
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::setBusy(Flow &flow, bool busy)
+{
+    SteeredTarget *target = flow.busy != busy ? m_targets.find(flow.target) : nullptr;
+    if (target != nullptr) {
+        target->busy = busy ? target->busy + 1 : std::max(target->busy, 1U) - 1;
+    }
+    flow.busy = busy;
+}
+
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::suspect(TimePoint now, SteeredTarget &target)
+{
+    if (!target.suspect(now)) {
+        ++m_suspicions;
+        m_targets.suspect(now, target);
+    }
+}
+
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::tick(TimePoint now)
+{
+    if (now < m_sweepDue) {
+        return;
+    }
+    m_sweepDue = now + FlowSweepInterval;
+    const Duration idle = m_table.idleTimeout > Duration{0} ? m_table.idleTimeout : DefaultIdleTimeout;
+    boost::unordered::erase_if(m_flows, [&](auto &each) {
+        Flow &flow = each.second;
+        if (flow.busy && flow.sentAt.elapsed(now) >= LongestBusy) {
+            setBusy(flow, false);
+        }
+        if (flow.seen.elapsed(now) < idle) {
+            return false;
+        }
+        release(flow);
+        return true;
+    });
+    m_targets.tick(now);
+}
+
+// ---- Decisions ----
+
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::forward(SteeringReason reason, const SteeredTarget &target)
+{
+    return {SteeringAction::Forward, reason, target.record.key, target.record.address, target.token, 0};
+}
+
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::reset(SteeringReason reason, const FlowPacket &packet)
+{
+    const auto flow = m_flows.find(FlowKey{packet.caller, packet.route});
+    if (flow != m_flows.end()) {
+        release(flow->second);
+        m_flows.erase(flow);
+    }
+    return {SteeringAction::Reset, reason, {}, {}, {}, packet.opening ? 0 : packet.acknowledged};
+}
+
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::drop(SteeringReason reason)
+{
+    return {SteeringAction::Drop, reason, {}, {}, {}, 0};
+}
+
+// ---- Small questions ----
+
+template<SteeringChoice Choice>
+SteeringTargets &BasicFlowSteering<Choice>::targets()
+{
+    return m_targets;
+}
+
+template<SteeringChoice Choice>
+const SteeringTargets &BasicFlowSteering<Choice>::targets() const
+{
+    return m_targets;
+}
+
+template<SteeringChoice Choice>
+std::size_t BasicFlowSteering<Choice>::flowCount() const
+{
+    return m_flows.size();
+}
+
+template<SteeringChoice Choice>
+std::uint64_t BasicFlowSteering<Choice>::count(SteeringReason reason) const
+{
+    return m_counts[static_cast<std::size_t>(reason)];
+}
+
+template<SteeringChoice Choice>
+std::uint64_t BasicFlowSteering<Choice>::suspicions() const
+{
+    return m_suspicions;
+}
+
+template class BasicFlowSteering<HashChoice>;
+template class BasicFlowSteering<LeastUsedChoice>;
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/flow_steering.h
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: MIT
+// Flow steering: where each packet of a flow goes, as a state machine without I/O.
+//
+// The token in each packet names the flow's target, so any balancer routes any packet; the table of flows
+// below only helps it to choose well. Kin: Cheetah (Barbette et al., NSDI 2020) and QUIC-LB.
+#pragma once
+
+#include "steering_choice.h"
+
+#include <array>
+#include <vector>
+
+namespace Robinrail {
+
+// A target whose end was announced still empties its sockets; only after this are its flows reset.
+inline constexpr Duration LeftGrace = std::chrono::seconds(1);
+
+// A request without a sign of its answer is no longer counted as load after this. The longest time budget of
+// an interactive request is 3 s.
+inline constexpr Duration LongestBusy = std::chrono::seconds(4);
+
+// Flows are forgotten after this without a packet, unless the routing table gives a time.
+inline constexpr Duration DefaultIdleTimeout = std::chrono::seconds(15);
+
+// Most flows in the table; beyond it flows are steered by token alone. At 64 bytes each, 16 MiB.
+inline constexpr std::size_t MaxSteeredFlows = 200'000;
+
+// How often the table of flows is searched for old ones.
+inline constexpr Duration FlowSweepInterval = std::chrono::seconds(2);
+
+enum class SteeringAction : std::uint8_t {
+    Forward,
+    Reset,
+    Drop,
+};
+
+enum class SteeringReason : std::uint8_t {
+    NewFlow,
+    RepeatedOpening, // The same copy once more: the same target.
+    OtherTarget, // A later copy: the first target stayed silent.
+    OpenFlow,
+    PinnedFlow, // The token named another target than the one where the flow opened.
+    NoRoute,
+    NoTarget,
+    RouteDropped,
+    TargetLeft,
+    UnknownToken,
+};
+
+inline constexpr std::size_t SteeringReasonCount = 10;
+
+std::string_view nameOf(SteeringReason reason);
+
+struct SteeringDecision {
+    SteeringAction action = SteeringAction::Drop;
+    SteeringReason reason = SteeringReason::UnknownToken;
+    TargetKey target{}; // Of Forward, like the next two.
+    Endpoint address;
+    FlowToken token{};
+    std::uint32_t resetSequence = 0; // Of Reset.
+};
+
+namespace detail {
+
+struct SteeredFlow {
+    FlowToken target{};
+    CoarseTime seen;
+    CoarseTime sentAt; // Of the newest data.
+    std::uint32_t sequence = 0; // Of the newest data.
+    std::uint32_t acknowledged = 0;
+    std::uint8_t copy = 0;
+    bool open = false;
+    bool busy = false;
+    bool counted = false; // Among the flows of its target.
+};
+
+struct FlowKeyHash {
+    std::size_t operator()(const FlowKey &key) const
+    {
+        const auto pack = [](Endpoint endpoint) {
+            return std::uint64_t{endpoint.address} << 16U | endpoint.port;
+        };
+        return hashPair(pack(key.caller), pack(key.route));
+    }
+};
+
+} // namespace detail
+
+template<SteeringChoice Choice>
+class BasicFlowSteering
+{
+public:
+    explicit BasicFlowSteering(DataCentreId dataCentre);
+
+    // Puts a table in force; an older one than the present is ignored. Whether it was taken.
+    bool apply(const RoutingTable &table);
+    std::uint64_t version() const;
+
+    SteeringTargets &targets();
+    const SteeringTargets &targets() const;
+
+    // Decides on one packet.
+    SteeringDecision steer(TimePoint now, const FlowPacket &packet);
+
+    void tick(TimePoint now);
+
+    std::size_t flowCount() const;
+    std::uint64_t count(SteeringReason reason) const;
+    std::uint64_t suspicions() const;
+
+private:
+    using Flow = detail::SteeredFlow;
+
+    SteeringDecision open(TimePoint now, const FlowPacket &packet);
+    SteeringDecision follow(TimePoint now, const FlowPacket &packet);
+    SteeringDecision forward(SteeringReason reason, const SteeredTarget &target);
+    SteeringDecision reset(SteeringReason reason, const FlowPacket &packet);
+    SteeringDecision drop(SteeringReason reason);
+    SteeredTarget *choose(const ChoiceContext &context, const Route &route, FlowToken avoid);
+    SteeredTarget *chooseOf(const ChoiceContext &context, const std::string &service, FlowToken avoid);
+    const std::string &serviceOf(const Route &route, std::uint64_t flowHash) const;
+    void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
+    Flow *remember(TimePoint now, const FlowKey &key);
+    void assign(Flow &flow, SteeredTarget &target);
+    void release(Flow &flow);
+    void setBusy(Flow &flow, bool busy);
+    void suspect(TimePoint now, SteeredTarget &target);
+
+    DataCentreId m_dataCentre;
+    RoutingTable m_table;
+    boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; into m_table.
+    boost::unordered_flat_map<std::uint64_t, std::uint64_t> m_dropped; // Routes that were removed, by version.
+    SteeringTargets m_targets;
+    boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
+    TimePoint m_sweepDue;
+    std::vector<SteeredTarget *> m_candidates; // Kept between packets, so that no choice allocates.
+    std::array<std::uint64_t, SteeringReasonCount> m_counts{};
+    std::uint64_t m_suspicions = 0;
+};
+
+extern template class BasicFlowSteering<HashChoice>;
+extern template class BasicFlowSteering<LeastUsedChoice>;
+using FlowSteering = BasicFlowSteering<LeastUsedChoice>;
+
+} // namespace Robinrail
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -80,6 +80,9 @@
     {
         m_response.result(reply.status);
         m_response.set(http::field::content_type, reply.contentType);
+        if (!reply.location.empty()) {
+            m_response.set(http::field::location, reply.location);
+        }
         m_response.keep_alive(false);
         m_response.body() = std::move(reply.body);
         m_response.prepare_payload();
--- a/src/http.h
+++ b/src/http.h
@@ -32,6 +32,7 @@
     unsigned status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::string location = {}; // Of a redirection; empty otherwise.
 };
 
 using HttpRespond = std::function<void(HttpReply)>;
--- /dev/null
+++ b/src/log_budget.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+// Log budget: bounds how many lines of a kind are written, so that load can't make a daemon write without end.
+#pragma once
+
+#include "types.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Robinrail {
+
+// Lines of one kind that may come at once, and a second over time. Ten a second for a few kinds cost below a
+// thousandth of a core; measured in docs/OPERATIONS.md.
+inline constexpr double LogBurst = 20;
+inline constexpr double LogLinesPerSecond = 10;
+
+// A token bucket for one kind of line.
+class LogBudget
+{
+public:
+    // Takes a line's place; empty if the line must be left out, else how many were left out before it.
+    std::optional<std::uint64_t> take(TimePoint now)
+    {
+        const double seconds = std::chrono::duration<double>(now - m_filled).count();
+        m_tokens = std::min(LogBurst, m_tokens + seconds * LogLinesPerSecond);
+        m_filled = now;
+        if (m_tokens < 1) {
+            ++m_leftOut;
+            return std::nullopt;
+        }
+        m_tokens -= 1;
+        return std::exchange(m_leftOut, 0);
+    }
+
+private:
+    double m_tokens = LogBurst;
+    TimePoint m_filled;
+    std::uint64_t m_leftOut = 0;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/node_links.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: MIT
+// Node links: hello, pings and dialling over the websocket hub.
+#include "node_links.h"
+
+#include "net.h"
+#include "settings.h"
+
+namespace Robinrail {
+
+NodeLinks::NodeLinks(boost::asio::io_context &io, NodeHello self, NodeLinkCallbacks callbacks)
+    : m_self(self)
+    , m_callbacks(std::move(callbacks))
+    , m_now(monotonicNow())
+    , m_hub(io,
+            MaxLinkMessage,
+            {[this](LinkHandle handle, std::uint64_t tag) {
+                 opened(handle, tag);
+             },
+             [this](LinkHandle handle, const std::vector<std::uint8_t> &bytes) {
+                 received(handle, bytes);
+             },
+             [this](LinkHandle handle, std::uint64_t tag) {
+                 closed(handle, tag);
+             }})
+{
+}
+
+bool NodeLinks::listen(Endpoint endpoint)
+{
+    return m_hub.listen(addressText(endpoint), endpoint.port);
+}
+
+void NodeLinks::maintain(const std::set<ReplicaId> &replicas, std::uint16_t port)
+{
+    m_port = port;
+    std::erase_if(m_dials, [&replicas](const auto &dial) {
+        return !replicas.contains(dial.first);
+    });
+    for (const ReplicaId replica : replicas) {
+        m_dials.try_emplace(replica);
+    }
+    std::vector<LinkHandle> unwanted;
+    for (const auto &[handle, link] : m_links) {
+        if (value(link.dialledTo) != 0 && !replicas.contains(link.dialledTo)) {
+            unwanted.push_back(handle);
+        }
+    }
+    for (const LinkHandle handle : unwanted) {
+        drop(handle);
+    }
+}
+
+void NodeLinks::tick(TimePoint now)
+{
+    // After a standstill of this process nothing can be said about the others.
+    const bool stoodStill = now - m_now >= LinkSilenceLimit / 2;
+    m_now = now;
+    std::vector<LinkHandle> silent;
+    for (auto &[handle, link] : m_links) {
+        if (stoodStill) {
+            link.heard = now;
+        }
+        if (now - link.heard >= LinkSilenceLimit) {
+            silent.push_back(handle);
+        } else if (now - link.said >= LinkPingInterval) {
+            send(handle, NodePing{});
+        }
+    }
+    for (const LinkHandle handle : silent) {
+        drop(handle);
+    }
+    for (auto &[replica, dial] : m_dials) {
+        if (!dial.busy && now >= dial.due) {
+            dial.busy = true;
+            const Endpoint endpoint{value(replica), m_port};
+            m_hub.connect(addressText(endpoint), endpoint.port, value(replica));
+        }
+    }
+}
+
+void NodeLinks::opened(LinkHandle handle, std::uint64_t tag)
+{
+    const ReplicaId replica{static_cast<std::uint32_t>(tag)};
+    const bool unwanted = tag != 0 && !m_dials.contains(replica);
+    if (unwanted || m_links.size() >= MaxNodeLinks) {
+        m_hub.close(handle);
+        return;
+    }
+    m_links[handle] = {std::nullopt, replica, m_now, m_now};
+    send(handle, m_self);
+}
+
+void NodeLinks::received(LinkHandle handle, const std::vector<std::uint8_t> &bytes)
+{
+    const auto at = m_links.find(handle);
+    if (at == m_links.end()) {
+        return;
+    }
+    at->second.heard = m_now;
+    const std::optional<NodeMessage> message = decodeMessage<NodeMessage>(bytes);
+    if (!message) {
+        drop(handle);
+        return;
+    }
+    if (const auto *hello = std::get_if<NodeHello>(&*message)) {
+        at->second.peer = *hello;
+        m_callbacks.established(handle, *hello);
+        return;
+    }
+    if (at->second.peer && !std::holds_alternative<NodePing>(*message)) {
+        const NodeHello peer = *at->second.peer;
+        m_callbacks.received(handle, peer, *message);
+    }
+}
+
+void NodeLinks::closed(LinkHandle handle, std::uint64_t tag)
+{
+    const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)});
+    // A link that was dropped before has been replaced by a new one by now.
+    const bool current = handle == 0 || m_links.contains(handle);
+    if (tag != 0 && dial != m_dials.end() && current) {
+        dial->second = {false, m_now + LinkRedialPause};
+    }
+    const auto at = m_links.find(handle);
+    if (at == m_links.end()) {
+        return;
+    }
+    const std::optional<NodeHello> peer = at->second.peer;
+    m_links.erase(at);
+    if (peer) {
+        m_callbacks.closed(handle, *peer);
+    }
+}
+
+// Forgets a link at once; its connection may take long to close when the peer is gone.
+void NodeLinks::drop(LinkHandle handle)
+{
+    const auto at = m_links.find(handle);
+    if (at == m_links.end()) {
+        return;
+    }
+    const std::uint64_t tag = value(at->second.dialledTo);
+    closed(handle, tag);
+    m_hub.close(handle);
+}
+
+void NodeLinks::send(LinkHandle link, const NodeMessage &message)
+{
+    const auto at = m_links.find(link);
+    if (at == m_links.end()) {
+        return;
+    }
+    at->second.said = m_now;
+    m_hub.send(link, encodeMessage(message));
+}
+
+LinkHandle NodeLinks::linkTo(ReplicaId replica) const
+{
+    for (const auto &[handle, link] : m_links) {
+        if (link.dialledTo == replica && link.peer) {
+            return handle;
+        }
+    }
+    return 0;
+}
+
+std::vector<LinkHandle> NodeLinks::acceptedFrom(NodeRole role) const
+{
+    std::vector<LinkHandle> handles;
+    for (const auto &[handle, link] : m_links) {
+        if (value(link.dialledTo) == 0 && link.peer && link.peer->role == role) {
+            handles.push_back(handle);
+        }
+    }
+    return handles;
+}
+
+std::vector<LinkHandle> NodeLinks::dialled() const
+{
+    std::vector<LinkHandle> handles;
+    for (const auto &[handle, link] : m_links) {
+        if (value(link.dialledTo) != 0 && link.peer) {
+            handles.push_back(handle);
+        }
+    }
+    return handles;
+}
+
+std::uint64_t NodeLinks::bytesSent() const
+{
+    return m_hub.bytesSent();
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/node_links.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// Node links: message links between nodes that find each other by address. A broken or silent link is
+// dialled again; the network is trusted, so nothing is authenticated.
+#pragma once
+
+#include "node_message.h"
+#include "websocket_hub.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace Robinrail {
+
+// A link that said nothing for this long gets a ping.
+inline constexpr Duration LinkPingInterval = std::chrono::milliseconds(500);
+
+// A link on which nothing was heard for this long is closed: four lost pings.
+inline constexpr Duration LinkSilenceLimit = std::chrono::milliseconds(2000);
+
+// A link that could not be made is dialled again after this time.
+inline constexpr Duration LinkRedialPause = std::chrono::milliseconds(300);
+
+// Most links that are open at once; one more is closed.
+inline constexpr std::size_t MaxNodeLinks = 1024;
+
+struct NodeLinkCallbacks {
+    std::function<void(LinkHandle, const NodeHello &peer)> established;
+    std::function<void(LinkHandle, const NodeHello &peer, const NodeMessage &)> received;
+    std::function<void(LinkHandle, const NodeHello &peer)> closed; // Only for links that were established.
+};
+
+class NodeLinks
+{
+public:
+    NodeLinks(boost::asio::io_context &io, NodeHello self, NodeLinkCallbacks callbacks);
+
+    bool listen(Endpoint endpoint);
+
+    // Keeps a link to each of these replicas up, and dials no others any more. They listen on `port`.
+    void maintain(const std::set<ReplicaId> &replicas, std::uint16_t port);
+
+    // Call it every 100 ms or so.
+    void tick(TimePoint now);
+
+    void send(LinkHandle link, const NodeMessage &message);
+
+    // The link that was dialled to a replica; 0 without one.
+    LinkHandle linkTo(ReplicaId replica) const;
+
+    // Established links that peers of this role dialled.
+    std::vector<LinkHandle> acceptedFrom(NodeRole role) const;
+
+    // Established links that were dialled from here.
+    std::vector<LinkHandle> dialled() const;
+
+    std::uint64_t bytesSent() const;
+
+private:
+    struct Link {
+        std::optional<NodeHello> peer; // Once it said hello.
+        ReplicaId dialledTo{}; // 0: accepted.
+        TimePoint heard;
+        TimePoint said;
+    };
+    struct Dial {
+        bool busy = false; // Being made, or up.
+        TimePoint due;
+    };
+    void opened(LinkHandle handle, std::uint64_t tag);
+    void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
+    void closed(LinkHandle handle, std::uint64_t tag);
+    void drop(LinkHandle handle);
+
+    NodeHello m_self;
+    NodeLinkCallbacks m_callbacks;
+    std::map<LinkHandle, Link> m_links;
+    std::map<ReplicaId, Dial> m_dials;
+    std::uint16_t m_port = 0;
+    TimePoint m_now;
+    WebsocketHub m_hub;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/packet_port.h
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: MIT
+// Packet port: the UDP socket of a steering balancer. One wake-up handles a batch of packets, and no packet
+// allocates. What a packet looks like is a codec's matter.
+#pragma once
+
+#include "net.h"
+#include "steering_node.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace Robinrail {
+
+// Packets of one batch. More arrive in one wake-up only under a load that nobody has measured yet.
+inline constexpr std::size_t PacketBatch = 32;
+
+// Batches that are handled before other events get a turn.
+inline constexpr int BatchesPerTurn = 4;
+
+// Reads and writes the head of packets. A packet for a target goes out behind a prefix that names it.
+template<typename C>
+concept PacketCodec = requires(BytesView bytes, std::span<std::uint8_t> writable, const FlowPacket &packet, FlowToken token, TargetKey key)
+{
+    {
+        C::MaxPacket
+        } -> std::convertible_to<std::size_t>;
+    {
+        C::PrefixSize
+        } -> std::convertible_to<std::size_t>;
+    {
+        C::decode(bytes)
+        } -> std::same_as<std::optional<FlowPacket>>;
+    C::writeToken(writable, token);
+    C::writePrefix(writable, key);
+    {
+        C::writeReset(writable, packet, std::uint32_t{})
+        } -> std::same_as<std::size_t>;
+};
+
+template<PacketCodec Codec>
+class PacketPort
+{
+public:
+    PacketPort(boost::asio::io_context &io, SteeringNode &node)
+        : m_node(node)
+        , m_socket(io)
+    {
+        for (std::size_t i = 0; i < PacketBatch; ++i) {
+            m_in[i].msg_hdr.msg_iov = &m_inParts[i];
+            m_in[i].msg_hdr.msg_iovlen = 1;
+            m_out[i].msg_hdr.msg_iov = &m_outParts[i];
+            m_out[i].msg_hdr.msg_iovlen = 1;
+            m_out[i].msg_hdr.msg_name = &m_outAddresses[i];
+            m_out[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        }
+    }
+
+    // Binds and begins; false if the address can't be bound.
+    bool start(Endpoint endpoint)
+    {
+        boost::system::error_code error;
+        m_socket.open(boost::asio::ip::udp::v4(), error);
+        m_socket.bind(toUdp(endpoint), error);
+        if (error) {
+            return false;
+        }
+        m_socket.non_blocking(true, error);
+        m_replyPort = endpoint.port;
+        wait();
+        return !error;
+    }
+
+private:
+    static constexpr std::size_t SlotSize = Codec::PrefixSize + Codec::MaxPacket;
+    using Slot = std::array<std::uint8_t, SlotSize>;
+
+    void wait()
+    {
+        m_socket.async_wait(boost::asio::ip::udp::socket::wait_read, [this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            for (int batch = 0; batch < BatchesPerTurn && handleBatch() == PacketBatch; ++batch) { }
+            wait();
+        });
+    }
+
+    // Handles what has arrived, at most a batch; how many packets that were.
+    std::size_t handleBatch()
+    {
+        for (std::size_t i = 0; i < PacketBatch; ++i) {
+            m_inParts[i] = {m_slots[i].data() + Codec::PrefixSize, Codec::MaxPacket};
+        }
+        const int received = ::recvmmsg(m_socket.native_handle(), m_in.data(), PacketBatch, MSG_DONTWAIT, nullptr);
+        if (received <= 0) {
+            return 0;
+        }
+        m_outCount = 0;
+        for (std::size_t i = 0; i < static_cast<std::size_t>(received); ++i) {
+            handle(m_slots[i], m_in[i].msg_len);
+        }
+        flush();
+        return static_cast<std::size_t>(received);
+    }
+
+    void handle(Slot &slot, std::size_t length)
+    {
+        const std::span<std::uint8_t> packet = std::span(slot).subspan(Codec::PrefixSize, length);
+        const std::optional<FlowPacket> head = Codec::decode(packet);
+        if (!head) {
+            m_node.countMalformed();
+            return;
+        }
+        const SteeringDecision decision = m_node.steer(*head);
+        if (decision.action == SteeringAction::Forward) {
+            Codec::writeToken(packet, decision.token);
+            Codec::writePrefix(slot, decision.target);
+            queue(slot, Codec::PrefixSize + length, decision.address);
+        } else if (decision.action == SteeringAction::Reset) {
+            const std::size_t size = Codec::writeReset(slot, *head, decision.resetSequence);
+            queue(slot, size, {head->caller.address, m_replyPort});
+        }
+    }
+
+    void queue(Slot &slot, std::size_t length, Endpoint to)
+    {
+        m_outParts[m_outCount] = {slot.data(), length};
+        sockaddr_in &address = m_outAddresses[m_outCount];
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        address.sin_addr.s_addr = htonl(to.address);
+        ++m_outCount;
+    }
+
+    // A packet that can't be sent now is lost, as on any link; its sender sends it again.
+    void flush()
+    {
+        std::size_t sent = 0;
+        while (sent < m_outCount) {
+            const int count = ::sendmmsg(m_socket.native_handle(), m_out.data() + sent, static_cast<unsigned>(m_outCount - sent), MSG_DONTWAIT);
+            if (count <= 0) {
+                m_node.countSendFailure();
+                ++sent;
+            } else {
+                sent += static_cast<std::size_t>(count);
+            }
+        }
+    }
+
+    SteeringNode &m_node;
+    boost::asio::ip::udp::socket m_socket;
+    std::uint16_t m_replyPort = 0; // Where callers take packets, too.
+    std::array<Slot, PacketBatch> m_slots{};
+    std::array<mmsghdr, PacketBatch> m_in{};
+    std::array<mmsghdr, PacketBatch> m_out{};
+    std::array<iovec, PacketBatch> m_inParts{};
+    std::array<iovec, PacketBatch> m_outParts{};
+    std::array<sockaddr_in, PacketBatch> m_outAddresses{};
+    std::size_t m_outCount = 0;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/process.cpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: MIT
+// Process: implementation.
+#include "process.h"
+
+#include "log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+
+ProcessControl::ProcessControl(boost::asio::io_context &io,
+                               std::filesystem::path path,
+                               std::vector<Endpoint> seeds,
+                               std::function<void()> stop,
+                               std::function<void(const SteeringFile &)> reload)
+    : m_path(std::move(path))
+    , m_seeds(std::move(seeds))
+    , m_stop(std::move(stop))
+    , m_reload(std::move(reload))
+    , m_signals(io, SIGINT, SIGTERM, SIGHUP)
+    , m_timer(io)
+{
+    awaitSignal();
+    poll();
+}
+
+void ProcessControl::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        LogLine(LogLevel::Info, "signal").with("number", signal);
+        if (signal == SIGHUP) {
+            load();
+        } else {
+            m_stop();
+        }
+        awaitSignal();
+    });
+}
+
+void ProcessControl::poll()
+{
+    m_timer.expires_after(SettingsPollInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            load();
+            poll();
+        }
+    });
+}
+
+// Unreadable settings change nothing: the file may be in the middle of being replaced.
+void ProcessControl::load()
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(file, loadSteeringFile(m_path));
+            if (file.seeds != m_seeds) {
+                m_seeds = file.seeds;
+                m_reload(file);
+            }
+            return {};
+        },
+        [](const SettingsFault &fault) {
+            LogLine(LogLevel::Warning, "settings-not-reloaded").with("reason", fault.text());
+        },
+        [] {
+            LogLine(LogLevel::Warning, "settings-not-reloaded").with("reason", "unknown");
+        });
+}
+
+} // namespace Robinrail
--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -44,8 +44,9 @@
 
 } // namespace
 
-RaftCore::RaftCore(ReplicaKey self, RaftDurable durable, TimePoint now, std::uint32_t seed)
+RaftCore::RaftCore(ReplicaKey self, RaftDurable durable, TimePoint now, std::uint32_t seed, RaftPolicy policy)
     : m_self(self)
+    , m_policy(policy)
     , m_random(seed)
     , m_hard(durable.hard)
     , m_log(std::move(durable.log))
@@ -61,34 +62,43 @@
     }
     m_role = m_configs.empty() ? RaftRole::Joining : RaftRole::Follower;
     m_leaderHeard = now - ElectionTimeout;
+    m_ticked = now;
     resetElectionTimer(now);
 }
 
 RaftDurable RaftCore::bootstrap(ReplicaKey self, Bytes firstCommand)
 {
+    return bootstrap(std::span(&self, 1), std::move(firstCommand));
+}
+
+RaftDurable RaftCore::bootstrap(std::span<const ReplicaKey> voters, Bytes firstCommand)
+{
+    ClusterConfig config;
+    for (const ReplicaKey &voter : voters) {
+        config.members.push_back({voter, true});
+    }
     RaftDurable durable;
     durable.hard.term = Term{1};
-    LogEntry entry;
-    entry.term = Term{1};
-    entry.index = LogIndex{1};
-    entry.kind = EntryKind::Config;
-    entry.data = encodeConfig({{{self, true}}});
-    durable.log.push_back(std::move(entry));
-    LogEntry first;
-    first.term = Term{1};
-    first.index = LogIndex{2};
-    first.kind = EntryKind::Command;
-    first.data = std::move(firstCommand);
-    durable.log.push_back(std::move(first));
+    durable.log.push_back({Term{1}, LogIndex{1}, EntryKind::Config, encodeConfig(config)});
+    if (!firstCommand.empty()) {
+        durable.log.push_back({Term{1}, LogIndex{2}, EntryKind::Command, std::move(firstCommand)});
+    }
     return durable;
 }
 
+void RaftCore::setDataCentre(ReplicaId replica, DataCentreId dataCentre)
+{
+    m_dataCentres[replica] = dataCentre;
+}
+
 // ---- Time and elections ----
 
 void RaftCore::tick(TimePoint now)
 {
+    // After a standstill of this process, what it heard of the others is old although it reads it only now.
+    const bool stoodStill = now - std::exchange(m_ticked, now) >= ElectionTimeout;
     if (m_role == RaftRole::Leader) {
-        if (!heardFromQuorum(now)) {
+        if (stoodStill || !heardFromQuorum(now)) {
             // Check-quorum: a leader that is cut off stops believing that it leads.
             becomeFollower(now, m_hard.term, {});
             return;
@@ -353,9 +363,14 @@
 
 void RaftCore::onJoin(TimePoint now, const JoinRequest &request)
 {
-    if (m_role == RaftRole::Leader) {
-        m_joiners[request.joiner] = now;
+    if (m_role != RaftRole::Leader) {
+        return;
     }
+    // A request from before the replica lost its disk must not be taken up any more.
+    std::erase_if(m_joiners, [&request](const auto &joiner) {
+        return joiner.first.id == request.joiner.id;
+    });
+    m_joiners[request.joiner] = now;
 }
 
 // ---- Log and commit ----
@@ -453,7 +468,9 @@
         return;
     }
     std::sort(matches.begin(), matches.end(), std::greater<>());
-    const LogIndex agreed = matches[matches.size() / 2];
+    const std::size_t majority = matches.size() / 2 + 1;
+    const std::size_t copies = std::clamp(m_policy.copies, majority, matches.size());
+    const LogIndex agreed = matches[copies - 1];
     if (agreed > m_commit && termAt(agreed) == m_hard.term) {
         commitTo(agreed);
     }
@@ -541,40 +558,127 @@
         return now - joiner.second >= JoinMemory;
     });
     ClusterConfig changed = config();
+    if (takeInJoiner(now, changed) || retireVoter(now, changed) || replaceOrAddVoter(now, changed) || dropLearner(now, changed)) {
+        proposeConfig(now, changed);
+    }
+}
+
+bool RaftCore::takeInJoiner(TimePoint now, ClusterConfig &config) const
+{
     for (const auto &[joiner, asked] : m_joiners) {
-        const auto known = std::find_if(changed.members.begin(), changed.members.end(), [&joiner = joiner](const ReplicaMember &member) {
+        const auto known = std::find_if(config.members.begin(), config.members.end(), [&joiner = joiner](const ReplicaMember &member) {
             return member.key == joiner;
         });
-        if (known == changed.members.end() && joiner.id != m_self.id) {
-            changed.members.push_back({joiner, false});
-            proposeConfig(changed);
-            return;
+        if (known == config.members.end() && joiner.id != m_self.id && now >= asked) {
+            config.members.push_back({joiner, false});
+            return true;
         }
     }
-    for (ReplicaMember &member : changed.members) {
-        const auto progress = m_progress.find(member.key);
-        if (member.voter || progress == m_progress.end()) {
+    return false;
+}
+
+// A replica's vote on a lost disk is gone for good, so that voter leaves before its successor votes. A voter
+// that is only silent may return, so there the spare votes first: while four vote, the silent one's return
+// still makes a majority if a third voter is lost at that very moment.
+bool RaftCore::replaceOrAddVoter(TimePoint now, ClusterConfig &config) const
+{
+    ReplicaMember *spare = nullptr;
+    for (ReplicaMember &member : config.members) {
+        if (!readyToVote(now, member)) {
             continue;
         }
-        const bool caughtUp = value(progress->second.match) + PromotionLag >= value(lastIndex()) && progress->second.match > LogIndex{0};
-        const bool alive = now - progress->second.lastHeard < ElectionTimeout;
-        if (!caughtUp || !alive) {
-            continue;
+        const auto old = std::find_if(config.members.begin(), config.members.end(), [&member](const ReplicaMember &other) {
+            return other.voter && other.key.id == member.key.id && other.key != member.key;
+        });
+        if (old != config.members.end()) {
+            config.members.erase(old);
+            return true;
+        }
+        if (spare == nullptr || votersBeside(member) < votersBeside(*spare)) {
+            spare = &member;
         }
-        const auto old = std::find_if(changed.members.begin(), changed.members.end(), [&member](const ReplicaMember &other) {
+    }
+    const bool voterLost = std::any_of(config.members.begin(), config.members.end(), [&](const ReplicaMember &member) {
+        return member.voter && silent(now, member);
+    });
+    if (spare == nullptr || (voterCount() >= m_policy.wantedVoters && !voterLost)) {
+        return false;
+    }
+    spare->voter = true;
+    return true;
+}
+
+// Of more voters than are wanted, one that is silent becomes a learner, else one of the most crowded data centre.
+bool RaftCore::retireVoter(TimePoint now, ClusterConfig &config) const
+{
+    if (voterCount() <= m_policy.wantedVoters) {
+        return false;
+    }
+    ReplicaMember *retired = nullptr;
+    const auto rank = [&](const ReplicaMember &member) {
+        return std::pair(silent(now, member), votersBeside(member));
+    };
+    for (ReplicaMember &member : config.members) {
+        const bool eligible = member.voter && member.key != m_self;
+        if (eligible && (retired == nullptr || rank(member) > rank(*retired))) {
+            retired = &member;
+        }
+    }
+    retired->voter = false;
+    return true;
+}
+
+// A learner leaves when it was silent for long, or soon when its replica has another disk by now.
+bool RaftCore::dropLearner(TimePoint now, ClusterConfig &config) const
+{
+    const auto lost = std::find_if(config.members.begin(), config.members.end(), [&](const ReplicaMember &member) {
+        const auto progress = m_progress.find(member.key);
+        if (member.voter || progress == m_progress.end()) {
+            return false;
+        }
+        const Duration silence = now - progress->second.lastHeard;
+        const bool superseded = std::any_of(config.members.begin(), config.members.end(), [&member](const ReplicaMember &other) {
             return other.key.id == member.key.id && other.key != member.key;
         });
-        if (old != changed.members.end()) {
-            changed.members.erase(old);
-        } else {
-            member.voter = true;
-        }
-        proposeConfig(changed);
-        return;
+        const bool keepsItself = m_policy.lostAfter > Duration{0};
+        return (superseded && silence >= JoinMemory) || (keepsItself && silence >= DropLearnerAfter);
+    });
+    if (lost == config.members.end()) {
+        return false;
+    }
+    config.members.erase(lost);
+    return true;
+}
+
+bool RaftCore::readyToVote(TimePoint now, const ReplicaMember &member) const
+{
+    const auto progress = m_progress.find(member.key);
+    if (member.voter || progress == m_progress.end()) {
+        return false;
     }
+    const bool caughtUp = value(progress->second.match) + PromotionLag >= value(lastIndex()) && progress->second.match > LogIndex{0};
+    return caughtUp && now - progress->second.lastHeard < ElectionTimeout;
 }
 
-bool RaftCore::proposeConfig(const ClusterConfig &config)
+bool RaftCore::silent(TimePoint now, const ReplicaMember &member) const
+{
+    const auto progress = m_progress.find(member.key);
+    return m_policy.lostAfter > Duration{0} && progress != m_progress.end() && now - progress->second.lastHeard >= m_policy.lostAfter;
+}
+
+// Voters in the data centre of a member, itself left out.
+std::size_t RaftCore::votersBeside(const ReplicaMember &member) const
+{
+    const auto place = [this](const ReplicaMember &each) {
+        const auto at = m_dataCentres.find(each.key.id);
+        return at != m_dataCentres.end() ? at->second : DataCentreId{0};
+    };
+    return static_cast<std::size_t>(std::count_if(config().members.begin(), config().members.end(), [&](const ReplicaMember &other) {
+        return other.voter && other.key != member.key && place(other) == place(member);
+    }));
+}
+
+void RaftCore::proposeConfig(TimePoint now, const ClusterConfig &config)
 {
     append(EntryKind::Config, encodeConfig(config));
     std::erase_if(m_progress, [&config](const auto &entry) {
@@ -584,11 +688,10 @@
     });
     for (const ReplicaMember &member : config.members) {
         if (member.key != m_self && !m_progress.contains(member.key)) {
-            m_progress[member.key] = {LogIndex{0}, LogIndex{1}, 0, {}, {}};
+            m_progress[member.key] = {LogIndex{0}, LogIndex{1}, 0, now, {}};
         }
     }
     advanceCommit();
-    return true;
 }
 
 bool RaftCore::configPending() const
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -11,6 +11,7 @@
 
 #include <boost/random/mersenne_twister.hpp>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,17 @@
     Leader,
 };
 
+// A learner that nobody heard for this long is dropped, where the cluster keeps its members itself. Longer
+// than any restart, so that a replica that comes back need not be taken in again.
+inline constexpr Duration DropLearnerAfter = std::chrono::seconds(20);
+
+// How a cluster chooses its members. The default suits a cluster whose replicas are named in settings.
+struct RaftPolicy {
+    std::size_t wantedVoters = std::numeric_limits<std::size_t>::max(); // Learners beyond this stay spares.
+    std::size_t copies = 1; // Fewest voters' disks that hold an entry before it is committed.
+    Duration lostAfter{}; // A voter that was silent for this long is replaced by a spare; 0: never.
+};
+
 // What a replica finds on its disk, or starts with.
 struct RaftDurable {
     HardState hard;
@@ -76,11 +88,18 @@
 class RaftCore
 {
 public:
-    RaftCore(ReplicaKey self, RaftDurable durable, TimePoint now, std::uint32_t seed);
+    RaftCore(ReplicaKey self, RaftDurable durable, TimePoint now, std::uint32_t seed, RaftPolicy policy = {});
 
     // A durable state that makes `self` the only voter of a new cluster whose first command is given.
     static RaftDurable bootstrap(ReplicaKey self, Bytes firstCommand);
 
+    // The same for several voters. Each of them starts with this very state, so the first election may go to
+    // any and there is one cluster, whatever the order in which they start.
+    static RaftDurable bootstrap(std::span<const ReplicaKey> voters, Bytes firstCommand = {});
+
+    // Says in which data centre a replica is; voters are spread over them.
+    void setDataCentre(ReplicaId replica, DataCentreId dataCentre);
+
     void tick(TimePoint now);
     void handle(TimePoint now, ReplicaKey from, const RaftMessage &message);
 
@@ -160,7 +179,14 @@
     void commitTo(LogIndex index);
     void confirmReads();
     void maintainMembers(TimePoint now);
-    bool proposeConfig(const ClusterConfig &config);
+    bool takeInJoiner(TimePoint now, ClusterConfig &config) const;
+    bool replaceOrAddVoter(TimePoint now, ClusterConfig &config) const;
+    bool retireVoter(TimePoint now, ClusterConfig &config) const;
+    bool dropLearner(TimePoint now, ClusterConfig &config) const;
+    bool readyToVote(TimePoint now, const ReplicaMember &member) const;
+    bool silent(TimePoint now, const ReplicaMember &member) const;
+    std::size_t votersBeside(const ReplicaMember &member) const;
+    void proposeConfig(TimePoint now, const ClusterConfig &config);
     bool configPending() const;
     std::size_t voterCount() const;
     bool quorum(std::size_t count) const;
@@ -170,6 +196,8 @@
     void send(ReplicaKey to, RaftMessage message);
 
     ReplicaKey m_self;
+    RaftPolicy m_policy;
+    std::map<ReplicaId, DataCentreId> m_dataCentres;
     boost::random::mt19937 m_random;
     HardState m_hard;
     Snapshot m_snapshot; // Index 0 without one.
@@ -179,6 +207,7 @@
     ReplicaKey m_leader;
     LogIndex m_commit{};
     LogIndex m_applied{};
+    TimePoint m_ticked;
     TimePoint m_electionDue;
     TimePoint m_heartbeatDue;
     TimePoint m_leaderHeard;
--- a/src/raft_storage.cpp
+++ b/src/raft_storage.cpp
@@ -20,6 +20,11 @@
 
 // A record: magic, length of the payload, checksum over length and payload, payload.
 constexpr std::uint32_t RecordMagic = 0x52524c31;
+
+// A batch is framed like a record and holds all that one write appends to the log, each piece behind its
+// length. A write that a power loss tore is then one damaged batch at the end, whichever parts of it
+// reached the disk; separate records would look like damage in the middle.
+constexpr std::uint32_t BatchMagic = 0x52524c32;
 constexpr std::size_t RecordHeader = 16;
 constexpr std::uint32_t MaxRecord = std::uint32_t{64} << 20U;
 
@@ -51,19 +56,29 @@
     return XXH3_64bits_withSeed(payload.data(), payload.size(), length);
 }
 
-void appendRecord(Bytes &bytes, BytesView payload)
+void appendFramed(Bytes &bytes, std::uint32_t magic, BytesView payload)
 {
     const auto length = static_cast<std::uint32_t>(payload.size());
-    storeInteger(bytes, RecordMagic);
+    storeInteger(bytes, magic);
     storeInteger(bytes, length);
     storeInteger(bytes, checksum(length, payload));
     bytes.insert(bytes.end(), payload.begin(), payload.end());
 }
 
-// The payload of a sound record at `at`; empty if there is none.
+void appendPiece(Bytes &batch, BytesView payload)
+{
+    storeInteger(batch, static_cast<std::uint32_t>(payload.size()));
+    batch.insert(batch.end(), payload.begin(), payload.end());
+}
+
+// The payload of a sound record or batch at `at`; empty if there is none.
 std::optional<BytesView> recordAt(BytesView bytes, std::size_t at)
 {
-    if (at + RecordHeader > bytes.size() || loadInteger<std::uint32_t>(bytes, at) != RecordMagic) {
+    if (at + RecordHeader > bytes.size()) {
+        return std::nullopt;
+    }
+    const auto magic = loadInteger<std::uint32_t>(bytes, at);
+    if (magic != RecordMagic && magic != BatchMagic) {
         return std::nullopt;
     }
     const auto length = loadInteger<std::uint32_t>(bytes, at + 4);
@@ -107,7 +122,7 @@
 Bytes sealedFile(const T &object)
 {
     Bytes bytes;
-    appendRecord(bytes, detail::Json::to_cbor(detail::toJson(object)));
+    appendFramed(bytes, RecordMagic, detail::Json::to_cbor(detail::toJson(object)));
     return bytes;
 }
 
@@ -121,6 +136,38 @@
     return detail::fromJson(detail::parseCbor(*payload), object);
 }
 
+// Splits the payload of a record or batch into log records; empty if one of them is unreadable.
+std::optional<std::vector<LogRecord>> logRecords(BytesView bytes, std::size_t at, BytesView payload)
+{
+    std::vector<BytesView> pieces;
+    const bool lone = loadInteger<std::uint32_t>(bytes, at) == RecordMagic; // As in logs of format 1.
+    if (lone) {
+        pieces.push_back(payload);
+        payload = {};
+    }
+    while (!payload.empty()) {
+        if (payload.size() < sizeof(std::uint32_t)) {
+            return std::nullopt;
+        }
+        const auto length = loadInteger<std::uint32_t>(payload, 0);
+        payload = payload.subspan(sizeof(std::uint32_t));
+        if (length > payload.size()) {
+            return std::nullopt;
+        }
+        pieces.push_back(payload.first(length));
+        payload = payload.subspan(length);
+    }
+    std::vector<LogRecord> records;
+    for (const BytesView piece : pieces) {
+        std::optional<LogRecord> record = decodeMessage<LogRecord>(piece);
+        if (!record) {
+            return std::nullopt;
+        }
+        records.push_back(std::move(*record));
+    }
+    return records;
+}
+
 // Takes an entry into a log, cutting what it replaces.
 void takeEntry(std::vector<LogEntry> &log, LogEntry entry)
 {
@@ -220,14 +267,16 @@
         if (!payload) {
             break;
         }
-        std::optional<LogRecord> record = decodeMessage<LogRecord>(*payload);
-        if (!record) {
+        std::optional<std::vector<LogRecord>> records = logRecords(bytes, at, *payload);
+        if (!records) {
             return failure(StorageError::DamagedLog, path, "unreadable record at byte " + std::to_string(at));
         }
-        if (const auto *hard = std::get_if<HardState>(&*record)) {
-            m_durable.hard = *hard;
-        } else {
-            takeEntry(m_durable.log, std::get<LogEntry>(std::move(*record)));
+        for (LogRecord &record : *records) {
+            if (const auto *hard = std::get_if<HardState>(&record)) {
+                m_durable.hard = *hard;
+            } else {
+                takeEntry(m_durable.log, std::get<LogEntry>(std::move(record)));
+            }
         }
         at += RecordHeader + payload->size();
     }
@@ -305,15 +354,20 @@
         BOOST_LEAF_CHECK(compact(*output.snapshot, hard, output.entries));
         return {};
     }
-    Bytes bytes;
+    Bytes batch;
     if (output.hard) {
         m_hard = *output.hard;
-        appendRecord(bytes, encodeMessage(LogRecord(*output.hard)));
+        appendPiece(batch, encodeMessage(LogRecord(*output.hard)));
     }
     for (const LogEntry &entry : output.entries) {
-        appendRecord(bytes, encodeMessage(LogRecord(entry)));
+        appendPiece(batch, encodeMessage(LogRecord(entry)));
     }
-    return bytes.empty() ? leaf::result<void>() : append(bytes);
+    if (batch.empty()) {
+        return {};
+    }
+    Bytes bytes;
+    appendFramed(bytes, BatchMagic, batch);
+    return append(bytes);
 }
 
 leaf::result<void> RaftStorage::compact(const Snapshot &snapshot, const HardState &hard, std::span<const LogEntry> rest)
@@ -322,11 +376,13 @@
     BOOST_LEAF_CHECK(asStorage([&] {
         return replaceFile(m_folder / SnapshotFile, sealedFile(snapshot));
     }));
-    Bytes bytes;
-    appendRecord(bytes, encodeMessage(LogRecord(hard)));
+    Bytes batch;
+    appendPiece(batch, encodeMessage(LogRecord(hard)));
     for (const LogEntry &entry : rest) {
-        appendRecord(bytes, encodeMessage(LogRecord(entry)));
+        appendPiece(batch, encodeMessage(LogRecord(entry)));
     }
+    Bytes bytes;
+    appendFramed(bytes, BatchMagic, batch);
     BOOST_LEAF_CHECK(asStorage([&] {
         return replaceFile(m_folder / LogFile, bytes);
     }));
--- a/src/raft_storage.h
+++ b/src/raft_storage.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Raft storage: a replica's log, votes and snapshot under one data folder.
 //
-// Files: `identity` (cluster, replica, disk, format), `log` (checksummed records) and `snapshot`.
+// Files: `identity` (cluster, replica, disk, format), `log` (checksummed batches of records) and `snapshot`.
 // Whole files are replaced by write, sync, rename and sync of the folder. Records are appended and
 // synced before anything is acknowledged.
 #pragma once
@@ -16,7 +16,8 @@
 namespace Robinrail {
 
 // Newest format of the data folder that this version reads and writes.
-inline constexpr std::uint32_t StorageFormat = 1;
+// Since 2 the records of one write are one batch under one checksum.
+inline constexpr std::uint32_t StorageFormat = 2;
 
 enum class StorageError {
     Io, // Read, write or sync failed, or the disk is full.
--- /dev/null
+++ b/src/replica_node.h
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: MIT
+// Replica node: a routing replica with its disk and its links. It finds the other replicas through seeds,
+// keeps the targets' announcements, and answers typed calls; whoever owns it speaks to the outside.
+#pragma once
+
+#include "log_budget.h"
+#include "node_links.h"
+#include "raft_storage.h"
+#include "replicated_core.h"
+#include "routing_state.h"
+#include "settings.h"
+#include "target_directory.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace Robinrail {
+
+// The replica's clock runs in steps of this, a third of a raft heartbeat.
+inline constexpr std::chrono::milliseconds ReplicaTick{25};
+
+// A replica that no leader speaks to asks to be taken in this often.
+inline constexpr Duration RejoinInterval = std::chrono::milliseconds(400);
+
+// A voter that was silent for this long gives its vote to a spare. Above the pause of an election, below the
+// time after which a second loss must be borne (4 s on the smallest deployment).
+inline constexpr Duration VoterLostAfter = std::chrono::milliseconds(1500);
+
+// Replicas tell each other this often whom they heard, and balancers which version is in force.
+inline constexpr Duration ReplicaBeatInterval = std::chrono::milliseconds(500);
+
+// Announcements that a target may miss before it counts as silent, and some slack for one that is sent to
+// another replica after a second without an answer.
+inline constexpr int MissedAnnouncements = 2;
+inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
+
+// A drain is answered once enough replicas know of it; not at all after this, so that the target asks
+// another replica. Targets wait for 1 s.
+inline constexpr Duration DrainAnswerTimeout = std::chrono::milliseconds(850);
+
+// A disk that refused a write is tried again this often.
+inline constexpr Duration StorageRetry = std::chrono::milliseconds(500);
+
+// How a call ended.
+enum class ReplicaAnswer : std::uint8_t {
+    Done,
+    Elsewhere, // Ask the leader.
+    Unavailable, // Ask again, or another replica; a change may or may not have been made.
+};
+
+class ReplicaNode
+{
+public:
+    using Respond = std::function<void(ReplicaAnswer)>;
+
+    // `file` must have a data folder.
+    ReplicaNode(boost::asio::io_context &io, SteeringFile file);
+
+    // Binds and begins; false if the address can't be bound.
+    bool start();
+
+    // Takes changed settings; only the seeds can change while it runs.
+    void reload(const SteeringFile &file);
+
+    // A target announced itself. Done: it is known, and if it drains, no borne loss can undo that.
+    void announce(const TargetRecord &record, Respond respond);
+
+    // A target's lifetime ends. The same promise.
+    void leave(TargetKey key, Respond respond);
+
+    // A document that was checked. Done: it or a higher version is in force for good.
+    void submit(const RoutingDocument &document, Respond respond);
+
+    // A linearizable read: when it is Done, document() is the newest.
+    void read(Respond respond);
+
+    const RoutingDocument &document() const;
+    const SteeringFile &settings() const;
+
+    // Where the leader takes calls; port 0 if it is not known.
+    Endpoint leaderAdmin() const;
+
+    // Figures of this replica in the Prometheus text format.
+    std::string metricsText() const;
+
+private:
+    using Core = ReplicatedCore<RoutingState>;
+    struct OpenDrain {
+        TargetPhase phase = TargetPhase::Draining;
+        std::set<ReplicaId> receipts;
+        TimePoint deadline;
+        Respond respond;
+    };
+
+    void tick();
+    void openStorage(TimePoint now);
+    bool prepareFirstStart(RaftStorage &storage);
+    void scheduleFlush();
+    void flush();
+    bool persist(const RaftOutput &output);
+    void loseStorage(TimePoint now);
+    void sendRaft(const RaftSend &send);
+    void sendEnvelope(const RaftEnvelope &envelope);
+    void answer(const Core::Reply &reply);
+    void rejoin(TimePoint now);
+    void beat(TimePoint now);
+    void followMembers();
+    void offerRouting();
+    void logLeader();
+
+    void onEstablished(LinkHandle link, const NodeHello &peer);
+    void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
+    void onRaft(const RaftEnvelope &envelope);
+    void onNews(LinkHandle link, const TargetStatusList &list);
+    void onReceipt(ReplicaId from, const TargetReceipt &receipt);
+    void tell(std::span<const LinkHandle> links, const NodeMessage &message);
+    void spread(const TargetStatus &news);
+    void awaitReceipts(TargetKey key, TargetPhase phase, Respond respond);
+    void expireDrains(TimePoint now);
+    bool informed(TimePoint now) const;
+    bool confirmed(TimePoint now) const;
+    std::set<ReplicaId> knownReplicas() const;
+
+    boost::asio::io_context &m_io;
+    SteeringFile m_file;
+    ReplicaId m_self;
+    std::optional<RaftStorage> m_storage; // Empty while the disk refuses to work.
+    std::optional<Core> m_core;
+    TimePoint m_storageDue;
+    NodeLinks m_links;
+    TargetDirectory m_directory;
+    boost::asio::steady_timer m_timer;
+    std::map<std::uint64_t, Respond> m_open; // By ticket.
+    std::uint64_t m_lastTicket = 0;
+    std::multimap<TargetKey, OpenDrain> m_drains;
+    bool m_flushScheduled = false;
+    bool m_toldByOther = false;
+    bool m_toldBalancers = false;
+    TimePoint m_started;
+    TimePoint m_nextJoin;
+    TimePoint m_nextBeat;
+    std::uint64_t m_offered = 0; // Version last offered to the balancers.
+    std::map<ReplicaId, DataCentreId> m_dataCentres;
+    ClusterConfig m_followed;
+    ReplicaKey m_loggedLeader;
+    LogBudget m_newsLog;
+    std::uint64_t m_announcements = 0;
+    std::uint64_t m_changes = 0;
+    std::uint64_t m_storageFailures = 0;
+    std::uint64_t m_drainsUnanswered = 0;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/replicated_core.h
@@ -0,0 +1,221 @@
+// SPDX-License-Identifier: MIT
+// Replicated core: a replica without I/O, that is consensus, a state machine and whoever waits for answers.
+#pragma once
+
+#include "raft_core.h"
+
+#include <cassert>
+#include <concepts>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace Robinrail {
+
+// After this many applied entries the log is replaced by a snapshot of the state.
+inline constexpr std::uint64_t CompactionInterval = 4096;
+
+// What consensus replicates. Deterministic: the same commands in the same order give the same state.
+template<typename M>
+concept StateMachine = requires(M &machine, const M &sound, BytesView bytes, const typename M::Change &change)
+{
+    {
+        M::encodeChange(change)
+        } -> std::same_as<Bytes>;
+    {
+        machine.applyCommand(bytes)
+        } -> std::same_as<typename M::Result>;
+    {
+        sound.serialize()
+        } -> std::same_as<Bytes>;
+    {
+        machine.restore(bytes)
+        } -> std::same_as<bool>;
+    {
+        M::CompactionBytes
+        } -> std::convertible_to<std::size_t>;
+};
+
+// How a request to a replica ended.
+enum class ControlStatus : std::uint8_t {
+    Done,
+    NotLeader, // Nothing was done; ask the leader.
+    Unknown, // The change may be applied or not; send it again.
+};
+
+template<StateMachine Machine>
+class ReplicatedCore
+{
+public:
+    struct Reply {
+        std::uint64_t ticket = 0;
+        ControlStatus status = ControlStatus::Done;
+        typename Machine::Result result; // Of a change that is done.
+    };
+
+    ReplicatedCore(ReplicaKey self, RaftDurable durable, TimePoint now, std::uint32_t seed, RaftPolicy policy = {})
+        : m_raft(self, durable, now, seed, policy)
+    {
+        if (durable.snapshot) {
+            restore(*durable.snapshot);
+        }
+    }
+
+    void tick(TimePoint now)
+    {
+        m_raft.tick(now);
+        failWaiting();
+    }
+
+    void handle(TimePoint now, ReplicaKey from, const RaftMessage &message)
+    {
+        m_raft.handle(now, from, message);
+        failWaiting();
+    }
+
+    // Proposes a change; its reply with this ticket comes from takeReplies().
+    void submit(TimePoint now, std::uint64_t ticket, const typename Machine::Change &change)
+    {
+        const std::optional<LogIndex> index = m_raft.propose(now, Machine::encodeChange(change));
+        if (!index) {
+            m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
+            return;
+        }
+        m_waiting[*index] = {ticket, m_raft.term()};
+    }
+
+    // Asks for a linearizable read: once the reply with this ticket is Done, state() may be read.
+    void read(TimePoint now, std::uint64_t ticket)
+    {
+        m_openReads.insert(ticket);
+        if (!m_raft.requestRead(now, ticket)) {
+            m_openReads.erase(ticket);
+            m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
+        }
+    }
+
+    // Says in which data centre a replica is; voters are spread over them.
+    void setDataCentre(ReplicaId replica, DataCentreId dataCentre)
+    {
+        m_raft.setDataCentre(replica, dataCentre);
+    }
+
+    // What must be persisted, then sent. After that the driver calls apply() with the same output.
+    RaftOutput takeOutput()
+    {
+        return m_raft.takeOutput();
+    }
+
+    // Applies what was committed; call it once the output is persisted and synced.
+    void apply(const RaftOutput &output)
+    {
+        if (output.snapshot) {
+            restore(*output.snapshot);
+        }
+        for (const LogEntry &entry : output.committed) {
+            applyEntry(entry);
+        }
+        for (const ReadReady &read : output.reads) {
+            m_openReads.erase(read.ticket);
+            m_reads.push_back(read);
+        }
+        answerReads();
+    }
+
+    // Replaces the log by a snapshot if it has grown; true if the driver must write raft().snapshot().
+    bool compactIfDue()
+    {
+        const bool many = value(m_applied) >= value(m_raft.snapshot().index) + CompactionInterval;
+        if (!many && m_appliedBytes < Machine::CompactionBytes) {
+            return false;
+        }
+        m_appliedBytes = 0;
+        m_raft.compact(m_applied, m_state.serialize());
+        return true;
+    }
+
+    std::vector<Reply> takeReplies()
+    {
+        return std::exchange(m_replies, {});
+    }
+
+    const Machine &state() const
+    {
+        return m_state;
+    }
+
+    const RaftCore &raft() const
+    {
+        return m_raft;
+    }
+
+private:
+    struct Waiting {
+        std::uint64_t ticket = 0;
+        Term term{};
+    };
+
+    void restore(const Snapshot &snapshot)
+    {
+        // The first snapshot of a cluster may be empty: nothing was applied yet.
+        [[maybe_unused]] const bool sound = snapshot.state.empty() || m_state.restore(snapshot.state);
+        assert(sound);
+        m_applied = snapshot.index;
+        m_appliedBytes = 0;
+    }
+
+    void applyEntry(const LogEntry &entry)
+    {
+        assert(value(entry.index) == value(m_applied) + 1);
+        m_applied = entry.index;
+        m_appliedBytes += entry.data.size();
+        typename Machine::Result result{};
+        if (entry.kind == EntryKind::Command) {
+            result = m_state.applyCommand(entry.data);
+        }
+        const auto waiting = m_waiting.find(entry.index);
+        if (waiting != m_waiting.end()) {
+            const bool own = waiting->second.term == entry.term;
+            m_replies.push_back({waiting->second.ticket, own ? ControlStatus::Done : ControlStatus::Unknown, result});
+            m_waiting.erase(waiting);
+        }
+    }
+
+    void answerReads()
+    {
+        std::erase_if(m_reads, [this](const ReadReady &read) {
+            if (read.index > m_applied) {
+                return false;
+            }
+            m_replies.push_back({read.ticket, ControlStatus::Done, {}});
+            return true;
+        });
+    }
+
+    // A replica that no longer leads can't say what becomes of the changes that it proposed.
+    void failWaiting()
+    {
+        if (m_raft.role() == RaftRole::Leader) {
+            return;
+        }
+        for (const auto &[index, waiting] : m_waiting) {
+            m_replies.push_back({waiting.ticket, ControlStatus::Unknown, {}});
+        }
+        m_waiting.clear();
+        for (const std::uint64_t ticket : m_openReads) {
+            m_replies.push_back({ticket, ControlStatus::NotLeader, {}});
+        }
+        m_openReads.clear();
+    }
+
+    RaftCore m_raft;
+    Machine m_state;
+    LogIndex m_applied{};
+    std::size_t m_appliedBytes = 0; // Of the entries since the last snapshot.
+    std::map<LogIndex, Waiting> m_waiting;
+    std::vector<ReadReady> m_reads; // Confirmed, but not applied far enough yet.
+    std::set<std::uint64_t> m_openReads; // Asked for and not confirmed.
+    std::vector<Reply> m_replies;
+};
+
+} // namespace Robinrail
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -225,6 +225,45 @@
     return file;
 }
 
+DataCentreId SteeringFile::dataCentreId(std::string_view name) const
+{
+    const auto at = std::find(dataCentres.begin(), dataCentres.end(), name);
+    return DataCentreId{static_cast<std::uint8_t>(at == dataCentres.end() ? 0 : at - dataCentres.begin() + 1)};
+}
+
+leaf::result<SteeringFile> loadSteeringFile(const std::filesystem::path &path)
+{
+    BOOST_LEAF_AUTO(document, loadDocument(path, steeringSettingsSchema()));
+    Reader reader(document);
+    SteeringFile file;
+    file.node = reader.at("/node").get<std::string>();
+    file.dataCentre = reader.at("/dataCentre").get<std::string>();
+    file.dataCentres = reader.at("/dataCentres").get<std::vector<std::string>>();
+    std::sort(file.dataCentres.begin(), file.dataCentres.end());
+    if (value(file.dataCentreId(file.dataCentre)) == 0) {
+        reader.fail("/dataCentre", file.dataCentre, "one of the names in /dataCentres");
+    }
+    file.adminListen = reader.endpoint("/listen/admin");
+    if (reader.at("/listen").contains("packets")) {
+        file.packetListen = reader.endpoint("/listen/packets");
+    }
+    for (std::size_t i = 0; i < reader.at("/seeds").size(); ++i) {
+        file.seeds.push_back(reader.endpoint("/seeds/" + std::to_string(i)));
+    }
+    file.linkPort = reader.at("/linkPort").get<std::uint16_t>();
+    file.firstStart = document.value("firstStart", false);
+    file.announceInterval = std::chrono::milliseconds(reader.at("/announceIntervalMs").get<int>());
+    file.borneLosses = reader.at("/borneLosses").get<std::size_t>();
+    file.drainTime = std::chrono::milliseconds(reader.at("/drainMs").get<std::int64_t>());
+    file.grace = std::chrono::milliseconds(reader.at("/graceMs").get<std::int64_t>());
+    file.dataFolder = document.value("dataFolder", "");
+    file.log = readLog(document);
+    if (reader.fault()) {
+        return invalid(path, *reader.fault());
+    }
+    return file;
+}
+
 std::optional<Endpoint> parseEndpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
--- a/src/settings.h
+++ b/src/settings.h
@@ -70,8 +70,30 @@
     LogSettings log;
 };
 
+// Settings of a steering balancer or of a routing replica; each is told a few addresses and finds the rest.
+struct SteeringFile {
+    std::string node;
+    std::string dataCentre;
+    std::vector<std::string> dataCentres; // Sorted, so that every node numbers them alike.
+    Endpoint adminListen;
+    Endpoint packetListen; // Port 0: a replica, which takes no packets.
+    std::vector<Endpoint> seeds; // Administration addresses of some replicas.
+    std::uint16_t linkPort = 0; // Where every replica listens for links.
+    bool firstStart = false; // The whole system starts for the first time, with empty disks.
+    Duration announceInterval{}; // Targets announce themselves about this often.
+    std::size_t borneLosses = 0; // Replicas that may be lost at once, disks and all.
+    Duration drainTime{}; // A draining target must get no new flow after this.
+    Duration grace{}; // From the request to stop to the kill.
+    std::filesystem::path dataFolder; // Of a replica.
+    LogSettings log;
+
+    // Number of a data centre, from 1; 0 if it is not listed.
+    DataCentreId dataCentreId(std::string_view name) const;
+};
+
 boost::leaf::result<BalancerFile> loadBalancerFile(const std::filesystem::path &path);
 boost::leaf::result<ControlFile> loadControlFile(const std::filesystem::path &path);
+boost::leaf::result<SteeringFile> loadSteeringFile(const std::filesystem::path &path);
 
 // "127.0.0.1:80", and back; empty if it is not an IPv4 address with a port.
 std::optional<Endpoint> parseEndpoint(std::string_view text);
--- /dev/null
+++ b/src/steering_node.h
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+// Steering node: a steering balancer's links to the replicas, its readiness, its log and figures. Packets
+// come through a PacketPort.
+#pragma once
+
+#include "flow_steering.h"
+#include "log_budget.h"
+#include "node_links.h"
+#include "settings.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <set>
+
+namespace Robinrail {
+
+// The balancer's clock runs in steps of this. It finds dead links and old flows; packets don't wait for it.
+inline constexpr std::chrono::milliseconds SteeringTick{100};
+
+// At most one routing table is asked for in this time. Documents come in floods of 12 a second, and reading a
+// table of 450 routes takes a twentieth of a small VM's second.
+inline constexpr Duration RoutingFetchPause = std::chrono::milliseconds(250);
+
+// A table that was asked for and did not come is asked for again, at another replica.
+inline constexpr Duration RoutingFetchTimeout = std::chrono::milliseconds(600);
+
+// The fabric asks for readiness twice a second and leaves a balancer out after two refusals; twice that.
+inline constexpr Duration FabricNoticeTime = std::chrono::milliseconds(2500);
+
+class SteeringNode
+{
+public:
+    SteeringNode(boost::asio::io_context &io, SteeringFile file);
+
+    void start();
+
+    // Takes changed settings; only the seeds can change while it runs.
+    void reload(const SteeringFile &file);
+
+    // From now on it is not ready, and forwards as before until the process ends.
+    void beginStop();
+
+    // How long to forward on after beginStop(): until the fabric has noticed, well before the kill.
+    Duration stopTime() const;
+
+    // Whether the fabric may send packets here: it has a confirmed table and knows the targets.
+    bool ready() const;
+
+    // Decides on a packet and logs what a later question may be about.
+    SteeringDecision steer(const FlowPacket &packet);
+
+    // Counts what the port saw.
+    void countMalformed();
+    void countSendFailure();
+
+    const SteeringFile &settings() const;
+    std::string metricsText() const;
+
+private:
+    void tick();
+    void onEstablished(LinkHandle link, const NodeHello &peer);
+    void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
+    void onClosed(LinkHandle link, const NodeHello &peer);
+    void onOffer(LinkHandle link, const RoutingOffer &offer);
+    void onUpdate(const RoutingUpdate &update);
+    void fetchIfBehind(TimePoint now);
+    void dialReplicas();
+    void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
+    void updateReadiness();
+
+    SteeringFile m_file;
+    NodeLinks m_links;
+    boost::asio::steady_timer m_timer;
+    FlowSteering m_steering;
+    TimePoint m_now;
+    std::map<ReplicaId, std::vector<ReplicaId>> m_lists; // Replicas that each replica named.
+    std::map<LinkHandle, std::uint64_t> m_offers; // Newest version that a link's replica has.
+    TimePoint m_fetchDue;
+    LinkHandle m_fetchedFrom = 0;
+    bool m_fetching = false;
+    bool m_confirmed = false; // The table was the newest one once.
+    bool m_told = false; // A replica told all targets.
+    bool m_ready = false;
+    bool m_stopping = false;
+    std::array<LogBudget, SteeringReasonCount> m_logs;
+    std::uint64_t m_malformed = 0;
+    std::uint64_t m_sendFailures = 0;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/steering_targets.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+// Steering targets: a balancer's view of all targets, with what it saw of each itself.
+#pragma once
+
+#include "flow_packet.h"
+#include "routing_table.h"
+#include "target_record.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <map>
+#include <set>
+#include <span>
+
+namespace Robinrail {
+
+// How long a target that did not answer is left out of new choices: at first, and at most after more of the
+// same. A trial costs one caller 200 ms, the pause before it sends its opening packet again.
+inline constexpr Duration FirstSuspicion = std::chrono::seconds(1);
+inline constexpr Duration LongestSuspicion = std::chrono::seconds(8);
+
+struct SteeredTarget {
+    TargetRecord record;
+    FlowToken token{};
+    std::set<ReplicaId> vouchers; // Replicas that say that it is alive; none: it is silent.
+    TimePoint warmAt; // Slow before this.
+    TimePoint suspectUntil;
+    Duration suspicion{}; // The last one's length; 0 after a sign of life.
+    TimePoint alive; // Last sign of life that passed through here.
+    TimePoint leftAt; // When its end was learnt.
+    bool ambiguous = false; // An older target has the same token: it gets no flows.
+    std::uint32_t flows = 0; // Open flows that pass through here.
+    std::uint32_t busy = 0; // Flows of those with a request under way.
+
+    bool suspect(TimePoint now) const
+    {
+        return now < suspectUntil;
+    }
+};
+
+class SteeringTargets
+{
+public:
+    // Takes one replica's news of a target.
+    void take(TimePoint now, ReplicaId replica, const TargetStatus &news);
+
+    // A replica can't be heard any more; it vouches for nobody. Without any other replica the view is kept.
+    void forgetReplica(ReplicaId replica, bool others);
+
+    // Leaves out targets that left or were silent for longer than flows live.
+    void tick(TimePoint now);
+
+    // Holds a failure to answer against a target, or clears it.
+    void suspect(TimePoint now, SteeredTarget &target);
+    void sawAlive(TimePoint now, SteeredTarget &target);
+
+    // The target behind a token; null if it is not known.
+    SteeredTarget *find(FlowToken token);
+
+    // All targets of a service that have not left.
+    std::span<SteeredTarget *const> ofService(const std::string &service) const;
+
+    std::size_t size() const;
+
+    // The token of a lifetime: its number hashed to 32 bits, so that all balancers agree without a word.
+    static FlowToken tokenOf(TargetKey key);
+
+private:
+    void add(SteeredTarget &target);
+    void remove(SteeredTarget &target);
+
+    std::map<TargetKey, SteeredTarget> m_targets;
+    boost::unordered_flat_map<std::uint32_t, SteeredTarget *> m_tokens;
+    std::map<std::string, std::vector<SteeredTarget *>> m_services;
+};
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/target_directory.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+// Target directory: implementation.
+#include "target_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Robinrail {
+
+TargetDirectory::TargetDirectory(Duration silenceLimit)
+    : m_silenceLimit(silenceLimit)
+{
+}
+
+std::optional<TargetStatus> TargetDirectory::announce(TimePoint now, const TargetRecord &record)
+{
+    m_heardHere.push_back(record.key);
+    return take(now, {record, false, Duration{0}});
+}
+
+std::optional<TargetStatus> TargetDirectory::take(TimePoint now, const TargetStatus &news)
+{
+    const auto found = m_entries.find(news.record.key);
+    if (found == m_entries.end()) {
+        if (m_entries.size() >= MaxDirectoryTargets) {
+            return std::nullopt;
+        }
+        const Entry &entry = m_entries[news.record.key] = {news.record, now - news.age, news.silent};
+        return newsOf(entry, now);
+    }
+    Entry &entry = found->second;
+    entry.heard = std::max(entry.heard, now - news.age);
+    const bool wasSilent = std::exchange(entry.silent, entry.silent && now - entry.heard >= m_silenceLimit);
+    if (!news.record.supersedes(entry.record)) {
+        return wasSilent && !entry.silent ? std::optional(newsOf(entry, now)) : std::nullopt;
+    }
+    const bool changed = news.record.differs(entry.record) || wasSilent;
+    entry.record = news.record;
+    return changed ? std::optional(newsOf(entry, now)) : std::nullopt;
+}
+
+std::optional<TargetStatus> TargetDirectory::leave(TimePoint now, TargetKey key)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        return std::nullopt;
+    }
+    found->second.record.phase = TargetPhase::Left;
+    found->second.heard = now;
+    return newsOf(found->second, now);
+}
+
+std::vector<TargetStatus> TargetDirectory::heard(TimePoint now, std::span<const TargetKey> keys)
+{
+    std::vector<TargetStatus> back;
+    for (const TargetKey key : keys) {
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        found->second.heard = now;
+        if (std::exchange(found->second.silent, false)) {
+            back.push_back(newsOf(found->second, now));
+        }
+    }
+    return back;
+}
+
+std::vector<TargetStatus> TargetDirectory::tick(TimePoint now)
+{
+    std::vector<TargetStatus> fallen;
+    for (auto &[key, entry] : m_entries) {
+        const bool left = entry.record.phase == TargetPhase::Left;
+        if (!left && !entry.silent && now - entry.heard >= m_silenceLimit) {
+            entry.silent = true;
+            fallen.push_back(newsOf(entry, now));
+        }
+    }
+    std::erase_if(m_entries, [now](const auto &each) {
+        const bool left = each.second.record.phase == TargetPhase::Left;
+        return now - each.second.heard >= (left ? RememberLeft : ForgetSilent);
+    });
+    return fallen;
+}
+
+std::vector<TargetKey> TargetDirectory::takeHeardHere()
+{
+    return std::exchange(m_heardHere, {});
+}
+
+std::vector<TargetStatus> TargetDirectory::all(TimePoint now) const
+{
+    std::vector<TargetStatus> list;
+    list.reserve(m_entries.size());
+    for (const auto &[key, entry] : m_entries) {
+        list.push_back(newsOf(entry, now));
+    }
+    return list;
+}
+
+const TargetRecord *TargetDirectory::find(TargetKey key) const
+{
+    const auto found = m_entries.find(key);
+    return found != m_entries.end() ? &found->second.record : nullptr;
+}
+
+std::size_t TargetDirectory::size() const
+{
+    return m_entries.size();
+}
+
+TargetStatus TargetDirectory::newsOf(const Entry &entry, TimePoint now) const
+{
+    TargetStatus news{entry.record, entry.silent, now - entry.heard};
+    news.record.warmupLeft = std::max(Duration{0}, entry.record.warmupLeft - news.age);
+    return news;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/target_directory.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+// Target directory: a replica's soft state of all targets. Announcements reach one replica, which passes
+// changes on to all others and to every balancer; sequence and lifetime order them, no log is needed.
+#pragma once
+
+#include "target_record.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Robinrail {
+
+// A target that left is remembered this long, so that its flows' packets are still told from unknown ones
+// and no late announcement revives it. The longest life of a flow, 60 s, and some slack.
+inline constexpr Duration RememberLeft = std::chrono::seconds(75);
+
+// A target that nobody heard for this long is forgotten.
+inline constexpr Duration ForgetSilent = std::chrono::seconds(120);
+
+// Most targets that are kept; an announcement beyond that is refused.
+inline constexpr std::size_t MaxDirectoryTargets = 100'000;
+
+class TargetDirectory
+{
+public:
+    // Targets count as silent after `silenceLimit` without an announcement at any replica.
+    explicit TargetDirectory(Duration silenceLimit);
+
+    // Takes what a target announced here. Returns the news to pass on, if any.
+    std::optional<TargetStatus> announce(TimePoint now, const TargetRecord &record);
+
+    // Takes another replica's news. Returns the news to pass on to balancers, if any.
+    std::optional<TargetStatus> take(TimePoint now, const TargetStatus &news);
+
+    // Ends a lifetime; the news to pass on, if the target is known.
+    std::optional<TargetStatus> leave(TimePoint now, TargetKey key);
+
+    // Another replica heard these targets just now. Returns targets that are silent no longer.
+    std::vector<TargetStatus> heard(TimePoint now, std::span<const TargetKey> keys);
+
+    // Finds targets that fell silent, and forgets old ones.
+    std::vector<TargetStatus> tick(TimePoint now);
+
+    // The targets that announced themselves here since the last call.
+    std::vector<TargetKey> takeHeardHere();
+
+    std::vector<TargetStatus> all(TimePoint now) const;
+    const TargetRecord *find(TargetKey key) const;
+    std::size_t size() const;
+
+private:
+    struct Entry {
+        TargetRecord record;
+        TimePoint heard;
+        bool silent = false;
+    };
+    TargetStatus newsOf(const Entry &entry, TimePoint now) const;
+
+    Duration m_silenceLimit;
+    std::map<TargetKey, Entry> m_entries;
+    std::vector<TargetKey> m_heardHere;
+};
+
+} // namespace Robinrail
--- a/src/types.h
+++ b/src/types.h
@@ -18,9 +18,10 @@
 // A target, numbered by itself; unique within the whole deployment.
 enum class TargetId : std::uint32_t {};
 
-// A balancer or control replica, numbered in its settings.
+// A balancer or control replica, numbered in its settings. A replica that is found by its address is
+// numbered by it, hence 32 bits.
 enum class BalancerId : std::uint16_t {};
-enum class ReplicaId : std::uint16_t {};
+enum class ReplicaId : std::uint32_t {};
 
 // One run of a process: a restart always takes a larger number.
 enum class Incarnation : std::uint64_t {};
--- a/src/websocket_hub.cpp
+++ b/src/websocket_hub.cpp
@@ -13,8 +13,29 @@
 
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+// Milliseconds until an attempt to connect, to shake hands or to close is given up. A peer behind a cut says
+// nothing; the library's 5 s would keep a node from trying again.
+constexpr long HandshakeTimeout = 1500;
+
+// Bytes of the read buffer of a connection; the library's 16 KiB times a hundred peers is more than all else.
+constexpr std::size_t ReadBuffer = 4096;
+
+template<typename Base>
+struct LinkConfig : Base {
+    using type = LinkConfig; // NOLINT(readability-identifier-naming): the library's name
+    struct TransportConfig : Base::transport_config {
+        static const long timeout_socket_post_init = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+        static const long timeout_connect = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+        static const long timeout_socket_shutdown = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<TransportConfig>; // NOLINT(readability-identifier-naming)
+    static const long timeout_open_handshake = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+    static const long timeout_close_handshake = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+    static const std::size_t connection_read_buffer_size = ReadBuffer; // NOLINT(readability-identifier-naming)
+};
+
+using Server = websocketpp::server<LinkConfig<websocketpp::config::asio>>;
+using Client = websocketpp::client<LinkConfig<websocketpp::config::asio_client>>;
 using Weak = websocketpp::connection_hdl;
 
 } // namespace
@@ -70,6 +91,11 @@
         side.clear_error_channels(websocketpp::log::elevel::all);
         side.init_asio(&io);
         side.set_max_message_size(maxMessage);
+        side.set_socket_init_handler([](const Weak &, boost::asio::ip::tcp::socket &socket) {
+            // Small messages must not wait for the peer's acknowledgement.
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        });
         side.set_close_handler([this](const Weak &weak) {
             closed(weak);
         });
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: MIT
+// Platform: the adapter's codecs, on messages in the platform's own form.
+#include "document_codec.h"
+#include "packet_codec.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Robinrail;
+using namespace Robinrail::Platform;
+
+namespace {
+
+Bytes fromHexText(std::string_view text)
+{
+    Bytes bytes;
+    for (std::size_t at = 0; at + 1 < text.size(); at += 3) {
+        bytes.push_back(static_cast<std::uint8_t>(std::stoi(std::string(text.substr(at, 2)), nullptr, 16)));
+    }
+    return bytes;
+}
+
+// An opening packet from 100.64.0.7:40001 to 198.18.0.1:443, and a reset in answer to it.
+const Bytes Opening = fromHexText("00 00 07 00 40 64 bb 01 01 00 12 c6 41 9c d5 c3 b2 a1 44 33 22 11 00 00 00 00 00 00 00 00 02 00");
+const Bytes ResetOfOpening = fromHexText("00 00 01 00 12 c6 41 9c 07 00 40 64 bb 01 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 08 00");
+
+std::string documentWith(const std::string &routes)
+{
+    return R"({"version": 7, "routes": [)" + routes + R"(], "services": [{"name": "a"}, {"name": "b"}], "limits": {"idle_timeout_ms": 15000}})";
+}
+
+std::string routeWith(const std::string &more, const std::string &port = "/443/")
+{
+    return R"({"name": "r", "host": "198.18.0.1", "path_prefix": ")" + port + "\"" + more + "}";
+}
+
+bool valid(const std::string &text)
+{
+    std::string reason;
+    const bool read = readDocument(text, reason).has_value();
+    CHECK(read == reason.empty());
+    return read;
+}
+
+SteeringFile settingsOf()
+{
+    SteeringFile file;
+    file.dataCentres = {"lalit", "thamel"};
+    return file;
+}
+
+} // namespace
+
+TEST_CASE("a packet head is read and a reset is written byte for byte")
+{
+    const std::optional<FlowPacket> packet = PacketHeadCodec::decode(Opening);
+    REQUIRE(packet);
+    CHECK(packet->caller == Endpoint{0x64400007, 40001});
+    CHECK(packet->route == Endpoint{0xc6120001, 443});
+    CHECK(packet->sequence == 0x11223344);
+    CHECK(packet->opening);
+    CHECK(packet->copy == 0);
+    Bytes reset(PacketHeadCodec::MaxPacket);
+    CHECK(PacketHeadCodec::writeReset(reset, *packet, 0) == PacketHeadCodec::HeadSize);
+    reset.resize(PacketHeadCodec::HeadSize);
+    CHECK(reset == ResetOfOpening);
+}
+
+TEST_CASE("only the token changes in a packet that is passed on")
+{
+    Bytes packet = Opening;
+    PacketHeadCodec::writeToken(packet, FlowToken{0xa1b2c3d4});
+    CHECK(PacketHeadCodec::decode(packet)->token == FlowToken{0xa1b2c3d4});
+    PacketHeadCodec::writeToken(packet, FlowToken{0});
+    CHECK(packet == Opening);
+    Bytes prefix(PacketHeadCodec::PrefixSize);
+    PacketHeadCodec::writePrefix(prefix, TargetKey{0x7f3a91c2});
+    CHECK(prefix == fromHexText("00 00 00 00 7f 3a 91 c2"));
+}
+
+TEST_CASE("packets that are cut short or whose length is wrong are not read")
+{
+    for (std::size_t size = 0; size < Opening.size(); ++size) {
+        CHECK_FALSE(PacketHeadCodec::decode(BytesView(Opening).first(size)));
+    }
+    Bytes longer = Opening;
+    longer.push_back(1);
+    CHECK_FALSE(PacketHeadCodec::decode(longer));
+    CHECK(rc::check("any bytes", [](const Bytes &bytes) {
+        PacketHeadCodec::decode(bytes);
+    }));
+}
+
+TEST_CASE("a document is read into a table, with its text unchanged")
+{
+    const std::string text = documentWith(routeWith(R"(, "service": "b", "timeout_ms": 20)") + ","
+                                          + routeWith(R"(, "backends": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}])", "/8443/"));
+    std::string reason;
+    const std::optional<RoutingDocument> document = readDocument(text, reason);
+    REQUIRE(document);
+    CHECK(document->text == text);
+    CHECK(document->table.version == 7);
+    CHECK(document->table.idleTimeout == std::chrono::seconds(15));
+    REQUIRE(document->table.routes.size() == 2);
+    CHECK(document->table.routes[0].services == std::vector<WeightedService>{{1, 1}});
+    CHECK(document->table.routes[1].services == std::vector<WeightedService>{{0, 90}, {1, 10}});
+    CHECK(document->table.routes[1].address == Endpoint{0xc6120001, 8443});
+}
+
+TEST_CASE("documents with any fault are refused")
+{
+    const std::string sound = routeWith(R"(, "service": "a")");
+    CHECK(valid(documentWith(sound)));
+    CHECK_FALSE(valid(documentWith(sound).substr(0, 60)));
+    CHECK_FALSE(valid("[]"));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "service": "c")"))));
+    CHECK_FALSE(valid(documentWith(routeWith(""))));
+    CHECK_FALSE(valid(documentWith(sound + "," + sound)));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "service": "a", "timeout_ms": 0)"))));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "backends": [])"))));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "backends": [{"service": "a", "weight": 0}])"))));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "backends": [{"service": "a", "weight": -1}])"))));
+    CHECK_FALSE(valid(documentWith(routeWith(R"(, "service": "a")", "/port/"))));
+    CHECK_FALSE(valid(R"({"version": "7", "routes": [], "services": []})"));
+    CHECK_FALSE(valid(R"({"version": 7, "services": []})"));
+    CHECK(rc::check("any text", [](const std::string &text) {
+        std::string reason;
+        readDocument(text, reason);
+    }));
+}
+
+TEST_CASE("announcements and ids are read, and refused when something is wrong")
+{
+    const std::string sound =
+        R"({"service":"a","address":"10.0.0.9:80","zone":"thamel","version":"v1","capacity":2,"state":"draining","warmup_left_ms":250,"sequence":4})";
+    std::string reason;
+    const std::optional<TargetRecord> record = readAnnouncement(TargetKey{5}, sound, settingsOf(), reason);
+    REQUIRE(record);
+    CHECK(record->address == Endpoint{0x0a000009, 80});
+    CHECK(record->dataCentre == DataCentreId{2});
+    CHECK(record->phase == TargetPhase::Draining);
+    CHECK(record->warmupLeft == std::chrono::milliseconds(250));
+    for (const char *broken : {"", "{}", R"({"service":"a"})", "[1]"}) {
+        CHECK_FALSE(readAnnouncement(TargetKey{5}, broken, settingsOf(), reason));
+    }
+    CHECK(readTargetId("i-7f3a91c2") == TargetKey{0x7f3a91c2});
+    CHECK_FALSE(readTargetId("i-"));
+    CHECK_FALSE(readTargetId("i-xyz"));
+    CHECK_FALSE(readTargetId("i-0"));
+}
--- /dev/null
+++ b/tests/test_steering.cpp
@@ -0,0 +1,321 @@
+// SPDX-License-Identifier: MIT
+// Steering: where packets go, what is held against targets, and the replicas' directory of targets.
+#include "flow_steering.h"
+#include "routing_state.h"
+#include "target_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace Robinrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr DataCentreId Here{1};
+constexpr DataCentreId There{2};
+constexpr ReplicaId FirstReplica{11};
+constexpr ReplicaId SecondReplica{12};
+constexpr Endpoint QuoteRoute{0xc6120001, 443};
+constexpr Endpoint DeckRoute{0xc6120002, 443};
+const TimePoint Start(std::chrono::hours(1));
+
+TargetRecord targetOf(std::uint64_t key, const std::string &service, DataCentreId dataCentre = Here)
+{
+    TargetRecord record;
+    record.key = TargetKey{key};
+    record.service = service;
+    record.address = {static_cast<std::uint32_t>(key), 8080};
+    record.dataCentre = dataCentre;
+    record.slots = 2;
+    record.sequence = 1;
+    return record;
+}
+
+RoutingTable tableOf(std::uint64_t version, bool withDecks = true)
+{
+    RoutingTable table;
+    table.version = version;
+    table.services = {"quotes", "decks"};
+    table.routes = {{QuoteRoute, {{0, 1}}}};
+    if (withDecks) {
+        table.routes.push_back({DeckRoute, {{1, 1}}});
+    }
+    return table;
+}
+
+// A balancer with two local targets for quotes, one elsewhere, and one for decks.
+struct Balancer {
+    FlowSteering steering{Here};
+    TimePoint now = Start;
+
+    Balancer()
+    {
+        steering.apply(tableOf(1));
+        take(targetOf(101, "quotes"));
+        take(targetOf(102, "quotes"));
+        take(targetOf(103, "quotes", There));
+        take(targetOf(201, "decks"));
+    }
+
+    void take(const TargetRecord &record, bool silent = false, ReplicaId replica = FirstReplica)
+    {
+        steering.targets().take(now, replica, {record, silent, Duration{0}});
+    }
+
+    static FlowPacket packet(std::uint32_t caller, Endpoint route = QuoteRoute)
+    {
+        FlowPacket made;
+        made.caller = {0x64400000 + caller, 40000};
+        made.route = route;
+        return made;
+    }
+
+    SteeringDecision open(std::uint32_t caller, std::uint8_t copy = 0, Endpoint route = QuoteRoute)
+    {
+        FlowPacket opening = packet(caller, route);
+        opening.opening = true;
+        opening.copy = copy;
+        return steering.steer(now, opening);
+    }
+
+    // A later packet of a flow, with data unless it has none.
+    SteeringDecision follow(std::uint32_t caller, FlowToken token, std::uint32_t sequence, std::uint32_t acknowledged, std::uint16_t bytes = 100)
+    {
+        FlowPacket later = packet(caller);
+        later.token = token;
+        later.sequence = sequence;
+        later.acknowledged = acknowledged;
+        later.dataBytes = bytes;
+        return steering.steer(now, later);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an opening packet goes to a local target, and its repetition to the same one")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    REQUIRE(first.action == SteeringAction::Forward);
+    CHECK(first.target != TargetKey{103});
+    CHECK(first.token == SteeringTargets::tokenOf(first.target));
+    const SteeringDecision again = balancer.open(1);
+    CHECK(again.target == first.target);
+    CHECK(again.reason == SteeringReason::RepeatedOpening);
+}
+
+TEST_CASE("two balancers with the same view choose the same target")
+{
+    Balancer one;
+    Balancer other;
+    for (std::uint32_t caller = 1; caller < 20; ++caller) {
+        CHECK(one.open(caller).target == other.open(caller).target);
+    }
+}
+
+TEST_CASE("new flows go to the target with less under way")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.follow(1, first.token, 10, 1);
+    for (std::uint32_t caller = 2; caller < 8; ++caller) {
+        const SteeringDecision next = balancer.open(caller);
+        CHECK(next.target != first.target);
+    }
+}
+
+TEST_CASE("a later copy goes to another target, and the silent one is left out until it shows life")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.now += milliseconds(200);
+    const SteeringDecision second = balancer.open(1, 1);
+    CHECK(second.reason == SteeringReason::OtherTarget);
+    CHECK(second.target != first.target);
+    for (std::uint32_t caller = 2; caller < 10; ++caller) {
+        CHECK(balancer.open(caller).target != first.target);
+    }
+    balancer.follow(50, first.token, 1, 1, 0);
+    bool chosen = false;
+    for (std::uint32_t caller = 60; caller < 70; ++caller) {
+        chosen = chosen || balancer.open(caller).target == first.target;
+    }
+    CHECK(chosen);
+}
+
+TEST_CASE("a flow that two targets answered stays at the one where it opened")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.now += milliseconds(200);
+    const SteeringDecision second = balancer.open(1, 1);
+    REQUIRE(second.target != first.target);
+    // The first target's answer was late but came first; then the other one's changes the token.
+    CHECK(balancer.follow(1, first.token, 1, 1, 0).target == first.target);
+    const SteeringDecision data = balancer.follow(1, second.token, 1, 1);
+    CHECK(data.target == first.target);
+    CHECK(data.token == first.token);
+    CHECK(data.reason == SteeringReason::PinnedFlow);
+}
+
+TEST_CASE("a late copy of an opening packet does not move an open flow")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.follow(1, first.token, 1, 1, 0);
+    CHECK(balancer.open(1, 1).target == first.target);
+    CHECK(balancer.follow(1, first.token, 1, 1).target == first.target);
+}
+
+TEST_CASE("a balancer that never saw a flow routes it by its token")
+{
+    Balancer balancer;
+    const SteeringDecision decision = balancer.follow(7, SteeringTargets::tokenOf(TargetKey{103}), 5, 6);
+    CHECK(decision.action == SteeringAction::Forward);
+    CHECK(decision.target == TargetKey{103});
+    CHECK(balancer.follow(8, FlowToken{12345}, 5, 6).action == SteeringAction::Drop);
+}
+
+TEST_CASE("data that is sent again without a sign of the target makes it suspect, and resets nothing")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.follow(1, first.token, 1, 1);
+    balancer.now += milliseconds(200);
+    CHECK(balancer.follow(1, first.token, 1, 1).action == SteeringAction::Forward);
+    CHECK(balancer.steering.suspicions() == 1);
+    for (std::uint32_t caller = 2; caller < 10; ++caller) {
+        CHECK(balancer.open(caller).target != first.target);
+    }
+}
+
+TEST_CASE("a draining target keeps its flows and gets no new ones; one that left loses them")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.follow(1, first.token, 1, 1);
+    TargetRecord record = targetOf(value(first.target), "quotes");
+    record.phase = TargetPhase::Draining;
+    record.sequence = 2;
+    balancer.take(record);
+    CHECK(balancer.follow(1, first.token, 2, 2).target == first.target);
+    for (std::uint32_t caller = 2; caller < 10; ++caller) {
+        CHECK(balancer.open(caller).target != first.target);
+    }
+    record.phase = TargetPhase::Left;
+    balancer.take(record);
+    CHECK(balancer.follow(1, first.token, 3, 3).action == SteeringAction::Forward);
+    balancer.now += LeftGrace;
+    const SteeringDecision over = balancer.follow(1, first.token, 4, 77);
+    CHECK(over.action == SteeringAction::Reset);
+    CHECK(over.resetSequence == 77);
+    // A late announcement revives nothing.
+    record.phase = TargetPhase::Serving;
+    record.sequence = 9;
+    balancer.take(record);
+    CHECK(balancer.follow(2, first.token, 4, 77).action == SteeringAction::Reset);
+}
+
+TEST_CASE("targets that no replica vouches for come last, and a lost replica alone changes nothing")
+{
+    Balancer balancer;
+    balancer.take(targetOf(101, "quotes"), true);
+    CHECK(balancer.open(1).target == TargetKey{102});
+    balancer.take(targetOf(101, "quotes"), false, SecondReplica);
+    balancer.steering.targets().forgetReplica(FirstReplica, true);
+    for (std::uint32_t caller = 2; caller < 6; ++caller) {
+        CHECK(balancer.open(caller).target == TargetKey{101});
+    }
+    balancer.steering.targets().forgetReplica(SecondReplica, false);
+    CHECK(balancer.open(20).action == SteeringAction::Forward);
+}
+
+TEST_CASE("a dropped route resets its flows and spares the others; an unknown one resets openings only")
+{
+    Balancer balancer;
+    CHECK(balancer.steering.apply(tableOf(2, false)));
+    CHECK_FALSE(balancer.steering.apply(tableOf(1)));
+    FlowPacket decks = Balancer::packet(1, DeckRoute);
+    decks.token = SteeringTargets::tokenOf(TargetKey{201});
+    CHECK(balancer.steering.steer(balancer.now, decks).reason == SteeringReason::RouteDropped);
+    CHECK(balancer.open(2, 0, DeckRoute).reason == SteeringReason::NoRoute);
+    CHECK(balancer.open(3).action == SteeringAction::Forward);
+    // Another balancer may know a newer table than this one, so an open flow is not cut.
+    FlowPacket newer = Balancer::packet(4, {0xc6120009, 443});
+    newer.token = SteeringTargets::tokenOf(TargetKey{201});
+    CHECK(balancer.steering.steer(balancer.now, newer).action == SteeringAction::Forward);
+}
+
+TEST_CASE("a reset is never answered by a reset")
+{
+    Balancer balancer;
+    balancer.steering.apply(tableOf(2, false));
+    FlowPacket reset = Balancer::packet(1, DeckRoute);
+    reset.reset = true;
+    CHECK(balancer.steering.steer(balancer.now, reset).action == SteeringAction::Drop);
+}
+
+TEST_CASE("flows that end or rest no longer count as load")
+{
+    Balancer balancer;
+    const SteeringDecision first = balancer.open(1);
+    balancer.follow(1, first.token, 1, 1);
+    const SteeredTarget *target = balancer.steering.targets().find(first.token);
+    CHECK(target->flows == 1);
+    CHECK(target->busy == 1);
+    balancer.follow(1, first.token, 101, 50, 0);
+    CHECK(target->busy == 0);
+    FlowPacket closing = Balancer::packet(1);
+    closing.token = first.token;
+    closing.closing = true;
+    balancer.steering.steer(balancer.now, closing);
+    CHECK(target->flows == 0);
+    balancer.open(2);
+    balancer.now += DefaultIdleTimeout + FlowSweepInterval;
+    balancer.steering.tick(balancer.now);
+    CHECK(balancer.steering.flowCount() == 0);
+}
+
+TEST_CASE("the directory passes on changes, orders them, and tells silent targets")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    CHECK(directory.announce(Start, record));
+    record.sequence = 2;
+    CHECK_FALSE(directory.announce(Start + seconds(1), record));
+    record.sequence = 1;
+    record.phase = TargetPhase::Draining;
+    CHECK_FALSE(directory.announce(Start + seconds(1), record));
+    record.sequence = 3;
+    CHECK(directory.announce(Start + seconds(1), record));
+    CHECK(directory.takeHeardHere().size() == 4);
+    CHECK(directory.tick(Start + seconds(2)).empty());
+    CHECK(directory.tick(Start + seconds(4)).size() == 1);
+    const std::vector<TargetKey> keys = {TargetKey{5}};
+    CHECK(directory.heard(Start + seconds(5), keys).size() == 1);
+    CHECK(directory.leave(Start + seconds(6), TargetKey{5}));
+    record.sequence = 4;
+    record.phase = TargetPhase::Serving;
+    CHECK_FALSE(directory.announce(Start + seconds(7), record));
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Left);
+}
+
+TEST_CASE("the highest version holds under one order, the expected base under the other")
+{
+    CHECK(HighestVersion::judge(7, 0, 9) == VersionVerdict::Apply);
+    CHECK(HighestVersion::judge(7, 7, 7) == VersionVerdict::Superseded);
+    CHECK(HighestVersion::judge(7, 7, 3) == VersionVerdict::Superseded);
+    CHECK(CompareAndSet::judge(7, 7, 8) == VersionVerdict::Apply);
+    CHECK(CompareAndSet::judge(7, 6, 8) == VersionVerdict::Conflict);
+
+    RoutingState state;
+    RoutingDocument document{"second", tableOf(9)};
+    CHECK(state.applyCommand(RoutingState::encodeChange(document)).verdict == VersionVerdict::Apply);
+    document = {"older", tableOf(4)};
+    CHECK(state.applyCommand(RoutingState::encodeChange(document)).held == 9);
+    CHECK(state.document().text == "second");
+    RoutingState restored;
+    CHECK(restored.restore(state.serialize()));
+    CHECK(restored.document().table == state.document().table);
+}
