--- /dev/null
+++ b/src/background_file.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+// Background file: implementation.
+#include "background_file.h"
+
+#include "durable_file.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace Robinrail {
+
+namespace leaf = boost::leaf;
+
+BackgroundFile::BackgroundFile(std::filesystem::path path)
+    : m_path(std::move(path))
+    , m_pool(1)
+{
+}
+
+BackgroundFile::~BackgroundFile()
+{
+    m_pool.join();
+}
+
+bool BackgroundFile::replace(Bytes bytes)
+{
+    if (m_busy.exchange(true)) {
+        return false;
+    }
+    boost::asio::post(m_pool, [this, bytes = std::move(bytes)] {
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                return replaceFile(m_path, bytes);
+            },
+            [this] {
+                ++m_failures;
+            });
+        m_busy = false;
+    });
+    return true;
+}
+
+std::uint64_t BackgroundFile::failures() const
+{
+    return m_failures;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/background_file.h
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: MIT
+// Background file: replaces a small file in a thread of its own, so that a slow disk holds up nothing else.
+#pragma once
+
+#include "types.h"
+
+#include <boost/asio/thread_pool.hpp>
+
+#include <atomic>
+#include <filesystem>
+
+namespace Robinrail {
+
+class BackgroundFile
+{
+public:
+    explicit BackgroundFile(std::filesystem::path path);
+
+    // Waits for a write that is under way.
+    ~BackgroundFile();
+    BackgroundFile(const BackgroundFile &) = delete;
+    BackgroundFile &operator=(const BackgroundFile &) = delete;
+
+    // Begins to write, whole and synced; false if the write before is still under way. Failures are counted.
+    bool replace(Bytes bytes);
+
+    std::uint64_t failures() const;
+
+private:
+    std::filesystem::path m_path;
+    std::atomic<bool> m_busy = false;
+    std::atomic<std::uint64_t> m_failures = 0;
+    boost::asio::thread_pool m_pool;
+};
+
+} // namespace Robinrail
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -19,8 +19,17 @@
     return static_cast<std::int32_t>(one - other) < 0;
 }
 
-constexpr std::array<std::string_view, SteeringReasonCount> ReasonNames = {
-    "new-flow", "repeated-opening", "other-target", "open-flow", "pinned-flow", "no-route", "no-target", "route-dropped", "target-left", "unknown-token"};
+constexpr std::array<std::string_view, SteeringReasonCount> ReasonNames = {"new-flow",
+                                                                           "repeated-opening",
+                                                                           "other-target",
+                                                                           "open-flow",
+                                                                           "pinned-flow",
+                                                                           "no-route",
+                                                                           "no-target",
+                                                                           "route-dropped",
+                                                                           "target-left",
+                                                                           "unknown-token",
+                                                                           "not-informed"};
 
 } // namespace
 
@@ -61,6 +70,12 @@
     return m_table.version;
 }
 
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::setInformed()
+{
+    m_informed = true;
+}
+
 // ---- Packets ----
 
 template<SteeringChoice Choice>
@@ -78,7 +93,7 @@
 {
     const auto found = m_routes.find(packed(packet.route));
     if (found == m_routes.end()) {
-        return reset(SteeringReason::NoRoute, packet);
+        return m_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed);
     }
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = remember(now, key);
@@ -100,7 +115,7 @@
     const ChoiceContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
     SteeredTarget *target = choose(context, *found->second, avoid);
     if (target == nullptr) {
-        return reset(SteeringReason::NoTarget, packet);
+        return m_informed ? reset(SteeringReason::NoTarget, packet) : drop(SteeringReason::NotInformed);
     }
     if (flow != nullptr) {
         assign(*flow, *target);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -45,9 +45,10 @@
     RouteDropped,
     TargetLeft,
     UnknownToken,
+    NotInformed, // This balancer was just started and may not know the route or its targets yet.
 };
 
-inline constexpr std::size_t SteeringReasonCount = 10;
+inline constexpr std::size_t SteeringReasonCount = 11;
 
 std::string_view nameOf(SteeringReason reason);
 
@@ -99,6 +100,10 @@
     SteeringTargets &targets();
     const SteeringTargets &targets() const;
 
+    // From now on what is not known does not exist. Before, an opening packet without a route or a target is
+    // left unanswered: its caller sends it again, and by then the answer may be a good one.
+    void setInformed();
+
     // Decides on one packet.
     SteeringDecision steer(TimePoint now, const FlowPacket &packet);
 
@@ -127,6 +132,7 @@
     void suspect(TimePoint now, SteeredTarget &target);
 
     DataCentreId m_dataCentre;
+    bool m_informed = false;
     RoutingTable m_table;
     boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; into m_table.
     boost::unordered_flat_map<std::uint64_t, std::uint64_t> m_dropped; // Routes that were removed, by version.
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -70,10 +70,10 @@
         drop(handle);
     }
     for (auto &[replica, dial] : m_dials) {
-        if (!dial.busy && now >= dial.due) {
-            dial.busy = true;
-            const Endpoint endpoint{value(replica), m_port};
-            m_hub.connect(addressText(endpoint), endpoint.port, value(replica));
+        if (dial.up == 0 && now >= dial.due) {
+            ++dial.attempts;
+            dial.due = now + std::min(LinkRedialPause * dial.attempts, LongestRedialPause);
+            m_hub.connect(addressText({value(replica), m_port}), m_port, value(replica));
         }
     }
 }
@@ -81,11 +81,15 @@
 void NodeLinks::opened(LinkHandle handle, std::uint64_t tag)
 {
     const ReplicaId replica{static_cast<std::uint32_t>(tag)};
-    const bool unwanted = tag != 0 && !m_dials.contains(replica);
+    const auto dial = m_dials.find(replica);
+    const bool unwanted = tag != 0 && (dial == m_dials.end() || dial->second.up != 0);
     if (unwanted || m_links.size() >= MaxNodeLinks) {
         m_hub.close(handle);
         return;
     }
+    if (tag != 0) {
+        dial->second.up = handle;
+    }
     m_links[handle] = {std::nullopt, replica, m_now, m_now};
     send(handle, m_self);
 }
@@ -104,6 +108,9 @@
     }
     if (const auto *hello = std::get_if<NodeHello>(&*message)) {
         at->second.peer = *hello;
+        if (const auto dial = m_dials.find(at->second.dialledTo); dial != m_dials.end()) {
+            dial->second.attempts = 0;
+        }
         m_callbacks.established(handle, *hello);
         return;
     }
@@ -115,15 +122,13 @@
 
 void NodeLinks::closed(LinkHandle handle, std::uint64_t tag)
 {
-    const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)});
-    // A link that was dropped before has been replaced by a new one by now.
-    const bool current = handle == 0 || m_links.contains(handle);
-    if (tag != 0 && dial != m_dials.end() && current) {
-        dial->second = {false, m_now + LinkRedialPause};
-    }
     const auto at = m_links.find(handle);
     if (at == m_links.end()) {
-        return;
+        return; // An attempt that failed, or a link that was dropped before.
+    }
+    const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)});
+    if (tag != 0 && dial != m_dials.end() && dial->second.up == handle) {
+        dial->second.up = 0;
     }
     const std::optional<NodeHello> peer = at->second.peer;
     m_links.erase(at);
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -19,8 +19,11 @@
 // A link on which nothing was heard for this long is closed: four lost pings.
 inline constexpr Duration LinkSilenceLimit = std::chrono::milliseconds(2000);
 
-// A link that could not be made is dialled again after this time.
-inline constexpr Duration LinkRedialPause = std::chrono::milliseconds(300);
+// As long as a link is not up it is dialled again after this time, and each time after as much more, up to
+// the limit, whether or not the attempt before has ended: after a loss of power the peers come up within a few
+// hundred milliseconds of each other, and a machine that is still dark leaves an attempt hanging for longer.
+inline constexpr Duration LinkRedialPause = std::chrono::milliseconds(50);
+inline constexpr Duration LongestRedialPause = std::chrono::milliseconds(1000);
 
 // Most links that are open at once; one more is closed.
 inline constexpr std::size_t MaxNodeLinks = 1024;
@@ -65,7 +68,8 @@
         TimePoint said;
     };
     struct Dial {
-        bool busy = false; // Being made, or up.
+        LinkHandle up = 0; // The link, once its connection is open.
+        int attempts = 0; // Since it was up last.
         TimePoint due;
     };
     void opened(LinkHandle handle, std::uint64_t tag);
--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -63,7 +63,9 @@
     m_role = m_configs.empty() ? RaftRole::Joining : RaftRole::Follower;
     m_leaderHeard = now - ElectionTimeout;
     m_ticked = now;
-    resetElectionTimer(now);
+    boost::random::uniform_int_distribution<std::int64_t> spread(FirstElectionTimeout.count() / 3, FirstElectionTimeout.count());
+    m_electionDue = now + Duration(spread(m_random));
+    commitTo(std::min(durable.committed, lastIndex()));
 }
 
 RaftDurable RaftCore::bootstrap(ReplicaKey self, Bytes firstCommand)
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -44,6 +44,10 @@
 // than any restart, so that a replica that comes back need not be taken in again.
 inline constexpr Duration DropLearnerAfter = std::chrono::seconds(20);
 
+// A replica that just started and hears no leader asks for votes within this, as after a loss of power nobody
+// leads. Where somebody does lead, the pre-vote disturbs nothing.
+inline constexpr Duration FirstElectionTimeout = std::chrono::milliseconds(150);
+
 // How a cluster chooses its members. The default suits a cluster whose replicas are named in settings.
 struct RaftPolicy {
     std::size_t wantedVoters = std::numeric_limits<std::size_t>::max(); // Learners beyond this stay spares.
@@ -56,6 +60,7 @@
     HardState hard;
     std::optional<Snapshot> snapshot;
     std::vector<LogEntry> log; // Contiguous, after the snapshot.
+    LogIndex committed{}; // Known to be committed, from a note beside the log; 0 without one.
 };
 
 struct RaftSend {
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -2,6 +2,7 @@
 // Replica node: the driver's loop, members, targets and calls.
 #include "replica_node.h"
 
+#include "durable_file.h"
 #include "hash.h"
 #include "log.h"
 #include "metrics.h"
@@ -19,6 +20,9 @@
 
 namespace {
 
+// The file of the recovery notes in the data folder.
+constexpr const char *NotesFile = "notes";
+
 // The disk number of every seed at the first start; all others are drawn at random above it.
 constexpr std::uint64_t FirstDisk = 1;
 
@@ -73,6 +77,7 @@
                    }
                }})
     , m_directory(m_file.announceInterval * MissedAnnouncements + AnnouncementSlack)
+    , m_notes(m_file.dataFolder / NotesFile)
     , m_timer(io)
     , m_started(monotonicNow())
 {
@@ -118,7 +123,14 @@
             }
             m_storage.emplace(std::move(storage));
             const ReplicaKey self{m_self, m_storage->identity().disk};
-            m_core.emplace(self, m_storage->takeDurable(), now, std::random_device()(), policyOf(m_file));
+            RaftDurable durable = m_storage->takeDurable();
+            const RecoveryNotes notes = readNotes(self.disk);
+            durable.committed = notes.committed;
+            m_core.emplace(self, std::move(durable), now, std::random_device()(), policyOf(m_file));
+            m_targetsRestored = !notes.targets.empty();
+            for (const TargetStatus &status : notes.targets) {
+                m_directory.take(now, {status.record, false, Duration{0}});
+            }
             m_dataCentres[m_self] = m_file.dataCentreId(m_file.dataCentre);
             for (const auto &[replica, dataCentre] : m_dataCentres) {
                 m_core->setDataCentre(replica, dataCentre);
@@ -136,6 +148,34 @@
         });
 }
 
+// The notes that this disk's log left; empty ones if there are none, which only costs time.
+RecoveryNotes ReplicaNode::readNotes(std::uint64_t disk)
+{
+    const std::filesystem::path path = m_file.dataFolder / NotesFile;
+    const std::optional<Bytes> bytes = leaf::try_handle_all(
+        [&] {
+            return readFile(path);
+        },
+        [&] {
+            LogLine(LogLevel::Warning, "notes-unreadable").with("file", path.string());
+            return std::optional<Bytes>();
+        });
+    std::optional<RecoveryNotes> notes = bytes ? decodeNotes(*bytes) : std::nullopt;
+    if (!notes || notes->disk != disk) {
+        return {};
+    }
+    return std::move(*notes);
+}
+
+void ReplicaNode::writeNotes()
+{
+    if (!m_notesDue || !m_core) {
+        return;
+    }
+    RecoveryNotes notes{m_core->raft().self().disk, m_core->raft().commitIndex(), m_directory.all(monotonicNow())};
+    m_notesDue = !m_notes.replace(encodeNotes(notes));
+}
+
 // At the first start of all, the seeds are the voters, and each seed writes the same beginning of the log.
 bool ReplicaNode::prepareFirstStart(RaftStorage &storage)
 {
@@ -248,6 +288,7 @@
         sendRaft(send);
     }
     m_core->apply(output);
+    m_notesDue = m_notesDue || !output.committed.empty();
     if (m_core->compactIfDue()) {
         RaftOutput compacted;
         compacted.snapshot = m_core->raft().snapshot();
@@ -420,6 +461,7 @@
         return;
     }
     m_nextBeat = now + ReplicaBeatInterval;
+    writeNotes();
     tell(m_links.acceptedFrom(NodeRole::Balancer), RoutingOffer{document().table.version, confirmed(now)});
     const std::vector<LinkHandle> replicas = m_links.dialled();
     TargetsHeard heard{m_directory.takeHeardHere()};
@@ -439,7 +481,7 @@
 // Whether the targets that are there have had time to announce themselves, here or at another replica.
 bool ReplicaNode::informed(TimePoint now) const
 {
-    return m_toldByOther || now - m_started >= m_file.announceInterval * MissedAnnouncements;
+    return m_targetsRestored || m_toldByOther || now - m_started >= m_file.announceInterval * MissedAnnouncements;
 }
 
 // ---- Links ----
@@ -509,6 +551,7 @@
         }
     }
     if (!changed.news.empty()) {
+        m_notesDue = true;
         tell(m_links.acceptedFrom(NodeRole::Balancer), changed);
     }
 }
@@ -518,6 +561,7 @@
 void ReplicaNode::spread(const TargetStatus &news)
 {
     const TargetStatusList list{{news}};
+    m_notesDue = true;
     tell(m_links.dialled(), list);
     tell(m_links.acceptedFrom(NodeRole::Balancer), list);
     if (const auto leftOut = m_newsLog.take(monotonicNow())) {
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -3,9 +3,11 @@
 // keeps the targets' announcements, and answers typed calls; whoever owns it speaks to the outside.
 #pragma once
 
+#include "background_file.h"
 #include "log_budget.h"
 #include "node_links.h"
 #include "raft_storage.h"
+#include "recovery_notes.h"
 #include "replicated_core.h"
 #include "routing_state.h"
 #include "settings.h"
@@ -96,6 +98,8 @@
 
     void tick();
     void openStorage(TimePoint now);
+    RecoveryNotes readNotes(std::uint64_t disk);
+    void writeNotes();
     bool prepareFirstStart(RaftStorage &storage);
     void scheduleFlush();
     void flush();
@@ -131,11 +135,14 @@
     TimePoint m_storageDue;
     NodeLinks m_links;
     TargetDirectory m_directory;
+    BackgroundFile m_notes;
+    bool m_notesDue = false;
     boost::asio::steady_timer m_timer;
     std::map<std::uint64_t, Respond> m_open; // By ticket.
     std::uint64_t m_lastTicket = 0;
     std::multimap<TargetKey, OpenDrain> m_drains;
     bool m_flushScheduled = false;
+    bool m_targetsRestored = false; // From the notes of the run before.
     bool m_toldByOther = false;
     bool m_toldBalancers = false;
     TimePoint m_started;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -66,7 +66,11 @@
 
 void SteeringNode::updateReadiness()
 {
-    const bool ready = !m_stopping && (m_ready || (m_confirmed && m_told && m_steering.targets().size() > 0));
+    const bool informed = m_confirmed && m_told && m_steering.targets().size() > 0;
+    if (informed) {
+        m_steering.setInformed();
+    }
+    const bool ready = !m_stopping && (m_ready || informed);
     if (ready != m_ready) {
         m_ready = ready;
         LogLine(LogLevel::Info, ready ? "ready" : "not-ready").with("version", m_steering.version()).with("targets", m_steering.targets().size());
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -16,7 +16,7 @@
 namespace Robinrail {
 
 // The balancer's clock runs in steps of this. It finds dead links and old flows; packets don't wait for it.
-inline constexpr std::chrono::milliseconds SteeringTick{100};
+inline constexpr std::chrono::milliseconds SteeringTick{50};
 
 // At most one routing table is asked for in this time. Documents come in floods of 12 a second, and reading a
 // table of 450 routes takes a twentieth of a small VM's second.
--- a/src/websocket_hub.cpp
+++ b/src/websocket_hub.cpp
@@ -17,6 +17,10 @@
 // nothing; the library's 5 s would keep a node from trying again.
 constexpr long HandshakeTimeout = 1500;
 
+// The same for the connection alone. A machine without power drops the opening packet, which the kernel sends
+// again only after a second; data centres are a few milliseconds apart, and regions some tens.
+constexpr long ConnectTimeout = 300;
+
 // Bytes of the read buffer of a connection; the library's 16 KiB times a hundred peers is more than all else.
 constexpr std::size_t ReadBuffer = 4096;
 
@@ -25,7 +29,7 @@
     using type = LinkConfig; // NOLINT(readability-identifier-naming): the library's name
     struct TransportConfig : Base::transport_config {
         static const long timeout_socket_post_init = HandshakeTimeout; // NOLINT(readability-identifier-naming)
-        static const long timeout_connect = HandshakeTimeout; // NOLINT(readability-identifier-naming)
+        static const long timeout_connect = ConnectTimeout; // NOLINT(readability-identifier-naming)
         static const long timeout_socket_shutdown = HandshakeTimeout; // NOLINT(readability-identifier-naming)
     };
     using transport_type = websocketpp::transport::asio::endpoint<TransportConfig>; // NOLINT(readability-identifier-naming)
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -52,6 +52,7 @@
     Balancer()
     {
         steering.apply(tableOf(1));
+        steering.setInformed();
         take(targetOf(101, "quotes"));
         take(targetOf(102, "quotes"));
         take(targetOf(103, "quotes", There));
@@ -247,6 +248,18 @@
     CHECK(balancer.steering.steer(balancer.now, newer).action == SteeringAction::Forward);
 }
 
+TEST_CASE("a balancer that was just started leaves what it does not know unanswered")
+{
+    FlowSteering steering(Here);
+    FlowPacket opening = Balancer::packet(1);
+    opening.opening = true;
+    CHECK(steering.steer(Start, opening).action == SteeringAction::Drop);
+    steering.apply(tableOf(1));
+    CHECK(steering.steer(Start, opening).reason == SteeringReason::NotInformed);
+    steering.setInformed();
+    CHECK(steering.steer(Start, opening).reason == SteeringReason::NoTarget);
+}
+
 TEST_CASE("a reset is never answered by a reset")
 {
     Balancer balancer;
