--- a/src/steering_choice.h
+++ b/src/steering_choice.h
@@ -44,8 +44,9 @@
 inline constexpr double SlotsPerOpenFlow = 0.05;
 
 // Load, in parts of a target's slots as this balancer sees it, that a target in another data centre must be
-// better by. Bytes between data centres cost, and a flow within one survives its being cut off.
-inline constexpr double OtherDataCentrePenalty = 0.5;
+// better by: all slots of the best target here are taken by this balancer's own requests. Bytes between data
+// centres cost, and a flow within one survives its being cut off.
+inline constexpr double OtherDataCentrePenalty = 1;
 
 // A target that is warming up takes about this many times as long.
 inline constexpr double WarmupFactor = 1.6;
