--- /dev/null
+++ b/fuzz/fuzz_platform.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: MIT
+// Fuzz target: what arrives from the platform, that is packets, documents and announcements, and links.
+#include "document_codec.h"
+#include "node_message.h"
+#include "packet_codec.h"
+#include "recovery_notes.h"
+
+#include <cstddef>
+#include <cstdint>
+
+using namespace Robinrail;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const BytesView bytes(data, size);
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    std::string reason;
+    Platform::PacketHeadCodec::decode(bytes);
+    Platform::readDocument(text, reason);
+    Platform::readAnnouncement(TargetKey{1}, text, SteeringFile{}, reason);
+    Platform::readTargetId(text);
+    decodeMessage<NodeMessage>(bytes);
+    decodeNotes(bytes);
+    return 0;
+}
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -578,9 +578,8 @@
 void ReplicaNode::announce(const TargetRecord &record, Respond respond)
 {
     ++m_announcements;
-    const std::optional<TargetStatus> news = m_directory.announce(monotonicNow(), record);
-    if (news) {
-        spread(*news);
+    for (const TargetStatus &news : m_directory.announce(monotonicNow(), record)) {
+        spread(news);
     }
     const TargetRecord *known = m_directory.find(record.key);
     if (known == nullptr) {
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -12,10 +12,33 @@
 {
 }
 
-std::optional<TargetStatus> TargetDirectory::announce(TimePoint now, const TargetRecord &record)
+std::vector<TargetStatus> TargetDirectory::announce(TimePoint now, const TargetRecord &record)
 {
     m_heardHere.push_back(record.key);
-    return take(now, {record, false, Duration{0}});
+    std::vector<TargetStatus> news;
+    if (!m_entries.contains(record.key)) {
+        news = endOthersAt(now, record);
+    }
+    if (std::optional<TargetStatus> own = take(now, {record, false, Duration{0}})) {
+        news.push_back(std::move(*own));
+    }
+    return news;
+}
+
+// An address passes on only after its target has ended. An announcement that was held up on its way may still
+// come after its sender's end, so only a target that missed its turn is taken for ended.
+std::vector<TargetStatus> TargetDirectory::endOthersAt(TimePoint now, const TargetRecord &record)
+{
+    std::vector<TargetStatus> ended;
+    for (auto &[key, entry] : m_entries) {
+        const bool there = entry.record.address == record.address && entry.record.phase != TargetPhase::Left;
+        if (there && now - entry.heard >= m_silenceLimit / 2) {
+            entry.record.phase = TargetPhase::Left;
+            entry.heard = now;
+            ended.push_back(newsOf(entry, now));
+        }
+    }
+    return ended;
 }
 
 std::optional<TargetStatus> TargetDirectory::take(TimePoint now, const TargetStatus &news)
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -28,8 +28,9 @@
     // Targets count as silent after `silenceLimit` without an announcement at any replica.
     explicit TargetDirectory(Duration silenceLimit);
 
-    // Takes what a target announced here. Returns the news to pass on, if any.
-    std::optional<TargetStatus> announce(TimePoint now, const TargetRecord &record);
+    // Takes what a target announced here. Returns the news to pass on: the target's own, and the end of
+    // another one that was at its address.
+    std::vector<TargetStatus> announce(TimePoint now, const TargetRecord &record);
 
     // Takes another replica's news. Returns the news to pass on to balancers, if any.
     std::optional<TargetStatus> take(TimePoint now, const TargetStatus &news);
@@ -56,6 +57,7 @@
         TimePoint heard;
         bool silent = false;
     };
+    std::vector<TargetStatus> endOthersAt(TimePoint now, const TargetRecord &record);
     TargetStatus newsOf(const Entry &entry, TimePoint now) const;
 
     Duration m_silenceLimit;
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -294,14 +294,14 @@
 {
     TargetDirectory directory(seconds(3));
     TargetRecord record = targetOf(5, "quotes");
-    CHECK(directory.announce(Start, record));
+    CHECK(directory.announce(Start, record).size() == 1);
     record.sequence = 2;
-    CHECK_FALSE(directory.announce(Start + seconds(1), record));
+    CHECK(directory.announce(Start + seconds(1), record).empty());
     record.sequence = 1;
     record.phase = TargetPhase::Draining;
-    CHECK_FALSE(directory.announce(Start + seconds(1), record));
+    CHECK(directory.announce(Start + seconds(1), record).empty());
     record.sequence = 3;
-    CHECK(directory.announce(Start + seconds(1), record));
+    CHECK(directory.announce(Start + seconds(1), record).size() == 1);
     CHECK(directory.takeHeardHere().size() == 4);
     CHECK(directory.tick(Start + seconds(2)).empty());
     CHECK(directory.tick(Start + seconds(4)).size() == 1);
@@ -310,10 +310,30 @@
     CHECK(directory.leave(Start + seconds(6), TargetKey{5}));
     record.sequence = 4;
     record.phase = TargetPhase::Serving;
-    CHECK_FALSE(directory.announce(Start + seconds(7), record));
+    CHECK(directory.announce(Start + seconds(7), record).empty());
     CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Left);
 }
 
+TEST_CASE("a target that takes over an address ends the one that was silent there, and no other")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord crashed = targetOf(5, "quotes");
+    TargetRecord successor = targetOf(6, "decks");
+    successor.address = crashed.address;
+    directory.announce(Start, crashed);
+    const std::vector<TargetStatus> news = directory.announce(Start + seconds(2), successor);
+    REQUIRE(news.size() == 2);
+    CHECK(news[0].record.key == TargetKey{5});
+    CHECK(news[0].record.phase == TargetPhase::Left);
+    // An announcement of the crashed one that was held up on its way ends nobody, nor is anybody else ended.
+    crashed.sequence = 7;
+    CHECK(directory.announce(Start + seconds(3), crashed).empty());
+    TargetRecord late = targetOf(4, "quotes");
+    late.address = crashed.address;
+    CHECK(directory.announce(Start + seconds(3), late).size() == 1);
+    CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
+}
+
 TEST_CASE("the highest version holds under one order, the expected base under the other")
 {
     CHECK(HighestVersion::judge(7, 0, 9) == VersionVerdict::Apply);
