--- a/src/log.cpp
+++ b/src/log.cpp
@@ -2,8 +2,13 @@
 // Log: easylogging++ set-up and quoting.
 #include "log.h"
 
+#include "lossy_output.h"
+
 #include <easylogging++.h>
 
+#include <iostream>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace Robinrail {
@@ -28,8 +33,19 @@
     return result + "\"";
 }
 
+LossyOutput &standardOutput()
+{
+    static LossyOutput output(STDOUT_FILENO);
+    return output;
+}
+
 } // namespace
 
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().dropped();
+}
+
 void configureLog(const LogSettings &settings)
 {
     lowestLevel = settings.level;
@@ -39,6 +55,7 @@
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     configuration.setGlobally(el::ConfigurationType::ToFile, settings.file.empty() ? "false" : "true");
     if (settings.file.empty()) {
+        std::cout.rdbuf(&standardOutput());
         configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     } else {
         configuration.setGlobally(el::ConfigurationType::Filename, settings.file);
--- a/src/log.h
+++ b/src/log.h
@@ -18,9 +18,12 @@
 
 struct LogSettings {
     LogLevel level = LogLevel::Info;
-    std::string file; // Empty: standard error.
+    std::string file; // Empty: standard output, where lines that the reader is too slow for are dropped.
 };
 
+// Lines that were dropped because standard output could not take them.
+std::uint64_t droppedLogLines();
+
 // Sets level and place; call once before the first line. Without a file nothing is written to disk.
 void configureLog(const LogSettings &settings);
 
--- /dev/null
+++ b/src/lossy_output.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+// Lossy output: implementation.
+#include "lossy_output.h"
+
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace Robinrail {
+
+namespace {
+
+// Whether a line of up to PIPE_BUF bytes can be written without waiting (pipe(7)).
+bool writable(int descriptor)
+{
+    pollfd query{descriptor, POLLOUT, 0};
+    return ::poll(&query, 1, 0) == 1 && (query.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+LossyOutput::LossyOutput(int descriptor)
+    : m_descriptor(descriptor)
+{
+}
+
+std::uint64_t LossyOutput::dropped() const
+{
+    return m_dropped;
+}
+
+std::streamsize LossyOutput::xsputn(const char *text, std::streamsize count)
+{
+    m_pending.append(text, static_cast<std::size_t>(count));
+    writeLines();
+    return count;
+}
+
+LossyOutput::int_type LossyOutput::overflow(int_type character)
+{
+    if (character != traits_type::eof()) {
+        m_pending.push_back(static_cast<char>(character));
+        writeLines();
+    }
+    return traits_type::not_eof(character);
+}
+
+int LossyOutput::sync()
+{
+    return 0;
+}
+
+// Writes whole lines, each in one call; a longer one than a pipe takes at once is cut.
+void LossyOutput::writeLines()
+{
+    for (std::size_t end = m_pending.find('\n'); end != std::string::npos; end = m_pending.find('\n')) {
+        std::string line = m_pending.substr(0, end);
+        m_pending.erase(0, end + 1);
+        line.resize(std::min<std::size_t>(line.size(), PIPE_BUF - 1));
+        line.push_back('\n');
+        const bool written = writable(m_descriptor) && ::write(m_descriptor, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+        m_dropped += written ? 0 : 1;
+    }
+}
+
+} // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -705,6 +705,7 @@
     text.counter("robinrail_changes_total", "Routing documents proposed here", static_cast<double>(m_changes));
     text.counter("robinrail_storage_failures_total", "Times that the disk refused to work", static_cast<double>(m_storageFailures));
     text.counter("robinrail_drains_unanswered_total", "Drains that too few replicas confirmed", static_cast<double>(m_drainsUnanswered));
+    text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
     return text.text();
 }
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -248,6 +248,7 @@
     text.counter("robinrail_suspicions_total", "Times that a target was suspected", static_cast<double>(m_steering.suspicions()));
     text.counter("robinrail_malformed_packets_total", "Packets without a readable head", static_cast<double>(m_malformed));
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
+    text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
     return text.text();
 }
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -8,8 +8,13 @@
 #include "retry_budget.h"
 #include "settled_answers.h"
 
+#include "lossy_output.h"
+
 #include <doctest/doctest.h>
+
+#include <ostream>
 #include <pcg_random.hpp>
+#include <unistd.h>
 
 #include <set>
 
@@ -144,3 +149,22 @@
     CHECK(histogram.quantile(0.5) < std::chrono::milliseconds(560));
     CHECK(histogram.count() == 1000);
 }
+
+TEST_CASE("a log that nobody reads drops lines and never blocks")
+{
+    int ends[2] = {};
+    REQUIRE(::pipe(ends) == 0);
+    LossyOutput output(ends[1]);
+    std::ostream stream(&output);
+    constexpr int Lines = 5000;
+    for (int i = 0; i < Lines; ++i) {
+        stream << "line " << i << " of many that nobody reads" << std::endl;
+    }
+    CHECK(output.dropped() > 0);
+    CHECK(output.dropped() < Lines);
+    char first[7] = {};
+    REQUIRE(::read(ends[0], first, sizeof(first) - 1) == sizeof(first) - 1);
+    CHECK(std::string(first) == "line 0");
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
