--- /dev/null
+++ b/src/drain_confirmations.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+// Drain confirmations: implementation.
+#include "drain_confirmations.h"
+
+namespace Robinrail {
+
+DrainConfirmations::DrainConfirmations(std::size_t needed)
+    : m_needed(needed)
+{
+}
+
+void DrainConfirmations::await(TimePoint now, TargetKey key, TargetPhase phase, Respond respond)
+{
+    if (m_needed == 0) {
+        return respond(true);
+    }
+    m_open.emplace(key, Open{phase, {}, now + DrainAnswerTimeout, std::move(respond)});
+}
+
+void DrainConfirmations::receipt(ReplicaId from, TargetKey key, TargetPhase phase)
+{
+    const auto [first, last] = m_open.equal_range(key);
+    for (auto at = first; at != last;) {
+        Open &open = at->second;
+        if (phase >= open.phase) {
+            open.receipts.insert(from);
+        }
+        if (open.receipts.size() < m_needed) {
+            ++at;
+            continue;
+        }
+        const Respond respond = std::move(open.respond);
+        at = m_open.erase(at);
+        respond(true);
+    }
+}
+
+std::size_t DrainConfirmations::expire(TimePoint now)
+{
+    std::size_t expired = 0;
+    for (auto at = m_open.begin(); at != m_open.end();) {
+        if (now < at->second.deadline) {
+            ++at;
+            continue;
+        }
+        const Respond respond = std::move(at->second.respond);
+        at = m_open.erase(at);
+        ++expired;
+        respond(false);
+    }
+    return expired;
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/src/drain_confirmations.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+// Drain confirmations: a drain or an end is answered once so many other replicas know of it that the losses
+// which must be borne leave one that does.
+#pragma once
+
+#include "raft_message.h"
+#include "target_record.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace Robinrail {
+
+// A drain is answered once enough replicas know of it; not at all after this, so that the target asks
+// another replica. Targets wait for 1 s.
+inline constexpr Duration DrainAnswerTimeout = std::chrono::milliseconds(850);
+
+class DrainConfirmations
+{
+public:
+    // Called once: whether enough replicas know.
+    using Respond = std::function<void(bool confirmed)>;
+
+    // `needed` other replicas must know.
+    explicit DrainConfirmations(std::size_t needed);
+
+    // Waits for receipts of this phase or a later one; responds at once if none are needed.
+    void await(TimePoint now, TargetKey key, TargetPhase phase, Respond respond);
+
+    // Another replica knows that the target is in this phase.
+    void receipt(ReplicaId from, TargetKey key, TargetPhase phase);
+
+    // Gives up on those that waited too long; how many these were.
+    std::size_t expire(TimePoint now);
+
+private:
+    struct Open {
+        TargetPhase phase = TargetPhase::Draining;
+        std::set<ReplicaId> receipts;
+        TimePoint deadline;
+        Respond respond;
+    };
+
+    std::size_t m_needed;
+    std::multimap<TargetKey, Open> m_open;
+};
+
+} // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -77,6 +77,7 @@
                    }
                }})
     , m_directory(m_file.announceInterval * MissedAnnouncements + AnnouncementSlack)
+    , m_drains(m_file.borneLosses)
     , m_notes(m_file.dataFolder / NotesFile)
     , m_timer(io)
     , m_started(monotonicNow())
@@ -253,7 +254,10 @@
         flush();
     }
     beat(now);
-    expireDrains(now);
+    if (const std::size_t expired = m_drains.expire(now); expired > 0) {
+        m_drainsUnanswered += expired;
+        LogLine(LogLevel::Warning, "drain-not-shared").with("drains", expired).with("needed", m_file.borneLosses);
+    }
     m_timer.expires_after(ReplicaTick);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -533,7 +537,7 @@
             tell(m_links.acceptedFrom(NodeRole::Balancer), TargetStatusList{{back}});
         }
     } else if (const auto *receipt = std::get_if<TargetReceipt>(&message)) {
-        onReceipt(peer.replica, *receipt);
+        m_drains.receipt(peer.replica, receipt->key, receipt->phase);
     } else if (std::holds_alternative<TargetsTold>(message)) {
         m_toldByOther = true;
     }
@@ -588,7 +592,7 @@
     if (known->phase == TargetPhase::Serving) {
         return respond(ReplicaAnswer::Done);
     }
-    awaitReceipts(record.key, known->phase, std::move(respond));
+    confirmDrain(*known, std::move(respond));
 }
 
 void ReplicaNode::leave(TargetKey key, Respond respond)
@@ -599,49 +603,16 @@
         return respond(ReplicaAnswer::Done);
     }
     spread(*news);
-    awaitReceipts(key, TargetPhase::Left, std::move(respond));
-}
-
-// A drain counts once so many other replicas know of it that the borne losses leave one that does.
-void ReplicaNode::awaitReceipts(TargetKey key, TargetPhase phase, Respond respond)
-{
-    if (m_file.borneLosses == 0) {
-        return respond(ReplicaAnswer::Done);
-    }
-    const TargetRecord *record = m_directory.find(key);
-    tell(m_links.dialled(), TargetStatusList{{{*record, false, Duration{0}}}});
-    m_drains.emplace(key, OpenDrain{phase, {}, monotonicNow() + DrainAnswerTimeout, std::move(respond)});
+    confirmDrain(news->record, std::move(respond));
 }
 
-void ReplicaNode::onReceipt(ReplicaId from, const TargetReceipt &receipt)
+// Others may have missed the news that began this, so they are told again.
+void ReplicaNode::confirmDrain(const TargetRecord &record, Respond respond)
 {
-    const auto [first, last] = m_drains.equal_range(receipt.key);
-    for (auto at = first; at != last;) {
-        OpenDrain &drain = at->second;
-        if (receipt.phase >= drain.phase) {
-            drain.receipts.insert(from);
-        }
-        if (drain.receipts.size() < m_file.borneLosses) {
-            ++at;
-            continue;
-        }
-        drain.respond(ReplicaAnswer::Done);
-        at = m_drains.erase(at);
-    }
-}
-
-void ReplicaNode::expireDrains(TimePoint now)
-{
-    for (auto at = m_drains.begin(); at != m_drains.end();) {
-        if (now < at->second.deadline) {
-            ++at;
-            continue;
-        }
-        ++m_drainsUnanswered;
-        LogLine(LogLevel::Warning, "drain-not-shared").with("target", value(at->first)).with("receipts", at->second.receipts.size());
-        at->second.respond(ReplicaAnswer::Unavailable);
-        at = m_drains.erase(at);
-    }
+    tell(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}}}});
+    m_drains.await(monotonicNow(), record.key, record.phase, [respond = std::move(respond)](bool confirmed) {
+        respond(confirmed ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
+    });
 }
 
 // ---- Calls: the routing document ----
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "background_file.h"
+#include "drain_confirmations.h"
 #include "log_budget.h"
 #include "node_links.h"
 #include "raft_storage.h"
@@ -38,10 +39,6 @@
 inline constexpr int MissedAnnouncements = 2;
 inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
 
-// A drain is answered once enough replicas know of it; not at all after this, so that the target asks
-// another replica. Targets wait for 1 s.
-inline constexpr Duration DrainAnswerTimeout = std::chrono::milliseconds(850);
-
 // A disk that refused a write is tried again this often.
 inline constexpr Duration StorageRetry = std::chrono::milliseconds(500);
 
@@ -89,12 +86,6 @@
 
 private:
     using Core = ReplicatedCore<RoutingState>;
-    struct OpenDrain {
-        TargetPhase phase = TargetPhase::Draining;
-        std::set<ReplicaId> receipts;
-        TimePoint deadline;
-        Respond respond;
-    };
 
     void tick();
     void openStorage(TimePoint now);
@@ -118,11 +109,9 @@
     void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
     void onRaft(const RaftEnvelope &envelope);
     void onNews(LinkHandle link, const TargetStatusList &list);
-    void onReceipt(ReplicaId from, const TargetReceipt &receipt);
     void tell(std::span<const LinkHandle> links, const NodeMessage &message);
     void spread(const TargetStatus &news);
-    void awaitReceipts(TargetKey key, TargetPhase phase, Respond respond);
-    void expireDrains(TimePoint now);
+    void confirmDrain(const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
     bool confirmed(TimePoint now) const;
     std::set<ReplicaId> knownReplicas() const;
@@ -135,12 +124,12 @@
     TimePoint m_storageDue;
     NodeLinks m_links;
     TargetDirectory m_directory;
+    DrainConfirmations m_drains;
     BackgroundFile m_notes;
     bool m_notesDue = false;
     boost::asio::steady_timer m_timer;
     std::map<std::uint64_t, Respond> m_open; // By ticket.
     std::uint64_t m_lastTicket = 0;
-    std::multimap<TargetKey, OpenDrain> m_drains;
     bool m_flushScheduled = false;
     bool m_targetsRestored = false; // From the notes of the run before.
     bool m_toldByOther = false;
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Steering: where packets go, what is held against targets, and the replicas' directory of targets.
+#include "drain_confirmations.h"
 #include "flow_steering.h"
 #include "routing_state.h"
 #include "target_directory.h"
@@ -334,6 +335,30 @@
     CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
 }
 
+TEST_CASE("a drain is confirmed by enough different replicas, or given up in time")
+{
+    DrainConfirmations drains(2);
+    std::vector<bool> answers;
+    const auto note = [&answers](bool confirmed) {
+        answers.push_back(confirmed);
+    };
+    drains.await(Start, TargetKey{5}, TargetPhase::Draining, note);
+    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
+    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
+    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Serving);
+    drains.receipt(SecondReplica, TargetKey{6}, TargetPhase::Draining);
+    CHECK(answers.empty());
+    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Left);
+    CHECK(answers == std::vector<bool>{true});
+    drains.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    CHECK(drains.expire(Start + DrainAnswerTimeout - milliseconds(1)) == 0);
+    CHECK(drains.expire(Start + DrainAnswerTimeout) == 1);
+    CHECK(answers == std::vector<bool>{true, false});
+    DrainConfirmations alone(0);
+    alone.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    CHECK(answers.size() == 3);
+}
+
 TEST_CASE("the highest version holds under one order, the expected base under the other")
 {
     CHECK(HighestVersion::judge(7, 0, 9) == VersionVerdict::Apply);
