--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -35,8 +35,19 @@
     })");
 }
 
-// The fault that loading a text gives; empty if it is sound.
-std::string faultOf(const std::string &text)
+Json soundSteeringSettings()
+{
+    return Json::parse(R"({
+        "node": "edge-1", "dataCentre": "b", "dataCentres": ["c", "b"],
+        "listen": {"admin": "127.0.0.1:8080", "packets": "127.0.0.1:5000"},
+        "seeds": ["127.0.0.1:7000", "127.0.0.2:7000"], "linkPort": 7720, "firstStart": true,
+        "announceIntervalMs": 770, "borneLosses": 1, "drainMs": 3000, "graceMs": 6000
+    })");
+}
+
+// Loads a text by one of the loaders; the fault that this gives, empty if the text is sound.
+template<typename Load>
+std::string faultOfLoading(const std::string &text, Load load)
 {
     std::string path = (std::filesystem::temp_directory_path() / "robinrail-settings-XXXXXX").string();
     const int descriptor = ::mkstemp(path.data());
@@ -44,8 +55,7 @@
     std::ofstream(path) << text;
     const std::string fault = leaf::try_handle_all(
         [&]() -> leaf::result<std::string> {
-            BOOST_LEAF_AUTO(file, loadBalancerFile(path));
-            CHECK(file.dataCentreId == DataCentreId{2});
+            BOOST_LEAF_CHECK(load(path));
             return std::string();
         },
         [](const SettingsFault &found) {
@@ -58,6 +68,27 @@
     return fault;
 }
 
+std::string faultOf(const std::string &text)
+{
+    return faultOfLoading(text, [](const std::string &path) -> leaf::result<void> {
+        BOOST_LEAF_AUTO(file, loadBalancerFile(path));
+        CHECK(file.dataCentreId == DataCentreId{2});
+        return {};
+    });
+}
+
+std::string steeringFaultOf(const Json &settings)
+{
+    return faultOfLoading(settings.dump(), [](const std::string &path) -> leaf::result<void> {
+        BOOST_LEAF_AUTO(file, loadSteeringFile(path));
+        // Numbered in the order of the names, whatever the order in the file.
+        CHECK(file.dataCentreId(file.dataCentre) == DataCentreId{1});
+        CHECK(file.seeds.size() == 2);
+        CHECK(file.packetListen == Endpoint{0x7f000001, 5000});
+        return {};
+    });
+}
+
 std::string faultWith(const char *pointer, const Json &content)
 {
     Json settings = soundSettings();
@@ -98,6 +129,22 @@
     CHECK(has(faultWith("/adminToken", "short"), "/adminToken"));
 }
 
+TEST_CASE("settings of a steering node load, and bad ones are refused with the place of the fault")
+{
+    CHECK(steeringFaultOf(soundSteeringSettings()) == "");
+    const auto faultWith = [](const char *pointer, const Json &content) {
+        Json settings = soundSteeringSettings();
+        settings[Json::json_pointer(pointer)] = content;
+        return steeringFaultOf(settings);
+    };
+    CHECK(faultWith("/dataCentre", "z").find("/dataCentre") != std::string::npos);
+    CHECK(faultWith("/listen/packets", "nowhere").find("/listen/packets") != std::string::npos);
+    CHECK(faultWith("/seeds/1", "127.0.0.1").find("/seeds/1") != std::string::npos);
+    CHECK(faultWith("/linkPort", 0).find("/linkPort") != std::string::npos);
+    CHECK(faultWith("/borneLosses", -1).find("/borneLosses") != std::string::npos);
+    CHECK(faultWith("/unknown", 1) != "");
+}
+
 TEST_CASE("text that is no single JSON document, or repeats a key, is refused")
 {
     CHECK(has(faultOf("{"), "no JSON"));
