--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -3,6 +3,7 @@
 #include "target_directory.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace Robinrail {
@@ -16,7 +17,8 @@
 {
     m_heardHere.push_back(record.key);
     std::vector<TargetStatus> news;
-    if (!m_entries.contains(record.key)) {
+    const TargetRecord *known = find(record.key);
+    if (known == nullptr || known->phase != TargetPhase::Left) {
         news = endOthersAt(now, record);
     }
     if (std::optional<TargetStatus> own = take(now, {record, false, Duration{0}})) {
@@ -26,13 +28,16 @@
 }
 
 // An address passes on only after its target has ended. An announcement that was held up on its way may still
-// come after its sender's end, so only a target that missed its turn is taken for ended.
+// come after its sender's end, so only a target that missed its turn is taken for ended. A target that
+// restarts at once is there before that, hence the question at each announcement and not only at the first.
 std::vector<TargetStatus> TargetDirectory::endOthersAt(TimePoint now, const TargetRecord &record)
 {
     std::vector<TargetStatus> ended;
-    for (auto &[key, entry] : m_entries) {
-        const bool there = entry.record.address == record.address && entry.record.phase != TargetPhase::Left;
-        if (there && now - entry.heard >= m_silenceLimit / 2) {
+    const auto [first, last] = m_addresses.equal_range(record.address);
+    for (auto at = first; at != last; ++at) {
+        Entry &entry = m_entries.at(at->second);
+        const bool other = at->second != record.key && entry.record.phase != TargetPhase::Left;
+        if (other && now - entry.heard >= m_silenceLimit / 2) {
             entry.record.phase = TargetPhase::Left;
             entry.heard = now;
             ended.push_back(newsOf(entry, now));
@@ -49,6 +54,7 @@
             return std::nullopt;
         }
         const Entry &entry = m_entries[news.record.key] = {news.record, now - news.age, news.silent};
+        m_addresses.emplace(news.record.address, news.record.key);
         return newsOf(entry, now);
     }
     Entry &entry = found->second;
@@ -58,10 +64,29 @@
         return wasSilent && !entry.silent ? std::optional(newsOf(entry, now)) : std::nullopt;
     }
     const bool changed = news.record.differs(entry.record) || wasSilent;
-    entry.record = news.record;
+    setRecord(entry, news.record);
     return changed ? std::optional(newsOf(entry, now)) : std::nullopt;
 }
 
+void TargetDirectory::setRecord(Entry &entry, const TargetRecord &record)
+{
+    if (record.address != entry.record.address) {
+        unindex(entry.record);
+        m_addresses.emplace(record.address, record.key);
+    }
+    entry.record = record;
+}
+
+void TargetDirectory::unindex(const TargetRecord &record)
+{
+    const auto [first, last] = m_addresses.equal_range(record.address);
+    const auto found = std::find_if(first, last, [&record](const auto &each) {
+        return each.second == record.key;
+    });
+    assert(found != last);
+    m_addresses.erase(found);
+}
+
 std::optional<TargetStatus> TargetDirectory::leave(TimePoint now, TargetKey key)
 {
     const auto found = m_entries.find(key);
@@ -99,9 +124,13 @@
             fallen.push_back(newsOf(entry, now));
         }
     }
-    std::erase_if(m_entries, [now](const auto &each) {
+    std::erase_if(m_entries, [this, now](const auto &each) {
         const bool left = each.second.record.phase == TargetPhase::Left;
-        return now - each.second.heard >= (left ? RememberLeft : ForgetSilent);
+        if (now - each.second.heard < (left ? RememberLeft : ForgetSilent)) {
+            return false;
+        }
+        unindex(each.second.record);
+        return true;
     });
     return fallen;
 }
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -29,7 +29,7 @@
     explicit TargetDirectory(Duration silenceLimit);
 
     // Takes what a target announced here. Returns the news to pass on: the target's own, and the end of
-    // another one that was at its address.
+    // others that were at its address and missed their turn.
     std::vector<TargetStatus> announce(TimePoint now, const TargetRecord &record);
 
     // Takes another replica's news. Returns the news to pass on to balancers, if any.
@@ -58,10 +58,13 @@
         bool silent = false;
     };
     std::vector<TargetStatus> endOthersAt(TimePoint now, const TargetRecord &record);
+    void setRecord(Entry &entry, const TargetRecord &record);
+    void unindex(const TargetRecord &record);
     TargetStatus newsOf(const Entry &entry, TimePoint now) const;
 
     Duration m_silenceLimit;
     std::map<TargetKey, Entry> m_entries;
+    std::multimap<Endpoint, TargetKey> m_addresses; // Of all entries.
     std::vector<TargetKey> m_heardHere;
 };
 
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -335,6 +335,44 @@
     CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
 }
 
+TEST_CASE("a target that restarts at once ends its former lifetime as soon as that one missed its turn")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord crashed = targetOf(5, "quotes");
+    TargetRecord reborn = targetOf(6, "quotes");
+    reborn.address = crashed.address;
+    directory.announce(Start, crashed);
+    // The former lifetime was heard a moment ago, so nothing can be said of it yet.
+    CHECK(directory.announce(Start + milliseconds(500), reborn).size() == 1);
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+    reborn.sequence = 2;
+    CHECK(directory.announce(Start + seconds(1), reborn).empty());
+    reborn.sequence = 3;
+    const std::vector<TargetStatus> news = directory.announce(Start + seconds(2), reborn);
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].record.key == TargetKey{5});
+    CHECK(news[0].record.phase == TargetPhase::Left);
+    // An announcement of the ended lifetime that was held up ends nobody, whoever was silent at the address.
+    crashed.sequence = 9;
+    CHECK(directory.announce(Start + seconds(5), crashed).empty());
+    CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
+}
+
+TEST_CASE("a target that moves to another address ends nobody at its former one")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord moving = targetOf(5, "quotes");
+    directory.announce(Start, moving);
+    const Endpoint former = moving.address;
+    moving.address.port = 9090;
+    moving.sequence = 2;
+    CHECK(directory.announce(Start + seconds(1), moving).size() == 1);
+    TargetRecord next = targetOf(6, "quotes");
+    next.address = former;
+    CHECK(directory.announce(Start + seconds(4), next).size() == 1);
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+}
+
 TEST_CASE("a drain is confirmed by enough different replicas, or given up in time")
 {
     DrainConfirmations drains(2);
