Drop openings that waited through a standstill; hold packets until a started balancer is informed

Two causes in the same few lines of a balancer's start and standstill, measured apart:

A balancer that was paused hands on opening packets that waited in its socket, up to seconds later. Their flow has opened elsewhere by then through a later copy; the second target answers too, the caller echoes that one's token, and a balancer that does not know the flow sends its packets astray, where they are reset. Ruled out: stale tables (the logs show the openings at the moment of waking), the token's hash. Change: a watch on the time between two turns of the process; after 500 ms the openings that were waiting are dropped and logged as late-opening. And a later copy right behind the first one (less than 120 ms) no longer counts as the first target's silence.

Packets of that time were dropped; their callers send again after 200 ms to 1.6 s. Ruled out: slow replicas (0.02 s from their start), slow dials (a link is up 20 ms after its replica).

--- a/src/flow_packet.h
+++ b/src/flow_packet.h
@@ -20,6 +20,7 @@
     bool opening = false;
     bool closing = false;
     bool reset = false;
+    bool late = false; // May have waited while this balancer stood still.
 };
 
 // A flow as any balancer recognizes it.
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -29,7 +29,8 @@
                                                                            "route-dropped",
                                                                            "target-left",
                                                                            "unknown-token",
-                                                                           "not-informed"};
+                                                                           "not-informed",
+                                                                           "late-opening"};
 
 } // namespace
 
@@ -91,9 +92,12 @@
 template<SteeringChoice Choice>
 SteeringDecision BasicFlowSteering<Choice>::open(TimePoint now, const FlowPacket &packet)
 {
+    if (packet.late) {
+        return drop(SteeringReason::LateOpening);
+    }
     const auto found = m_routes.find(packed(packet.route));
     if (found == m_routes.end()) {
-        return m_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed);
+        return m_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed);
     }
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = remember(now, key);
@@ -103,7 +107,8 @@
     const bool late = flow != nullptr && flow->open && packet.copy > 0;
     if (late || (flow != nullptr && !flow->open && value(flow->target) != 0)) {
         SteeredTarget *first = m_targets.find(flow->target);
-        if ((late || packet.copy <= flow->copy) && first != nullptr && first->record.phase == TargetPhase::Serving) {
+        const bool tooSoon = flow->sentAt.elapsed(now) < ShortestCopyPause;
+        if ((late || packet.copy <= flow->copy || tooSoon) && first != nullptr && first->record.phase == TargetPhase::Serving) {
             return forward(SteeringReason::RepeatedOpening, *first);
         }
         if (packet.copy > flow->copy && first != nullptr) {
@@ -115,11 +120,12 @@
     const ChoiceContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
     SteeredTarget *target = choose(context, *found->second, avoid);
     if (target == nullptr) {
-        return m_informed ? reset(SteeringReason::NoTarget, packet) : drop(SteeringReason::NotInformed);
+        return m_informed ? reset(SteeringReason::NoTarget, packet) : hold(SteeringReason::NotInformed);
     }
     if (flow != nullptr) {
         assign(*flow, *target);
         flow->copy = packet.copy;
+        flow->sentAt = CoarseTime(now);
         flow->open = false;
     }
     return forward(reason, *target);
@@ -143,7 +149,7 @@
     }
     SteeredTarget *target = m_targets.find(token);
     if (target == nullptr) {
-        return drop(SteeringReason::UnknownToken);
+        return m_informed ? drop(SteeringReason::UnknownToken) : hold(SteeringReason::UnknownToken);
     }
     if (target->record.phase == TargetPhase::Left && now - target->leftAt >= LeftGrace) {
         return packet.reset ? drop(SteeringReason::TargetLeft) : reset(SteeringReason::TargetLeft, packet);
@@ -353,6 +359,12 @@
     return {SteeringAction::Drop, reason, {}, {}, {}, 0};
 }
 
+template<SteeringChoice Choice>
+SteeringDecision BasicFlowSteering<Choice>::hold(SteeringReason reason)
+{
+    return {SteeringAction::Hold, reason, {}, {}, {}, 0};
+}
+
 // ---- Small questions ----
 
 template<SteeringChoice Choice>
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -25,6 +25,10 @@
 // Most flows in the table; beyond it flows are steered by token alone. At 64 bytes each, 16 MiB.
 inline constexpr std::size_t MaxSteeredFlows = 200'000;
 
+// Copies of an opening packet are sent 200 ms and more apart. Two that come closer together were held up on
+// their way, and the later one says nothing about the target that got the first.
+inline constexpr Duration ShortestCopyPause = std::chrono::milliseconds(120);
+
 // How often the table of flows is searched for old ones.
 inline constexpr Duration FlowSweepInterval = std::chrono::seconds(2);
 
@@ -32,6 +36,7 @@
     Forward,
     Reset,
     Drop,
+    Hold, // Steer it again once this balancer is informed.
 };
 
 enum class SteeringReason : std::uint8_t {
@@ -46,9 +51,10 @@
     TargetLeft,
     UnknownToken,
     NotInformed, // This balancer was just started and may not know the route or its targets yet.
+    LateOpening, // Waited through a standstill of this balancer: a copy of it has opened the flow elsewhere by now.
 };
 
-inline constexpr std::size_t SteeringReasonCount = 11;
+inline constexpr std::size_t SteeringReasonCount = 12;
 
 std::string_view nameOf(SteeringReason reason);
 
@@ -66,7 +72,7 @@
 struct SteeredFlow {
     FlowToken target{};
     CoarseTime seen;
-    CoarseTime sentAt; // Of the newest data.
+    CoarseTime sentAt; // Of the newest data; of the newest copy of the opening packet before that.
     std::uint32_t sequence = 0; // Of the newest data.
     std::uint32_t acknowledged = 0;
     std::uint8_t copy = 0;
@@ -100,8 +106,8 @@
     SteeringTargets &targets();
     const SteeringTargets &targets() const;
 
-    // From now on what is not known does not exist. Before, an opening packet without a route or a target is
-    // left unanswered: its caller sends it again, and by then the answer may be a good one.
+    // From now on what is not known does not exist. Before, an opening packet without a route or a target, and
+    // any other packet with an unknown token, is to be held.
     void setInformed();
 
     // Decides on one packet.
@@ -121,6 +127,7 @@
     SteeringDecision forward(SteeringReason reason, const SteeredTarget &target);
     SteeringDecision reset(SteeringReason reason, const FlowPacket &packet);
     SteeringDecision drop(SteeringReason reason);
+    SteeringDecision hold(SteeringReason reason);
     SteeredTarget *choose(const ChoiceContext &context, const Route &route, FlowToken avoid);
     SteeredTarget *chooseOf(const ChoiceContext &context, const std::string &service, FlowToken avoid);
     const std::string &serviceOf(const Route &route, std::uint64_t flowHash) const;
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -3,11 +3,13 @@
 // allocates. What a packet looks like is a codec's matter.
 #pragma once
 
+#include "held_packets.h"
 #include "net.h"
 #include "steering_node.h"
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -71,6 +73,9 @@
         }
         m_socket.non_blocking(true, error);
         m_replyPort = endpoint.port;
+        m_node.onInformed([this] {
+            releaseHeld();
+        });
         wait();
         return !error;
     }
@@ -85,11 +90,21 @@
             if (error) {
                 return;
             }
-            for (int batch = 0; batch < BatchesPerTurn && handleBatch() == PacketBatch; ++batch) { }
+            handleTurn();
             wait();
         });
     }
 
+    void handleTurn()
+    {
+        m_node.beginPackets();
+        bool emptied = false;
+        for (int batch = 0; batch < BatchesPerTurn && !emptied; ++batch) {
+            emptied = handleBatch() < PacketBatch;
+        }
+        m_node.endPackets(emptied);
+    }
+
     // Handles what has arrived, at most a batch; how many packets that were.
     std::size_t handleBatch()
     {
@@ -117,13 +132,32 @@
             return;
         }
         const SteeringDecision decision = m_node.steer(*head);
-        if (decision.action == SteeringAction::Forward) {
+        switch (decision.action) {
+        case SteeringAction::Forward:
             Codec::writeToken(packet, decision.token);
             Codec::writePrefix(slot, decision.target);
-            queue(slot, Codec::PrefixSize + length, decision.address);
-        } else if (decision.action == SteeringAction::Reset) {
-            const std::size_t size = Codec::writeReset(slot, *head, decision.resetSequence);
-            queue(slot, size, {head->caller.address, m_replyPort});
+            return queue(slot, Codec::PrefixSize + length, decision.address);
+        case SteeringAction::Reset:
+            return queue(slot, Codec::writeReset(slot, *head, decision.resetSequence), {head->caller.address, m_replyPort});
+        case SteeringAction::Hold:
+            return m_held.hold(monotonicNow(), packet);
+        case SteeringAction::Drop:
+            return;
+        }
+    }
+
+    // Steers the packets that were held, a batch at a time.
+    void releaseHeld()
+    {
+        const std::vector<Bytes> held = m_held.release(monotonicNow());
+        for (std::size_t at = 0; at < held.size(); at += PacketBatch) {
+            m_outCount = 0;
+            for (std::size_t i = at; i < std::min(at + PacketBatch, held.size()); ++i) {
+                Slot &slot = m_slots[i - at];
+                std::copy(held[i].begin(), held[i].end(), slot.begin() + Codec::PrefixSize);
+                handle(slot, held[i].size());
+            }
+            flush();
         }
     }
 
@@ -162,6 +196,7 @@
     std::array<iovec, PacketBatch> m_outParts{};
     std::array<sockaddr_in, PacketBatch> m_outAddresses{};
     std::size_t m_outCount = 0;
+    HeldPackets m_held;
 };
 
 } // namespace Robinrail
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -25,6 +25,7 @@
                }})
     , m_timer(io)
     , m_steering(m_file.dataCentreId(m_file.dataCentre))
+    , m_standstill(monotonicNow())
     , m_now(monotonicNow())
 {
 }
@@ -66,11 +67,14 @@
 
 void SteeringNode::updateReadiness()
 {
-    const bool informed = m_confirmed && m_told && m_steering.targets().size() > 0;
-    if (informed) {
+    if (!m_informed && m_confirmed && m_told && m_steering.targets().size() > 0) {
+        m_informed = true;
         m_steering.setInformed();
+        if (m_onInformed) {
+            m_onInformed();
+        }
     }
-    const bool ready = !m_stopping && (m_ready || informed);
+    const bool ready = !m_stopping && m_informed;
     if (ready != m_ready) {
         m_ready = ready;
         LogLine(LogLevel::Info, ready ? "ready" : "not-ready").with("version", m_steering.version()).with("targets", m_steering.targets().size());
@@ -80,6 +84,7 @@
 void SteeringNode::tick()
 {
     m_now = monotonicNow();
+    m_standstill.turn(m_now);
     m_links.tick(m_now);
     m_steering.tick(m_now);
     fetchIfBehind(m_now);
@@ -94,9 +99,27 @@
 
 // ---- Packets ----
 
-SteeringDecision SteeringNode::steer(const FlowPacket &packet)
+void SteeringNode::onInformed(std::function<void()> informed)
+{
+    m_onInformed = std::move(informed);
+}
+
+void SteeringNode::beginPackets()
+{
+    m_standstill.turn(monotonicNow());
+}
+
+void SteeringNode::endPackets(bool emptied)
+{
+    if (emptied) {
+        m_standstill.queueEmptied();
+    }
+}
+
+SteeringDecision SteeringNode::steer(FlowPacket packet)
 {
     const TimePoint now = monotonicNow();
+    packet.late = m_standstill.tainted();
     const SteeringDecision decision = m_steering.steer(now, packet);
     if (decision.reason != SteeringReason::OpenFlow) {
         logDecision(now, packet, decision);
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -7,9 +7,11 @@
 #include "log_budget.h"
 #include "node_links.h"
 #include "settings.h"
+#include "standstill_watch.h"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -47,8 +49,15 @@
     // Whether the fabric may send packets here: it has a confirmed table and knows the targets.
     bool ready() const;
 
+    // What runs once this node is informed, so that held packets can be steered.
+    void onInformed(std::function<void()> informed);
+
+    // A turn of the packet port begins; ends. `emptied`: all packets that had arrived were read.
+    void beginPackets();
+    void endPackets(bool emptied);
+
     // Decides on a packet and logs what a later question may be about.
-    SteeringDecision steer(const FlowPacket &packet);
+    SteeringDecision steer(FlowPacket packet);
 
     // Counts what the port saw.
     void countMalformed();
@@ -73,6 +82,7 @@
     NodeLinks m_links;
     boost::asio::steady_timer m_timer;
     FlowSteering m_steering;
+    StandstillWatch m_standstill;
     TimePoint m_now;
     std::map<ReplicaId, std::vector<ReplicaId>> m_lists; // Replicas that each replica named.
     std::map<LinkHandle, std::uint64_t> m_offers; // Newest version that a link's replica has.
@@ -81,6 +91,8 @@
     bool m_fetching = false;
     bool m_confirmed = false; // The table was the newest one once.
     bool m_told = false; // A replica told all targets.
+    bool m_informed = false;
+    std::function<void()> m_onInformed;
     bool m_ready = false;
     bool m_stopping = false;
     std::array<LogBudget, SteeringReasonCount> m_logs;
