Soak the real programs: seeds of overlapping faults, promises checked from outside

Cause: nothing played the steering balancers and their replicas as separate processes under faults of our own.

Faults come by lot and overlap: kill, terminate, pause, hang-up, changed seeds, all replicas or half of the balancers at once, a lost disk, a torn last write, a disk that refuses, links that are delayed, reset, silent, one way, or silent for good while new ones work, targets that crash, restart at once or drain, documents that race, repeat or are invalid, packets that are lost, late or doubled. Checked: answers belong to their request and service; an open flow is kept as long as its target lives; what must run once runs once; a drained target and a removed route get no new flow; acknowledged documents are read back unchanged and never older; no program ends by itself; service is back within 12 s and the last change in force. The programs can't outlive the soak.

--- /dev/null
+++ b/soak/fault_proxy.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: MIT
+// Fault proxy: implementation.
+#include "fault_proxy.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace Robinrail::Soak {
+
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+// Bytes that are held back stay unread at most this long before the proxy looks again.
+constexpr milliseconds HoldCheck{20};
+
+Tcp::endpoint toTcp(Endpoint endpoint)
+{
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+} // namespace
+
+// One connection: two directions, each with at most one buffer under way. Keeps itself alive by its handlers.
+class FaultProxy::Pipe : public std::enable_shared_from_this<FaultProxy::Pipe>
+{
+public:
+    Pipe(boost::asio::io_context &io, const FaultProxy &proxy, Tcp::socket dialler)
+        : m_proxy(proxy)
+        , m_dialler{std::move(dialler), boost::asio::steady_timer(io), {}}
+        , m_replica{Tcp::socket(io), boost::asio::steady_timer(io), {}}
+    {
+    }
+
+    void start(Endpoint replica)
+    {
+        m_replica.socket.async_connect(toTcp(replica), [self = shared_from_this()](const boost::system::error_code &error) {
+            if (error) {
+                return self->reset();
+            }
+            self->pump(self->m_dialler, self->m_replica);
+            self->pump(self->m_replica, self->m_dialler);
+        });
+    }
+
+    void silenceForGood()
+    {
+        m_silenced = true;
+    }
+
+    void reset()
+    {
+        for (Side *side : {&m_dialler, &m_replica}) {
+            boost::system::error_code ignored;
+            side->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            side->socket.close(ignored);
+            side->timer.cancel();
+        }
+    }
+
+private:
+    struct Side {
+        Tcp::socket socket;
+        boost::asio::steady_timer timer;
+        std::array<char, 16384> buffer;
+    };
+
+    bool held(const Side &from) const
+    {
+        const bool oneWay = m_proxy.m_fault == LinkFault::OneWay && &from == &m_replica;
+        return m_silenced || m_proxy.m_fault == LinkFault::Silent || oneWay;
+    }
+
+    void pump(Side &from, Side &to)
+    {
+        from.socket.async_read_some(boost::asio::buffer(from.buffer),
+                                    [self = shared_from_this(), &from, &to](const boost::system::error_code &error, std::size_t size) {
+                                        if (error) {
+                                            return self->reset();
+                                        }
+                                        const bool late = self->m_proxy.m_fault == LinkFault::Delayed;
+                                        self->passOn(from, to, size, late ? self->m_proxy.m_delay : milliseconds{0});
+                                    });
+    }
+
+    void passOn(Side &from, Side &to, std::size_t size, milliseconds pause)
+    {
+        const milliseconds wait = held(from) ? HoldCheck : pause;
+        if (wait == milliseconds{0}) {
+            return write(from, to, size);
+        }
+        from.timer.expires_after(wait);
+        from.timer.async_wait([self = shared_from_this(), &from, &to, size](const boost::system::error_code &error) {
+            if (!error) {
+                self->passOn(from, to, size, milliseconds{0});
+            }
+        });
+    }
+
+    void write(Side &from, Side &to, std::size_t size)
+    {
+        boost::asio::async_write(to.socket,
+                                 boost::asio::buffer(from.buffer.data(), size),
+                                 [self = shared_from_this(), &from, &to](const boost::system::error_code &error, std::size_t) {
+                                     error ? self->reset() : self->pump(from, to);
+                                 });
+    }
+
+    const FaultProxy &m_proxy;
+    Side m_dialler;
+    Side m_replica;
+    bool m_silenced = false;
+};
+
+FaultProxy::FaultProxy(boost::asio::io_context &io, Endpoint listen, Endpoint replica)
+    : m_io(io)
+    , m_replica(replica)
+    , m_acceptor(io, toTcp(listen))
+{
+    accept();
+}
+
+void FaultProxy::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const auto pipe = std::make_shared<Pipe>(m_io, *this, std::move(socket));
+            m_pipes.remove_if([](const std::weak_ptr<Pipe> &each) {
+                return each.expired();
+            });
+            m_pipes.push_back(pipe);
+            pipe->start(m_replica);
+        }
+        accept();
+    });
+}
+
+void FaultProxy::setFault(LinkFault fault, milliseconds delay)
+{
+    m_fault = fault;
+    m_delay = delay;
+    for (const std::weak_ptr<Pipe> &each : m_pipes) {
+        if (const std::shared_ptr<Pipe> pipe = each.lock(); pipe && fault == LinkFault::OpenSilent) {
+            pipe->silenceForGood();
+        }
+    }
+}
+
+void FaultProxy::resetAll()
+{
+    for (const std::weak_ptr<Pipe> &each : m_pipes) {
+        if (const std::shared_ptr<Pipe> pipe = each.lock()) {
+            pipe->reset();
+        }
+    }
+}
+
+} // namespace Robinrail::Soak
--- /dev/null
+++ b/soak/main_soak.cpp
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: MIT
+// robinrail-soak: plays seeds of trouble against the real programs and checks what callers, targets and
+// operators see.
+#include "arguments.h"
+#include "log.h"
+#include "soak_run.h"
+
+#include <iostream>
+#include <unistd.h>
+
+using namespace Robinrail;
+
+namespace {
+
+constexpr const char *Usage = R"(robinrail-soak: plays troubles by lot against the real programs, on loopback.
+
+Usage:
+  robinrail-soak --programs=DIR --work=DIR [options]
+  robinrail-soak (-h | --help)
+  robinrail-soak --version
+
+Options:
+  --programs=DIR    Where robinrail-platform-balancer and robinrail-platform-control are.
+  --work=DIR        Settings, logs and data, one folder a seed; kept when a promise was broken.
+  --seed=N          First seed [default: 1].
+  --seeds=N         How many seeds, one after the other [default: 1].
+  --seconds=N       How long troubles begin, for each seed [default: 20].
+  --replicas=N      Replicas, an odd number [default: 3].
+  --balancers=N     Balancers [default: 4].
+  --targets=N       Targets, an even number [default: 10].
+  --callers=N       Callers [default: 30].
+  --network=N       Second number of all loopback addresses, 16 to 254; 0: drawn from the
+                    process's id, so that runs side by side never meet [default: 0].
+  -h --help         Show this text.
+  --version         Show the version.
+
+Ends with "seeds: N kept, N broken". Exit codes: 0 all promises kept, 1 some broken, 2 bad arguments.
+)";
+
+constexpr int ExitBroken = 1;
+constexpr int ExitBadArguments = 2;
+
+// Loopback networks that runs may take; those below are used by the other tests.
+constexpr int FirstNetwork = 16;
+constexpr int LastNetwork = 254;
+
+std::uint8_t networkOfProcess()
+{
+    return static_cast<std::uint8_t>(FirstNetwork + ::getpid() % (LastNetwork - FirstNetwork + 1));
+}
+
+// The largest number of an option, and the least.
+struct Range {
+    long least = 1;
+    long most = 1;
+};
+
+std::size_t numberOf(std::map<std::string, docopt::value> &arguments, const std::string &option, Range range)
+{
+    long number = 0;
+    try {
+        number = arguments[option].asLong();
+    } catch (const std::exception &) {
+        number = range.least - 1;
+    }
+    if (number < range.least || number > range.most) {
+        std::cerr << option << ": want a whole number from " << range.least << " to " << range.most << '\n';
+        std::exit(ExitBadArguments);
+    }
+    return static_cast<std::size_t>(number);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    constexpr long Many = 1'000'000'000;
+    auto arguments = parseArguments(Usage, argc, argv);
+    configureLog({});
+    Soak::RunOptions options;
+    options.programs = arguments["--programs"].asString();
+    options.troubleTime = Soak::seconds(numberOf(arguments, "--seconds", {1, Many}));
+    const auto network = static_cast<std::uint8_t>(numberOf(arguments, "--network", {0, LastNetwork}));
+    options.plan.network = network != 0 ? network : networkOfProcess();
+    options.plan.replicas = numberOf(arguments, "--replicas", {3, 9});
+    options.plan.balancers = numberOf(arguments, "--balancers", {1, 200});
+    options.plan.targets = numberOf(arguments, "--targets", {2, 200});
+    options.plan.callers = numberOf(arguments, "--callers", {1, 2000});
+    const std::size_t first = numberOf(arguments, "--seed", {1, Many});
+    const std::size_t seeds = numberOf(arguments, "--seeds", {1, Many});
+    std::size_t broken = 0;
+    for (std::size_t seed = first; seed < first + seeds; ++seed) {
+        options.seed = seed;
+        options.work = std::filesystem::path(arguments["--work"].asString()) / ("seed-" + std::to_string(seed));
+        if (Soak::runSoak(options)) {
+            std::filesystem::remove_all(options.work);
+        } else {
+            ++broken;
+        }
+    }
+    std::cout << "seeds: " << seeds - broken << " kept, " << broken << " broken\n";
+    return broken == 0 ? 0 : ExitBroken;
+}
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -101,6 +101,67 @@
     std::shared_ptr<std::size_t> m_open;
 };
 
+// One call to a server: connect, write, read. Keeps itself alive through its handlers.
+class Call : public std::enable_shared_from_this<Call>
+{
+public:
+    Call(boost::asio::io_context &io, const HttpRequest &request, HttpDone done)
+        : m_stream(io)
+        , m_done(std::move(done))
+    {
+        m_request.version(Http11);
+        m_request.method_string(request.method);
+        m_request.target(request.path + (request.query.empty() ? "" : "?" + request.query));
+        m_request.set(http::field::host, "robinrail");
+        if (!request.token.empty()) {
+            m_request.set(http::field::authorization, std::string(Bearer) + request.token);
+        }
+        m_request.body() = request.body;
+        m_request.prepare_payload();
+    }
+
+    void start(Endpoint endpoint, std::chrono::milliseconds timeout)
+    {
+        m_stream.expires_after(timeout);
+        m_stream.async_connect(toTcp(endpoint), [self = shared_from_this()](beast::error_code error) {
+            error ? self->m_done(std::nullopt) : self->write();
+        });
+    }
+
+private:
+    static constexpr unsigned Http11 = 11;
+
+    void write()
+    {
+        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            error ? self->m_done(std::nullopt) : self->read();
+        });
+    }
+
+    void read()
+    {
+        http::async_read(m_stream, m_buffer, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->m_done(error ? std::nullopt : std::optional(self->reply()));
+        });
+    }
+
+    HttpReply reply()
+    {
+        HttpReply reply;
+        reply.status = m_response.result_int();
+        reply.contentType = std::string(m_response[http::field::content_type]);
+        reply.location = std::string(m_response[http::field::location]);
+        reply.body = std::move(m_response.body());
+        return reply;
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    http::response<http::string_body> m_response;
+    HttpDone m_done;
+};
+
 } // namespace
 
 HttpServer::HttpServer(boost::asio::io_context &io, HttpHandler handler)
@@ -140,47 +201,20 @@
     });
 }
 
+void startHttpCall(boost::asio::io_context &io, Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout, HttpDone done)
+{
+    std::make_shared<Call>(io, request, std::move(done))->start(endpoint, timeout);
+}
+
 std::optional<HttpReply> httpCall(Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout)
 {
-    constexpr unsigned Http11 = 11;
     boost::asio::io_context io;
-    beast::tcp_stream stream(io);
-    beast::flat_buffer buffer;
-    http::request<http::string_body> message;
-    http::response<http::string_body> response;
-    bool complete = false;
-    message.version(Http11);
-    message.method_string(request.method);
-    message.target(request.path + (request.query.empty() ? "" : "?" + request.query));
-    message.set(http::field::host, "robinrail");
-    if (!request.token.empty()) {
-        message.set(http::field::authorization, std::string(Bearer) + request.token);
-    }
-    message.body() = request.body;
-    message.prepare_payload();
-    stream.expires_after(timeout);
-    stream.async_connect(toTcp(endpoint), [&](beast::error_code connectError) {
-        if (connectError) {
-            return;
-        }
-        http::async_write(stream, message, [&](beast::error_code writeError, std::size_t) {
-            if (writeError) {
-                return;
-            }
-            http::async_read(stream, buffer, response, [&](beast::error_code readError, std::size_t) {
-                complete = !readError;
-            });
-        });
+    std::optional<HttpReply> answer;
+    startHttpCall(io, endpoint, request, timeout, [&answer](std::optional<HttpReply> reply) {
+        answer = std::move(reply);
     });
     io.run();
-    if (!complete) {
-        return std::nullopt;
-    }
-    HttpReply reply;
-    reply.status = response.result_int();
-    reply.contentType = std::string(response[http::field::content_type]);
-    reply.body = std::move(response.body());
-    return reply;
+    return answer;
 }
 
 std::string queryValue(std::string_view query, std::string_view key)
--- a/src/http.h
+++ b/src/http.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -54,6 +55,12 @@
     std::shared_ptr<std::size_t> m_open;
 };
 
+// The answer to a call; empty if the server gave none in time.
+using HttpDone = std::function<void(std::optional<HttpReply>)>;
+
+// Sends one request; `done` runs once, from within `io`.
+void startHttpCall(boost::asio::io_context &io, Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout, HttpDone done);
+
 // Sends one request and waits for the answer; empty if the server can't be reached in time.
 std::optional<HttpReply> httpCall(Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout);
 
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -87,7 +87,7 @@
 bool ReplicaNode::start()
 {
     openStorage(m_started);
-    if (!m_links.listen({m_file.adminListen.address, m_file.linkPort})) {
+    if (!m_links.listen({m_file.adminListen.address, m_file.linkListenPort})) {
         return false;
     }
     m_links.maintain(knownReplicas(), m_file.linkPort);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -251,6 +251,7 @@
         file.seeds.push_back(reader.endpoint("/seeds/" + std::to_string(i)));
     }
     file.linkPort = reader.at("/linkPort").get<std::uint16_t>();
+    file.linkListenPort = document.value("linkListenPort", file.linkPort);
     file.firstStart = document.value("firstStart", false);
     file.announceInterval = std::chrono::milliseconds(reader.at("/announceIntervalMs").get<int>());
     file.borneLosses = reader.at("/borneLosses").get<std::size_t>();
--- a/src/settings.h
+++ b/src/settings.h
@@ -78,7 +78,8 @@
     Endpoint adminListen;
     Endpoint packetListen; // Port 0: a replica, which takes no packets.
     std::vector<Endpoint> seeds; // Administration addresses of some replicas.
-    std::uint16_t linkPort = 0; // Where every replica listens for links.
+    std::uint16_t linkPort = 0; // Where every replica is dialled for links.
+    std::uint16_t linkListenPort = 0; // Where this replica listens: another port if something forwards to it.
     bool firstStart = false; // The whole system starts for the first time, with empty disks.
     Duration announceInterval{}; // Targets announce themselves about this often.
     std::size_t borneLosses = 0; // Replicas that may be lost at once, disks and all.
