Share the loop between core and disk; split the routing replica; say why a write failed

A message that goes to many links is encoded once. Behaviour as before but for the log lines (file-not-replaced, notes-unreadable with its reason) and robinrail_notes_not_written_total.

--- a/src/background_file.cpp
+++ b/src/background_file.cpp
@@ -3,10 +3,13 @@
 #include "background_file.h"
 
 #include "durable_file.h"
+#include "log.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <system_error>
+
 namespace Robinrail {
 
 namespace leaf = boost::leaf;
@@ -32,8 +35,14 @@
             [&]() -> leaf::result<void> {
                 return replaceFile(m_path, bytes);
             },
-            [this] {
+            [this](const FileErrorContext &context) {
+                ++m_failures;
+                const std::string reason = std::generic_category().message(context.errorNumber);
+                LogLine(LogLevel::Warning, "file-not-replaced").with("file", context.path).with("reason", reason);
+            },
+            [this](const leaf::error_info &info) {
                 ++m_failures;
+                LogLine(LogLevel::Warning, "file-not-replaced").with("file", m_path.string()).with("error", info.error().value());
             });
         m_busy = false;
     });
--- a/src/background_file.h
+++ b/src/background_file.h
@@ -21,7 +21,8 @@
     BackgroundFile(const BackgroundFile &) = delete;
     BackgroundFile &operator=(const BackgroundFile &) = delete;
 
-    // Begins to write, whole and synced; false if the write before is still under way. Failures are counted.
+    // Begins to write, whole and synced; false if the write before is still under way. Failures are counted
+    // and logged with their reason.
     bool replace(Bytes bytes);
 
     std::uint64_t failures() const;
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -36,9 +36,8 @@
 ControlDaemon::ControlDaemon(boost::asio::io_context &io, ControlFile file, RaftStorage storage, bool testFaults)
     : m_io(io)
     , m_file(std::move(file))
-    , m_storage(std::move(storage))
     , m_testFaults(testFaults)
-    , m_core({m_file.replica, m_storage.identity().disk}, m_storage.takeDurable(), monotonicNow(), std::random_device()())
+    , m_driver(std::move(storage), monotonicNow(), std::random_device()())
     , m_links(io,
               m_file.clusterKey,
               PeerRole::Control,
@@ -88,7 +87,7 @@
 void ControlDaemon::tick()
 {
     const TimePoint now = monotonicNow();
-    m_core.tick(now);
+    m_driver.core().tick(now);
     join(now);
     beat(now);
     flush();
@@ -115,52 +114,23 @@
 
 void ControlDaemon::flush()
 {
-    const RaftOutput output = m_core.takeOutput();
-    if (output.mustSync() && !persist(output)) {
+    const bool works = m_driver.round([this](const RaftSend &send) {
+        sendRaft(send);
+    });
+    if (!works) {
         // A replica whose disk fails must not acknowledge anything any more.
         m_io.stop();
         return;
     }
-    for (const RaftSend &send : output.sends) {
-        sendRaft(send);
-    }
-    m_core.apply(output);
-    if (m_core.compactIfDue()) {
-        RaftOutput compacted;
-        compacted.snapshot = m_core.raft().snapshot();
-        compacted.hard = m_core.raft().hardState();
-        compacted.entries.assign(m_core.raft().log().begin(), m_core.raft().log().end());
-        if (!persist(compacted)) {
-            m_io.stop();
-            return;
-        }
-    }
-    for (const ControlReply &answer : m_core.takeReplies()) {
+    for (const ControlReply &answer : m_driver.core().takeReplies()) {
         reply(answer);
     }
     offerVersions();
 }
 
-bool ControlDaemon::persist(const RaftOutput &output)
-{
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(m_storage.persist(output));
-            return true;
-        },
-        [](const StorageContext &context) {
-            LogLine(LogLevel::Error, "storage-failed").with("file", context.file).with("detail", context.detail);
-            return false;
-        },
-        [] {
-            LogLine(LogLevel::Error, "storage-failed");
-            return false;
-        });
-}
-
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
-    const RaftEnvelope envelope{m_storage.identity().cluster, m_core.raft().self(), send.to, encodeMessage(send.message)};
+    const RaftEnvelope envelope = m_driver.envelopeOf(send);
     for (const LinkHandle link : m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)), true)) {
         m_links.send(link, envelope);
     }
@@ -168,13 +138,13 @@
 
 void ControlDaemon::join(TimePoint now)
 {
-    if (m_core.raft().role() != RaftRole::Joining || now < m_nextJoin) {
+    if (m_driver.core().raft().role() != RaftRole::Joining || now < m_nextJoin) {
         return;
     }
     m_nextJoin = now + JoinInterval;
     for (const ReplicaAddress &replica : m_file.replicas) {
         if (replica.id != m_file.replica) {
-            sendRaft({{replica.id, 0}, JoinRequest{m_core.raft().self()}});
+            sendRaft({{replica.id, 0}, JoinRequest{m_driver.core().raft().self()}});
         }
     }
 }
@@ -206,31 +176,16 @@
     if (!message) {
         return;
     }
-    const bool joins = std::holds_alternative<JoinRequest>(*message);
-    if (!joins && envelope.to != m_core.raft().self()) {
-        return;
-    }
-    const std::uint64_t cluster = m_storage.identity().cluster;
-    if (!joins && cluster != 0 && envelope.cluster != cluster) {
-        LogLine(LogLevel::Warning, "foreign-cluster").with("replica", value(envelope.from.id));
-        return;
-    }
-    if (!joins && cluster == 0 && envelope.cluster != 0) {
-        const bool joined = leaf::try_handle_all(
-            [&]() -> leaf::result<bool> {
-                BOOST_LEAF_CHECK(m_storage.setCluster(envelope.cluster));
-                return true;
-            },
-            [] {
-                return false;
-            });
-        if (!joined) {
+    if (!std::holds_alternative<JoinRequest>(*message)) {
+        const Admission admission = m_driver.admit(envelope);
+        if (admission == Admission::DiskRefused) {
             m_io.stop();
+        }
+        if (admission != Admission::Admitted) {
             return;
         }
-        LogLine(LogLevel::Info, "joined-cluster").with("cluster", envelope.cluster);
     }
-    m_core.handle(monotonicNow(), envelope.from, *message);
+    m_driver.core().handle(monotonicNow(), envelope.from, *message);
     scheduleFlush();
 }
 
@@ -238,7 +193,7 @@
 
 void ControlDaemon::offerVersions()
 {
-    const std::uint64_t applied = value(m_core.raft().commitIndex());
+    const std::uint64_t applied = value(m_driver.core().raft().commitIndex());
     if (applied == m_seenVersion) {
         return;
     }
@@ -252,7 +207,7 @@
 
 void ControlDaemon::offerTo(LinkHandle link, BalancerId balancer)
 {
-    const BundleVersion *version = m_core.state().versionFor(balancer);
+    const BundleVersion *version = m_driver.core().state().versionFor(balancer);
     if (version == nullptr || m_offered[link] >= version->version) {
         return;
     }
@@ -261,7 +216,7 @@
         has = subscriber.balancer.id == balancer ? std::max(has, subscriber.version) : has;
     }
     m_offered[link] = version->version;
-    m_links.send(link, makeOffer(m_core.state().find(has), *version, m_core.state().operators()));
+    m_links.send(link, makeOffer(m_driver.core().state().find(has), *version, m_driver.core().state().operators()));
 }
 
 void ControlDaemon::beat(TimePoint now)
@@ -271,8 +226,8 @@
     }
     m_nextBeat = now + ControlBeatInterval;
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
-        const BundleVersion *version = m_core.state().versionFor(subscriber.balancer.id);
-        const ControlBeat message{version != nullptr ? version->version : 0, m_core.raft().inContact(now)};
+        const BundleVersion *version = m_driver.core().state().versionFor(subscriber.balancer.id);
+        const ControlBeat message{version != nullptr ? version->version : 0, m_driver.core().raft().inContact(now)};
         for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
             m_links.send(link, message);
         }
@@ -287,7 +242,7 @@
         return respond(jsonReply({{"status", "ok"}}));
     }
     if (request.path == "/readyz") {
-        const bool ready = m_core.raft().inContact(monotonicNow());
+        const bool ready = m_driver.core().raft().inContact(monotonicNow());
         return respond(jsonReply({{"ready", ready}}, ready ? 200 : HttpUnavailable));
     }
     if (request.path == "/metrics") {
@@ -319,7 +274,7 @@
     }
     change->receivedAt = wallClockSeconds();
     m_open[++m_lastTicket] = {respond, {}};
-    m_core.submit(monotonicNow(), m_lastTicket, *change);
+    m_driver.core().submit(monotonicNow(), m_lastTicket, *change);
     scheduleFlush();
 }
 
@@ -332,7 +287,7 @@
     m_open[++m_lastTicket] = {respond, [this, request] {
                                   return readState(request);
                               }};
-    m_core.read(monotonicNow(), m_lastTicket);
+    m_driver.core().read(monotonicNow(), m_lastTicket);
     scheduleFlush();
 }
 
@@ -363,7 +318,7 @@
 {
     Json body = {{"error", "not-leader"}, {"detail", "ask the leader"}};
     for (const ReplicaAddress &replica : m_file.replicas) {
-        if (replica.id == m_core.raft().leader().id) {
+        if (replica.id == m_driver.core().raft().leader().id) {
             body["leader"] = toText(replica.admin);
         }
     }
@@ -372,7 +327,7 @@
 
 HttpReply ControlDaemon::readState(const HttpRequest &request) const
 {
-    const ControlState &state = m_core.state();
+    const ControlState &state = m_driver.core().state();
     Json body = Json::array();
     if (request.path == "/v1/bundle") {
         const std::string wanted = queryValue(request.query, "version");
@@ -420,7 +375,7 @@
 
 HttpReply ControlDaemon::status() const
 {
-    const RaftCore &raft = m_core.raft();
+    const RaftCore &raft = m_driver.core().raft();
     Json members = Json::array();
     for (const ReplicaMember &member : raft.config().members) {
         members.push_back({{"replica", value(member.key.id)}, {"disk", member.key.disk}, {"voter", member.voter}});
@@ -440,7 +395,7 @@
                       {"commitIndex", value(raft.commitIndex())},
                       {"lastIndex", value(raft.lastIndex())},
                       {"inContact", raft.inContact(monotonicNow())},
-                      {"version", m_core.state().latestVersion()},
+                      {"version", m_driver.core().state().latestVersion()},
                       {"members", members},
                       {"configCommitted", raft.configCommitted()},
                       {"balancers", balancers}});
@@ -448,13 +403,13 @@
 
 HttpReply ControlDaemon::metrics() const
 {
-    const RaftCore &raft = m_core.raft();
+    const RaftCore &raft = m_driver.core().raft();
     MetricsText text;
     text.gauge("robinrail_control_term", "Consensus term.", static_cast<double>(value(raft.term())));
     text.gauge("robinrail_control_leader", "1 on the leader.", raft.role() == RaftRole::Leader ? 1 : 0);
     text.gauge("robinrail_control_in_contact", "1 while in contact with a quorum.", raft.inContact(monotonicNow()) ? 1 : 0);
     text.gauge("robinrail_control_commit_index", "Committed log index.", static_cast<double>(value(raft.commitIndex())));
-    text.gauge("robinrail_control_bundle_version", "Newest accepted bundle version.", static_cast<double>(m_core.state().latestVersion()));
+    text.gauge("robinrail_control_bundle_version", "Newest accepted bundle version.", static_cast<double>(m_driver.core().state().latestVersion()));
     text.counter("robinrail_control_link_bytes_sent_total", "Bytes sent on links.", static_cast<double>(m_links.bytesSent()));
     text.counter("robinrail_control_links_rejected_total", "Links closed for a failed proof.", static_cast<double>(m_links.rejected()));
     return {200, "text/plain; version=0.0.4", text.text()};
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -4,7 +4,7 @@
 
 #include "control_core.h"
 #include "http.h"
-#include "raft_storage.h"
+#include "replica_driver.h"
 #include "rollout.h"
 #include "secure_links.h"
 #include "settings.h"
@@ -40,7 +40,6 @@
     void tick();
     void scheduleFlush();
     void flush();
-    bool persist(const RaftOutput &output);
     void sendRaft(const RaftSend &send);
     void join(TimePoint now);
     void reply(const ControlReply &reply);
@@ -62,9 +61,8 @@
 
     boost::asio::io_context &m_io;
     ControlFile m_file;
-    RaftStorage m_storage;
     bool m_testFaults;
-    ControlCore m_core;
+    ReplicaDriver<ControlState> m_driver;
     SecureLinks m_links;
     HttpServer m_http;
     boost::asio::steady_timer m_timer;
--- a/src/main_balancer.cpp
+++ b/src/main_balancer.cpp
@@ -2,10 +2,9 @@
 // robinrail-balancer: the daemon of one entry VM.
 #include "arguments.h"
 #include "balancer_daemon.h"
-#include "durable_file.h"
+#include "program.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <sodium.h>
 
 #include <iostream>
@@ -34,9 +33,6 @@
 Exit codes: 0 stopped as planned, 1 failed while running, 2 settings are wrong.
 )";
 
-constexpr int ExitFailed = 1;
-constexpr int ExitBadSettings = 2;
-
 leaf::result<int> run(const std::string &path, bool checkOnly, bool testFaults)
 {
     BOOST_LEAF_AUTO(file, loadBalancerFile(path));
@@ -63,20 +59,7 @@
     if (sodium_init() < 0) {
         return ExitFailed;
     }
-    return leaf::try_handle_all(
-        [&] {
-            return run(arguments.at("--settings").asString(), arguments.at("--check").asBool(), arguments.at("--test-faults").asBool());
-        },
-        [](const SettingsFault &fault) {
-            std::cerr << fault.text() << '\n';
-            return ExitBadSettings;
-        },
-        [](const FileErrorContext &context) {
-            std::cerr << context.path << ": " << std::strerror(context.errorNumber) << '\n';
-            return ExitFailed;
-        },
-        [] {
-            std::cerr << "failed\n";
-            return ExitFailed;
-        });
+    return runProgram([&] {
+        return run(arguments.at("--settings").asString(), arguments.at("--check").asBool(), arguments.at("--test-faults").asBool());
+    });
 }
--- a/src/main_control.cpp
+++ b/src/main_control.cpp
@@ -2,9 +2,9 @@
 // robinrail-control: the daemon of one VM with a disk.
 #include "arguments.h"
 #include "control_daemon.h"
+#include "program.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <sodium.h>
 
 #include <iostream>
@@ -34,10 +34,6 @@
 3 the data folder is refused.
 )";
 
-constexpr int ExitFailed = 1;
-constexpr int ExitBadSettings = 2;
-constexpr int ExitBadFolder = 3;
-
 std::uint64_t randomNumber()
 {
     std::uint64_t number = 0;
@@ -92,23 +88,10 @@
     if (sodium_init() < 0) {
         return ExitFailed;
     }
-    return leaf::try_handle_all(
-        [&] {
-            return run(arguments.at("--settings").asString(),
-                       arguments.at("--check").asBool(),
-                       arguments.at("--bootstrap").asBool(),
-                       arguments.at("--test-faults").asBool());
-        },
-        [](const SettingsFault &fault) {
-            std::cerr << fault.text() << '\n';
-            return ExitBadSettings;
-        },
-        [](StorageError, const StorageContext &context) {
-            std::cerr << context.file << ": " << context.detail << '\n';
-            return ExitBadFolder;
-        },
-        [] {
-            std::cerr << "failed\n";
-            return ExitFailed;
-        });
+    return runProgram([&] {
+        return run(arguments.at("--settings").asString(),
+                   arguments.at("--check").asBool(),
+                   arguments.at("--bootstrap").asBool(),
+                   arguments.at("--test-faults").asBool());
+    });
 }
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -151,12 +151,25 @@
 
 void NodeLinks::send(LinkHandle link, const NodeMessage &message)
 {
-    const auto at = m_links.find(link);
-    if (at == m_links.end()) {
-        return;
+    if (m_links.contains(link)) {
+        sendBytes(link, encodeMessage(message));
+    }
+}
+
+void NodeLinks::sendAll(std::span<const LinkHandle> links, const NodeMessage &message)
+{
+    const Bytes bytes = links.empty() ? Bytes() : encodeMessage(message);
+    for (const LinkHandle link : links) {
+        sendBytes(link, bytes);
+    }
+}
+
+void NodeLinks::sendBytes(LinkHandle handle, const Bytes &bytes)
+{
+    if (const auto at = m_links.find(handle); at != m_links.end()) {
+        at->second.said = m_now;
+        m_hub.send(handle, bytes);
     }
-    at->second.said = m_now;
-    m_hub.send(link, encodeMessage(message));
 }
 
 LinkHandle NodeLinks::linkTo(ReplicaId replica) const
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -49,6 +49,9 @@
 
     void send(LinkHandle link, const NodeMessage &message);
 
+    // The same message on several links, encoded once.
+    void sendAll(std::span<const LinkHandle> links, const NodeMessage &message);
+
     // The link that was dialled to a replica; 0 without one.
     LinkHandle linkTo(ReplicaId replica) const;
 
@@ -76,6 +79,7 @@
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
     void closed(LinkHandle handle, std::uint64_t tag);
     void drop(LinkHandle handle);
+    void sendBytes(LinkHandle handle, const Bytes &bytes);
 
     NodeHello m_self;
     NodeLinkCallbacks m_callbacks;
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -71,8 +71,8 @@
         [](const SettingsFault &fault) {
             LogLine(LogLevel::Warning, "settings-not-reloaded").with("reason", fault.text());
         },
-        [] {
-            LogLine(LogLevel::Warning, "settings-not-reloaded").with("reason", "unknown");
+        [](const leaf::error_info &info) {
+            LogLine(LogLevel::Warning, "settings-not-reloaded").with("reason", "error without context").with("error", info.error().value());
         });
 }
 
--- /dev/null
+++ b/src/replica_driver.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+// Replica driver: what does not depend on the state machine.
+#include "replica_driver.h"
+
+#include "log.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace Robinrail::detail {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+// Runs a step of the storage; false with a line in the log if it failed.
+template<typename Step>
+bool worksOrLog(Step step)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(step());
+            return true;
+        },
+        [](const StorageContext &context) {
+            LogLine(LogLevel::Error, "storage-failed").with("file", context.file).with("reason", context.detail);
+            return false;
+        },
+        [](const leaf::error_info &info) {
+            LogLine(LogLevel::Error, "storage-failed").with("reason", "error without context").with("error", info.error().value());
+            return false;
+        });
+}
+
+} // namespace
+
+bool persistOrLog(RaftStorage &storage, const RaftOutput &output)
+{
+    return worksOrLog([&] {
+        return storage.persist(output);
+    });
+}
+
+Admission admitOrLog(RaftStorage &storage, ReplicaKey self, const RaftEnvelope &envelope)
+{
+    const std::uint64_t cluster = storage.identity().cluster;
+    if (envelope.to != self) {
+        return Admission::Rejected;
+    }
+    if (cluster != 0 && envelope.cluster != cluster) {
+        LogLine(LogLevel::Warning, "foreign-cluster").with("replica", value(envelope.from.id)).with("cluster", envelope.cluster);
+        return Admission::Rejected;
+    }
+    if (cluster == 0 && envelope.cluster != 0) {
+        const bool joined = worksOrLog([&] {
+            return storage.setCluster(envelope.cluster);
+        });
+        if (!joined) {
+            return Admission::DiskRefused;
+        }
+        LogLine(LogLevel::Info, "joined-cluster").with("cluster", envelope.cluster);
+    }
+    return Admission::Admitted;
+}
+
+} // namespace Robinrail::detail
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -4,15 +4,11 @@
 #pragma once
 
 #include "background_file.h"
-#include "drain_confirmations.h"
-#include "log_budget.h"
 #include "node_links.h"
-#include "raft_storage.h"
-#include "recovery_notes.h"
-#include "replicated_core.h"
+#include "replica_driver.h"
 #include "routing_state.h"
 #include "settings.h"
-#include "target_directory.h"
+#include "target_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,11 +30,6 @@
 // Replicas tell each other this often whom they heard, and balancers which version is in force.
 inline constexpr Duration ReplicaBeatInterval = std::chrono::milliseconds(500);
 
-// Announcements that a target may miss before it counts as silent, and some slack for one that is sent to
-// another replica after a second without an answer.
-inline constexpr int MissedAnnouncements = 2;
-inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
-
 // A disk that refused a write is tried again this often.
 inline constexpr Duration StorageRetry = std::chrono::milliseconds(500);
 
@@ -85,20 +76,18 @@
     std::string metricsText() const;
 
 private:
-    using Core = ReplicatedCore<RoutingState>;
+    using Driver = ReplicaDriver<RoutingState>;
 
     void tick();
     void openStorage(TimePoint now);
-    RecoveryNotes readNotes(std::uint64_t disk);
     void writeNotes();
-    bool prepareFirstStart(RaftStorage &storage);
     void scheduleFlush();
     void flush();
-    bool persist(const RaftOutput &output);
     void loseStorage(TimePoint now);
+    const RaftCore &raft() const;
     void sendRaft(const RaftSend &send);
     void sendEnvelope(const RaftEnvelope &envelope);
-    void answer(const Core::Reply &reply);
+    void answer(const Driver::Core::Reply &reply);
     void rejoin(TimePoint now);
     void beat(TimePoint now);
     void followMembers();
@@ -108,44 +97,31 @@
     void onEstablished(LinkHandle link, const NodeHello &peer);
     void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
     void onRaft(const RaftEnvelope &envelope);
-    void onNews(LinkHandle link, const TargetStatusList &list);
-    void tell(std::span<const LinkHandle> links, const NodeMessage &message);
-    void spread(const TargetStatus &news);
-    void confirmDrain(const TargetRecord &record, Respond respond);
-    bool informed(TimePoint now) const;
+    void onJoin(const RaftEnvelope &envelope, const JoinRequest &join);
     bool confirmed(TimePoint now) const;
     std::set<ReplicaId> knownReplicas() const;
 
     boost::asio::io_context &m_io;
     SteeringFile m_file;
     ReplicaId m_self;
-    std::optional<RaftStorage> m_storage; // Empty while the disk refuses to work.
-    std::optional<Core> m_core;
+    std::optional<Driver> m_driver; // Empty while the disk refuses to work.
     TimePoint m_storageDue;
     NodeLinks m_links;
-    TargetDirectory m_directory;
-    DrainConfirmations m_drains;
+    TargetExchange m_targets;
     BackgroundFile m_notes;
     bool m_notesDue = false;
     boost::asio::steady_timer m_timer;
     std::map<std::uint64_t, Respond> m_open; // By ticket.
     std::uint64_t m_lastTicket = 0;
     bool m_flushScheduled = false;
-    bool m_targetsRestored = false; // From the notes of the run before.
-    bool m_toldByOther = false;
-    bool m_toldBalancers = false;
-    TimePoint m_started;
     TimePoint m_nextJoin;
     TimePoint m_nextBeat;
     std::uint64_t m_offered = 0; // Version last offered to the balancers.
     std::map<ReplicaId, DataCentreId> m_dataCentres;
     ClusterConfig m_followed;
     ReplicaKey m_loggedLeader;
-    LogBudget m_newsLog;
-    std::uint64_t m_announcements = 0;
     std::uint64_t m_changes = 0;
     std::uint64_t m_storageFailures = 0;
-    std::uint64_t m_drainsUnanswered = 0;
 };
 
 } // namespace Robinrail
--- /dev/null
+++ b/src/target_exchange.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+// Target exchange: a replica's part in keeping the targets: takes their announcements, hands changes to the
+// other replicas and to the balancers, and confirms drains once enough replicas know.
+#pragma once
+
+#include "drain_confirmations.h"
+#include "log_budget.h"
+#include "node_links.h"
+#include "target_directory.h"
+
+namespace Robinrail {
+
+// Announcements that a target may miss before it counts as silent, and some slack for one that is sent to
+// another replica after a second without an answer.
+inline constexpr int MissedAnnouncements = 2;
+inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
+
+class TargetExchange
+{
+public:
+    // Whether a call was taken: the target is known, and if it drains or left, no borne loss can undo that.
+    using Respond = std::function<void(bool taken)>;
+
+    // Targets announce themselves once in `announceInterval`; `borneLosses` replicas may be lost at once.
+    TargetExchange(NodeLinks &links, TimePoint now, Duration announceInterval, std::size_t borneLosses);
+
+    // Calls of the targets.
+    void announce(const TargetRecord &record, Respond respond);
+    void leave(TargetKey key, Respond respond);
+
+    // What another replica says over its link.
+    void onNews(LinkHandle link, const TargetStatusList &list);
+    void onHeard(const TargetsHeard &heard);
+    void onReceipt(ReplicaId from, const TargetReceipt &receipt);
+    void onTold();
+
+    // Takes the targets that were known before a restart; they are heard as of now.
+    void restore(TimePoint now, std::span<const TargetStatus> targets);
+
+    // Tells a peer whose link has just come up all that is known.
+    void greet(TimePoint now, LinkHandle link);
+
+    // Gives up on drains that waited too long. Call it at each tick.
+    void expireDrains(TimePoint now);
+
+    // Tells the others whom this replica heard, and balancers who fell silent. Call it once in a while.
+    void beat(TimePoint now);
+
+    // All targets; whether anything changed since the last call.
+    std::vector<TargetStatus> all(TimePoint now) const;
+    bool takeChanged();
+
+    std::size_t size() const;
+    std::uint64_t announcements() const;
+    std::uint64_t drainsUnanswered() const;
+
+private:
+    void spread(const TargetStatus &news);
+    void confirm(const TargetRecord &record, Respond respond);
+    bool informed(TimePoint now) const;
+
+    NodeLinks &m_links;
+    Duration m_announceInterval;
+    std::size_t m_borneLosses;
+    TargetDirectory m_directory;
+    DrainConfirmations m_drains;
+    TimePoint m_started;
+    bool m_restored = false; // Targets were known from before the restart.
+    bool m_toldByOther = false;
+    bool m_toldBalancers = false;
+    bool m_changed = false;
+    LogBudget m_newsLog;
+    std::uint64_t m_announcements = 0;
+    std::uint64_t m_drainsUnanswered = 0;
+};
+
+} // namespace Robinrail
--- a/tests/test_storage.cpp
+++ b/tests/test_storage.cpp
@@ -1,14 +1,12 @@
 // SPDX-License-Identifier: MIT
 // Storage: what survives a crash, what is cut off, and what is refused.
 #include "raft_storage.h"
+#include "test_disk.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <doctest/doctest.h>
 
-#include <csignal>
 #include <fstream>
-#include <sys/resource.h>
-#include <unistd.h>
 
 using namespace Robinrail;
 namespace leaf = boost::leaf;
@@ -18,30 +16,6 @@
 
 constexpr ReplicaId Self{1};
 
-// A folder of its own for each case, removed at the end.
-class Folder
-{
-public:
-    Folder()
-    {
-        std::string pattern = (fs::temp_directory_path() / "robinrail-test-XXXXXX").string();
-        m_path = ::mkdtemp(pattern.data());
-    }
-    Folder(const Folder &) = delete;
-    Folder &operator=(const Folder &) = delete;
-    ~Folder()
-    {
-        fs::remove_all(m_path);
-    }
-    const fs::path &path() const
-    {
-        return m_path;
-    }
-
-private:
-    fs::path m_path;
-};
-
 LogEntry entryOf(std::uint64_t index, std::uint64_t term)
 {
     return {Term{term}, LogIndex{index}, EntryKind::Command, Bytes(20, static_cast<std::uint8_t>(index))};
@@ -254,17 +228,9 @@
 {
     const Folder folder;
     writeThree(folder.path());
-    // A limit on file sizes makes the next write fail as a full disk does.
-    std::signal(SIGXFSZ, SIG_IGN);
-    rlimit before{};
-    ::getrlimit(RLIMIT_FSIZE, &before);
     const std::optional<StorageError> error = withStorage(folder.path(), [&](RaftStorage &storage) {
-        rlimit small = before;
-        small.rlim_cur = storage.logBytes();
-        ::setrlimit(RLIMIT_FSIZE, &small);
-        auto result = storage.persist(outputOf(9, {entryOf(4, 9)}));
-        ::setrlimit(RLIMIT_FSIZE, &before);
-        return result;
+        const FullDisk full(storage.logBytes());
+        return storage.persist(outputOf(9, {entryOf(4, 9)}));
     });
     CHECK(error == StorageError::Io);
     CHECK(entriesIn(folder.path()) == 3);
