Serve latency histograms of the steering path; forget removed routes after the life of their flows

Change: robinrail_flow_open_seconds and robinrail_answer_seconds (balancer), robinrail_commit_seconds, robinrail_drain_confirm_seconds and robinrail_sync_seconds (replica); robinrail_held_too_long_total with a log line for packets that were held in vain.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -2,7 +2,10 @@
 // Flow steering: implementation.
 #include "flow_steering.h"
 
+#include "target_directory.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace Robinrail {
 
@@ -54,7 +57,7 @@
         return false;
     }
     for (const auto &[address, route] : m_routes) {
-        m_dropped[address] = table.version;
+        m_dropped.try_emplace(address);
     }
     m_table = table;
     m_routes.clear();
@@ -126,6 +129,7 @@
         assign(*flow, *target);
         flow->copy = packet.copy;
         flow->sentAt = CoarseTime(now);
+        flow->opensHere = true;
         flow->open = false;
     }
     return forward(reason, *target);
@@ -167,6 +171,12 @@
 {
     SteeredTarget &target = *m_targets.find(flow.target);
     const bool answered = !flow.open || behind(flow.acknowledged, packet.acknowledged);
+    if (std::exchange(flow.opensHere, false)) {
+        m_openTimes.record(flow.sentAt.elapsed(now));
+    }
+    if (answered && flow.busy) {
+        m_answerTimes.record(flow.sentAt.elapsed(now));
+    }
     flow.open = true;
     if (answered) {
         flow.acknowledged = packet.acknowledged;
@@ -332,6 +342,20 @@
         return true;
     });
     m_targets.tick(now);
+    forgetDropped(now);
+}
+
+// A removed route resets the flows that it had; those live no longer than targets that left are remembered.
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::forgetDropped(TimePoint now)
+{
+    boost::unordered::erase_if(m_dropped, [now](auto &each) {
+        TimePoint &seen = each.second;
+        if (seen == TimePoint{}) {
+            seen = now;
+        }
+        return now - seen >= RememberLeft;
+    });
 }
 
 // ---- Decisions ----
@@ -397,6 +421,24 @@
     return m_suspicions;
 }
 
+template<SteeringChoice Choice>
+const LatencyHistogram &BasicFlowSteering<Choice>::openTimes() const
+{
+    return m_openTimes;
+}
+
+template<SteeringChoice Choice>
+const LatencyHistogram &BasicFlowSteering<Choice>::answerTimes() const
+{
+    return m_answerTimes;
+}
+
+template<SteeringChoice Choice>
+std::size_t BasicFlowSteering<Choice>::droppedRoutes() const
+{
+    return m_dropped.size();
+}
+
 template class BasicFlowSteering<HashChoice>;
 template class BasicFlowSteering<LeastUsedChoice>;
 
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -5,6 +5,7 @@
 // below only helps it to choose well. Kin: Cheetah (Barbette et al., NSDI 2020) and QUIC-LB.
 #pragma once
 
+#include "metrics.h"
 #include "steering_choice.h"
 
 #include <array>
@@ -79,6 +80,7 @@
     bool open = false;
     bool busy = false;
     bool counted = false; // Among the flows of its target.
+    bool opensHere = false; // Its opening packet came here, at sentAt, and no other packet has come since.
 };
 
 struct FlowKeyHash {
@@ -119,6 +121,13 @@
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
 
+    // From an opening packet to the caller's next one, and from a request's data to a sign of its answer.
+    const LatencyHistogram &openTimes() const;
+    const LatencyHistogram &answerTimes() const;
+
+    // Removed routes that are still remembered, to reset their flows.
+    std::size_t droppedRoutes() const;
+
 private:
     using Flow = detail::SteeredFlow;
 
@@ -137,18 +146,21 @@
     void release(Flow &flow);
     void setBusy(Flow &flow, bool busy);
     void suspect(TimePoint now, SteeredTarget &target);
+    void forgetDropped(TimePoint now);
 
     DataCentreId m_dataCentre;
     bool m_informed = false;
     RoutingTable m_table;
     boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; into m_table.
-    boost::unordered_flat_map<std::uint64_t, std::uint64_t> m_dropped; // Routes that were removed, by version.
+    boost::unordered_flat_map<std::uint64_t, TimePoint> m_dropped; // Removed routes; when the next tick saw that.
     SteeringTargets m_targets;
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
     std::vector<SteeredTarget *> m_candidates; // Kept between packets, so that no choice allocates.
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
     std::uint64_t m_suspicions = 0;
+    LatencyHistogram m_openTimes;
+    LatencyHistogram m_answerTimes;
 };
 
 extern template class BasicFlowSteering<HashChoice>;
--- a/src/held_packets.h
+++ b/src/held_packets.h
@@ -43,9 +43,10 @@
         return released;
     }
 
-    std::uint64_t dropped() const
+    // How many packets were too old or too many since the last call.
+    std::uint64_t takeDropped()
     {
-        return m_dropped;
+        return std::exchange(m_dropped, 0);
     }
 
 private:
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -150,6 +150,7 @@
     void releaseHeld()
     {
         const std::vector<Bytes> held = m_held.release(monotonicNow());
+        m_node.countHeldTooLong(m_held.takeDropped());
         for (std::size_t at = 0; at < held.size(); at += PacketBatch) {
             m_outCount = 0;
             for (std::size_t i = at; i < std::min(at + PacketBatch, held.size()); ++i) {
--- a/src/replica_driver.h
+++ b/src/replica_driver.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "link_message.h"
+#include "metrics.h"
+#include "net.h"
 #include "raft_storage.h"
 #include "replicated_core.h"
 
@@ -60,14 +62,20 @@
     bool round(Send send)
     {
         const RaftOutput output = m_core.takeOutput();
-        if (output.mustSync() && !detail::persistOrLog(m_storage, output)) {
+        if (output.mustSync() && !persist(output)) {
             return false;
         }
         for (const RaftSend &each : output.sends) {
             send(each);
         }
         m_core.apply(output);
-        return !m_core.compactIfDue() || detail::persistOrLog(m_storage, compacted());
+        return !m_core.compactIfDue() || persist(compacted());
+    }
+
+    // How long writes with their syncs took.
+    const LatencyHistogram &syncTimes() const
+    {
+        return m_syncTimes;
     }
 
     // A message on its way to a peer.
@@ -95,6 +103,14 @@
         return durable;
     }
 
+    bool persist(const RaftOutput &output)
+    {
+        const TimePoint began = monotonicNow();
+        const bool works = detail::persistOrLog(m_storage, output);
+        m_syncTimes.record(monotonicNow() - began);
+        return works;
+    }
+
     // The snapshot that the core has just made, and the entries behind it.
     RaftOutput compacted() const
     {
@@ -107,6 +123,7 @@
 
     RaftStorage m_storage;
     Core m_core;
+    LatencyHistogram m_syncTimes;
 };
 
 } // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -419,7 +419,12 @@
         return respond(ReplicaAnswer::Done);
     }
     ++m_changes;
-    m_open[++m_lastTicket] = std::move(respond);
+    m_open[++m_lastTicket] = [this, began = monotonicNow(), respond = std::move(respond)](ReplicaAnswer answer) {
+        if (answer == ReplicaAnswer::Done) {
+            m_commitTimes.record(monotonicNow() - began);
+        }
+        respond(answer);
+    };
     m_driver->core().submit(monotonicNow(), m_lastTicket, routing);
     scheduleFlush();
 }
@@ -473,6 +478,11 @@
     text.counter("robinrail_changes_total", "Routing documents proposed here", static_cast<double>(m_changes));
     text.counter("robinrail_storage_failures_total", "Times that the disk refused to work", static_cast<double>(m_storageFailures));
     text.counter("robinrail_drains_unanswered_total", "Drains that too few replicas confirmed", static_cast<double>(m_targets.drainsUnanswered()));
+    text.histogram("robinrail_commit_seconds", "From a proposed document to its commit", m_commitTimes);
+    text.histogram("robinrail_drain_confirm_seconds", "From a drain to its confirmation", m_targets.drainTimes());
+    if (m_driver) {
+        text.histogram("robinrail_sync_seconds", "Writes of the log with their syncs", m_driver->syncTimes());
+    }
     text.counter("robinrail_notes_not_written_total", "Times that the recovery notes could not be written", static_cast<double>(m_notes.failures()));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -121,6 +121,7 @@
     ClusterConfig m_followed;
     ReplicaKey m_loggedLeader;
     std::uint64_t m_changes = 0;
+    LatencyHistogram m_commitTimes;
     std::uint64_t m_storageFailures = 0;
 };
 
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -250,6 +250,14 @@
 
 // ---- Small questions ----
 
+void SteeringNode::countHeldTooLong(std::uint64_t packets)
+{
+    m_heldTooLong += packets;
+    if (packets > 0) {
+        LogLine(LogLevel::Warning, "held-too-long").with("packets", packets);
+    }
+}
+
 const SteeringFile &SteeringNode::settings() const
 {
     return m_file;
@@ -268,8 +276,12 @@
         const std::string label = "reason=\"" + std::string(nameOf(reason)) + "\"";
         text.counter("robinrail_packets_total", "Packets by what decided them", static_cast<double>(m_steering.count(reason)), label);
     }
+    text.histogram("robinrail_flow_open_seconds", "From an opening packet to the caller's next one", m_steering.openTimes());
+    text.histogram("robinrail_answer_seconds", "From a request's data to a sign of its answer", m_steering.answerTimes());
+    text.gauge("robinrail_dropped_routes", "Removed routes whose flows may still be there", static_cast<double>(m_steering.droppedRoutes()));
     text.counter("robinrail_suspicions_total", "Times that a target was suspected", static_cast<double>(m_steering.suspicions()));
     text.counter("robinrail_malformed_packets_total", "Packets without a readable head", static_cast<double>(m_malformed));
+    text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(m_heldTooLong));
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -62,6 +62,7 @@
     // Counts what the port saw.
     void countMalformed();
     void countSendFailure();
+    void countHeldTooLong(std::uint64_t packets);
 
     const SteeringFile &settings() const;
     std::string metricsText() const;
@@ -98,6 +99,7 @@
     std::array<LogBudget, SteeringReasonCount> m_logs;
     std::uint64_t m_malformed = 0;
     std::uint64_t m_sendFailures = 0;
+    std::uint64_t m_heldTooLong = 0;
 };
 
 } // namespace Robinrail
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -53,7 +53,13 @@
 void TargetExchange::confirm(const TargetRecord &record, Respond respond)
 {
     m_links.sendAll(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}}}});
-    m_drains.await(monotonicNow(), record.key, record.phase, std::move(respond));
+    const TimePoint began = monotonicNow();
+    m_drains.await(began, record.key, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
+        if (confirmed) {
+            m_drainTimes.record(monotonicNow() - began);
+        }
+        respond(confirmed);
+    });
 }
 
 void TargetExchange::expireDrains(TimePoint now)
@@ -179,6 +185,11 @@
     return m_announcements;
 }
 
+const LatencyHistogram &TargetExchange::drainTimes() const
+{
+    return m_drainTimes;
+}
+
 std::uint64_t TargetExchange::drainsUnanswered() const
 {
     return m_drainsUnanswered;
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -5,6 +5,7 @@
 
 #include "drain_confirmations.h"
 #include "log_budget.h"
+#include "metrics.h"
 #include "node_links.h"
 #include "target_directory.h"
 
@@ -54,6 +55,9 @@
     std::uint64_t announcements() const;
     std::uint64_t drainsUnanswered() const;
 
+    // From a drain or an end to its confirmation.
+    const LatencyHistogram &drainTimes() const;
+
 private:
     void spread(const TargetStatus &news);
     void confirm(const TargetRecord &record, Respond respond);
@@ -72,6 +76,7 @@
     LogBudget m_newsLog;
     std::uint64_t m_announcements = 0;
     std::uint64_t m_drainsUnanswered = 0;
+    LatencyHistogram m_drainTimes;
 };
 
 } // namespace Robinrail
