--- a/src/raft_message.h
+++ b/src/raft_message.h
@@ -14,6 +14,16 @@
 enum class Term : std::uint64_t {};
 enum class LogIndex : std::uint64_t {};
 
+constexpr LogIndex next(LogIndex index)
+{
+    return LogIndex{static_cast<std::uint64_t>(index) + 1};
+}
+
+constexpr LogIndex previous(LogIndex index)
+{
+    return LogIndex{static_cast<std::uint64_t>(index) - 1};
+}
+
 // A replica together with the disk that holds its votes and its log. A replica whose disk was lost has
 // another disk number, hence is another voter: it can't vote with forgotten state.
 struct ReplicaKey {
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Takes one mechanism at a time out of a copy of the tree and expects the named proof to fail. Not part of
-# CI, as it builds the library once for each mutation.
+# CI, as it builds the library once for each mutation. Usage: tests/mutations.sh [PART-OF-A-NAME]
 set -uo pipefail
 cd "$(dirname "$0")/.."
 copy=$(mktemp -d)
@@ -11,9 +11,11 @@
 scripts/build.sh release --target robinrail_tests > /dev/null || exit 1
 
 wrong=0
+only=${1:-}
 # mutate NAME FILE FROM TO TEST-CASES: replaces one text once and runs the test cases.
 mutate() {
     local name=$1 file=$2 from=$3 to=$4 cases=$5
+    [[ $name == *"$only"* ]] || return 0
     cp "$file" "$copy/original"
     FROM=$from TO=$to perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$file"
     if cmp -s "$file" "$copy/original"; then
@@ -62,15 +64,27 @@
     'if (attempt.serial <= window.floor) {' '*offload runs at most once*,*tenth of the packets*'
 mutate "answers complete with any part" src/answer_assembly.h 'return m_received == m_count ?' 'return m_received > 0 ?' \
     '*with all its parts*,*complete only with all parts*'
-mutate "a vote for everybody" src/raft_core.cpp \
+mutate "a vote for everybody" src/raft_election.cpp \
     'const bool free = value(m_hard.votedFor.id) == 0 || m_hard.votedFor == from;' 'const bool free = true;' '*replicas keep every promise*'
-mutate "votes for short logs" src/raft_core.cpp \
+mutate "votes for short logs" src/raft_election.cpp \
     'const bool upToDate = std::pair(request.lastTerm, request.lastIndex) >= std::pair(lastTerm(), lastIndex());' \
     'const bool upToDate = true;' '*replicas keep every promise*'
-mutate "commit without a quorum" src/raft_core.cpp 'const LogIndex agreed = matches[matches.size() / 2];' \
+mutate "commit without a quorum" src/raft_replication.cpp 'const LogIndex agreed = matches[matches.size() / 2];' \
     'const LogIndex agreed = matches.front();' '*replicas keep every promise*'
-mutate "voter before it caught up" src/raft_core.cpp \
-    'if (!caughtUp || !alive) {' 'if (!alive && caughtUp) {' '*loss of a second one*,*replicas keep every promise*'
+mutate "voter before it caught up" src/raft_members.cpp \
+    'return caughtUp && now' 'return (caughtUp || !caughtUp) && now' '*loss of a second one*,*replicas keep every promise*'
+mutate "steering: openings that waited are handed on" src/flow_steering.cpp 'if (packet.late) {' 'if (packet.late && packet.reset) {' \
+    '*waited through a standstill*'
+mutate "steering: a copy right behind tells silence" src/flow_steering.cpp '|| tooSoon) &&' ') &&' '*right behind the first*'
+mutate "steering: what is not known yet is dropped" src/flow_steering.cpp \
+    'm_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed)' \
+    'm_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed)' '*holds what it does not know*'
+mutate "steering: former lifetimes end at the first announcement only" src/target_directory.cpp \
+    'if (known == nullptr || known->phase != TargetPhase::Left) {' 'if (known == nullptr) {' '*restarts at once*'
+mutate "steering: removed routes are never forgotten" src/flow_steering.cpp 'return now - seen >= RememberLeft;' \
+    'return now < seen;' '*forgotten once its flows*'
+mutate "steering: messages of other clusters are taken" src/replica_driver.cpp \
+    'if (cluster != 0 && envelope.cluster != cluster) {' 'if (cluster != 0 && envelope.cluster == 0) {' '*joins the first cluster*'
 mutate "no compare-and-set on versions" src/control_state.cpp 'if (propose.baseVersion != latestVersion()) {' \
     'if (propose.baseVersion > latestVersion()) {' '*equal numbers*'
 mutate "no memory of changes" src/control_state.cpp 'if (const ChangeResult *known = resultOf(change.change)) {' \
