--- /dev/null
+++ b/bench/deployments.cpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+// Deployments: the two small deployments and the schedules of faults that benchmark and tests share.
+#include "simulation.h"
+
+namespace Robinrail {
+
+SimulatedDeployment kathmandu()
+{
+    SimulatedDeployment deployment;
+    deployment.services.push_back({ServiceId{1}, 14, 3, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 3, std::chrono::milliseconds(150), 5, true});
+    return deployment;
+}
+
+SimulatedDeployment bogota()
+{
+    SimulatedDeployment deployment;
+    deployment.dataCentres = 4;
+    deployment.betweenDataCentres = std::chrono::microseconds(500);
+    deployment.toCallers = std::chrono::milliseconds(1);
+    deployment.services.push_back({ServiceId{1}, 14, 2, std::chrono::milliseconds(100), 1, false});
+    deployment.services.push_back({ServiceId{2}, 4, 2, std::chrono::milliseconds(150), 5, true});
+    return deployment;
+}
+
+void stopEveryBalancer(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    options.duration = seconds(125);
+    for (int number = 1; number <= options.deployment.balancers; ++number) {
+        options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
+        options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
+    }
+}
+
+void replaceEveryTarget(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    options.duration = seconds(95);
+    int hosts = 0;
+    for (const SimulatedService &service : options.deployment.services) {
+        hosts += service.hosts;
+    }
+    for (int number = 1; number <= hosts; ++number) {
+        options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
+        options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
+        options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
+    }
+}
+
+void loseDoubleAndDelay(SimulationOptions &options)
+{
+    options.drop = 0.1;
+    options.duplicate = 0.1;
+    options.late = 0.1;
+}
+
+void bringAllTogether(SimulationOptions &options)
+{
+    using std::chrono::seconds;
+    loseDoubleAndDelay(options);
+    options.duration = seconds(60);
+    options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
+                      {seconds(8), FaultKind::StopBalancer, 5},
+                      {seconds(9), FaultKind::DrainTarget, 4},
+                      {seconds(12), FaultKind::StartBalancer, 3},
+                      {seconds(14), FaultKind::KillTarget, 4},
+                      {seconds(15), FaultKind::FreezeBalancer, 1},
+                      {seconds(22), FaultKind::ThawBalancer, 1},
+                      {seconds(24), FaultKind::CutDataCentre, 2},
+                      {seconds(32), FaultKind::JoinDataCentre, 2},
+                      {seconds(33), FaultKind::StartTarget, 4},
+                      {seconds(36), FaultKind::KillBalancer, 8}};
+}
+
+} // namespace Robinrail
--- /dev/null
+++ b/bench/random_draws.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+// Random draws: the distributions that simulations draw from, of any generator.
+#pragma once
+
+#include "types.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <cstddef>
+
+namespace Robinrail {
+
+template<typename Random>
+double uniformOf(Random &random)
+{
+    boost::random::uniform_real_distribution<double> distribution(0, 1);
+    return distribution(random);
+}
+
+template<typename Random>
+std::size_t below(Random &random, std::size_t count)
+{
+    boost::random::uniform_int_distribution<std::size_t> distribution(0, count - 1);
+    return distribution(random);
+}
+
+template<typename Random>
+Duration exponentialOf(Random &random, Duration mean)
+{
+    boost::random::exponential_distribution<double> distribution(1.0 / static_cast<double>(mean.count()));
+    return Duration(1 + static_cast<std::int64_t>(distribution(random)));
+}
+
+inline double ratio(Duration part, double whole)
+{
+    return whole > 0 ? static_cast<double>(part.count()) / whole : 0;
+}
+
+} // namespace Robinrail
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -4,10 +4,7 @@
 
 #include "datagram_guard.h"
 #include "hash.h"
-
-#include <boost/random/exponential_distribution.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
-#include <boost/random/uniform_real_distribution.hpp>
+#include "random_draws.h"
 
 #include <algorithm>
 
@@ -54,103 +51,8 @@
     return tag;
 }
 
-template<typename Random>
-double uniformOf(Random &random)
-{
-    boost::random::uniform_real_distribution<double> distribution(0, 1);
-    return distribution(random);
-}
-
-template<typename Random>
-std::size_t below(Random &random, std::size_t count)
-{
-    boost::random::uniform_int_distribution<std::size_t> distribution(0, count - 1);
-    return distribution(random);
-}
-
-template<typename Random>
-Duration exponentialOf(Random &random, Duration mean)
-{
-    boost::random::exponential_distribution<double> distribution(1.0 / static_cast<double>(mean.count()));
-    return Duration(1 + static_cast<std::int64_t>(distribution(random)));
-}
-
-double ratio(Duration part, double whole)
-{
-    return whole > 0 ? static_cast<double>(part.count()) / whole : 0;
-}
-
 } // namespace
 
-SimulatedDeployment kathmandu()
-{
-    SimulatedDeployment deployment;
-    deployment.services.push_back({ServiceId{1}, 14, 3, std::chrono::milliseconds(100), 1, false});
-    deployment.services.push_back({ServiceId{2}, 4, 3, std::chrono::milliseconds(150), 5, true});
-    return deployment;
-}
-
-SimulatedDeployment bogota()
-{
-    SimulatedDeployment deployment;
-    deployment.dataCentres = 4;
-    deployment.betweenDataCentres = std::chrono::microseconds(500);
-    deployment.toCallers = std::chrono::milliseconds(1);
-    deployment.services.push_back({ServiceId{1}, 14, 2, std::chrono::milliseconds(100), 1, false});
-    deployment.services.push_back({ServiceId{2}, 4, 2, std::chrono::milliseconds(150), 5, true});
-    return deployment;
-}
-
-void stopEveryBalancer(SimulationOptions &options)
-{
-    using std::chrono::seconds;
-    options.duration = seconds(125);
-    for (int number = 1; number <= options.deployment.balancers; ++number) {
-        options.faults.push_back({seconds(15 * (number - 1) + 2), FaultKind::StopBalancer, number});
-        options.faults.push_back({seconds(15 * (number - 1) + 13), FaultKind::StartBalancer, number});
-    }
-}
-
-void replaceEveryTarget(SimulationOptions &options)
-{
-    using std::chrono::seconds;
-    options.duration = seconds(95);
-    int hosts = 0;
-    for (const SimulatedService &service : options.deployment.services) {
-        hosts += service.hosts;
-    }
-    for (int number = 1; number <= hosts; ++number) {
-        options.faults.push_back({seconds(5 * (number - 1) + 1), FaultKind::DrainTarget, number});
-        options.faults.push_back({seconds(5 * (number - 1) + 5), FaultKind::KillTarget, number});
-        options.faults.push_back({seconds(5 * (number - 1) + 6), FaultKind::StartTarget, number});
-    }
-}
-
-void loseDoubleAndDelay(SimulationOptions &options)
-{
-    options.drop = 0.1;
-    options.duplicate = 0.1;
-    options.late = 0.1;
-}
-
-void bringAllTogether(SimulationOptions &options)
-{
-    using std::chrono::seconds;
-    loseDoubleAndDelay(options);
-    options.duration = seconds(60);
-    options.faults = {{seconds(3), FaultKind::KillBalancer, 3},
-                      {seconds(8), FaultKind::StopBalancer, 5},
-                      {seconds(9), FaultKind::DrainTarget, 4},
-                      {seconds(12), FaultKind::StartBalancer, 3},
-                      {seconds(14), FaultKind::KillTarget, 4},
-                      {seconds(15), FaultKind::FreezeBalancer, 1},
-                      {seconds(22), FaultKind::ThawBalancer, 1},
-                      {seconds(24), FaultKind::CutDataCentre, 2},
-                      {seconds(32), FaultKind::JoinDataCentre, 2},
-                      {seconds(33), FaultKind::StartTarget, 4},
-                      {seconds(36), FaultKind::KillBalancer, 8}};
-}
-
 std::uint64_t SimulationResult::signature() const
 {
     std::uint64_t mixed = 0;
@@ -812,78 +714,4 @@
 template class Simulation<DealtSlotsAlone>;
 template class Simulation<DealtSlots>;
 
-// ---- The ideal and the baselines ----
-
-IdealResult simulateIdeal(const SimulatedService &service, double load, Duration duration, Duration maxWait, std::uint64_t seed)
-{
-    pcg64 random(seed);
-    const int slots = service.hosts * service.slots;
-    std::priority_queue<Duration, std::vector<Duration>, std::greater<>> freeAt;
-    for (int i = 0; i < slots; ++i) {
-        freeAt.push(Duration(0));
-    }
-    LatencyHistogram latency;
-    Duration work{};
-    const Duration between(static_cast<std::int64_t>(static_cast<double>(service.serviceTime.count()) / (load * slots)));
-    for (Duration now = exponentialOf(random, between); now < duration; now += exponentialOf(random, between)) {
-        const Duration start = std::max(now, freeAt.top());
-        if (start - now > maxWait) {
-            continue;
-        }
-        const Duration took = exponentialOf(random, service.serviceTime);
-        freeAt.pop();
-        freeAt.push(start + took);
-        work += took;
-        latency.record(start + took - now);
-    }
-    return {ratio(work, static_cast<double>(duration.count()) * slots), latency.quantile(0.5), latency.quantile(0.99)};
-}
-
-BaselineResult simulateBaseline(BaselineKind kind, const SimulatedService &service, double load, Duration duration, int feeds, std::uint64_t seed)
-{
-    constexpr std::size_t BalancerCount = 8;
-    pcg64 random(seed);
-    const auto hosts = static_cast<std::size_t>(service.hosts);
-    std::vector<std::vector<Duration>> runningUntil(hosts);
-    std::vector<double> busy(hosts);
-    std::array<std::size_t, BalancerCount> turn{};
-    BaselineResult result;
-    double work = 0;
-    const auto pick = [&](std::uint64_t flow, std::size_t count) {
-        switch (kind) {
-        case BaselineKind::PlainHash:
-            return static_cast<std::size_t>(hashPair(flow, 0) % count);
-        case BaselineKind::RoundRobin:
-            return turn[below(random, BalancerCount)]++ % count;
-        case BaselineKind::Random:
-            break;
-        }
-        return below(random, count);
-    };
-    const Duration between(static_cast<std::int64_t>(static_cast<double>(service.serviceTime.count()) / (load * service.hosts * service.slots)));
-    for (Duration now = exponentialOf(random, between); now < duration; now += exponentialOf(random, between)) {
-        constexpr std::size_t FlowCount = 60;
-        const std::size_t host = pick(below(random, FlowCount), hosts);
-        std::vector<Duration> &running = runningUntil[host];
-        std::erase_if(running, [now](Duration end) {
-            return end <= now;
-        });
-        if (running.size() >= service.slots) {
-            ++result.refused;
-            continue;
-        }
-        const Duration took = exponentialOf(random, service.serviceTime);
-        running.push_back(now + took);
-        busy[host] += static_cast<double>(took.count());
-        work += static_cast<double>(took.count());
-    }
-    result.goodput = work / (static_cast<double>(duration.count()) * service.hosts * service.slots);
-    result.imbalance = work > 0 ? *std::max_element(busy.begin(), busy.end()) * service.hosts / work : 1;
-    for (int feed = 0; feed < feeds; ++feed) {
-        const auto flow = static_cast<std::uint64_t>(feed) + 1000;
-        result.brokenFlows += pick(flow, hosts) != pick(flow, hosts - 1) ? 1 : 0;
-    }
-    return result;
-}
-
 } // namespace Robinrail
--- /dev/null
+++ b/tests/test_targets.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: MIT
+// Targets: the replicas' directory of targets, confirmed drains, and the orders of versions.
+#include "drain_confirmations.h"
+#include "routing_state.h"
+#include "target_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace Robinrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr ReplicaId FirstReplica{11};
+constexpr ReplicaId SecondReplica{12};
+const TimePoint Start(std::chrono::hours(1));
+
+TargetRecord targetOf(std::uint64_t key, const std::string &service)
+{
+    TargetRecord record;
+    record.key = TargetKey{key};
+    record.service = service;
+    record.address = {static_cast<std::uint32_t>(key), 8080};
+    record.slots = 2;
+    record.sequence = 1;
+    return record;
+}
+
+RoutingTable tableOf(std::uint64_t version)
+{
+    RoutingTable table;
+    table.version = version;
+    table.services = {"quotes"};
+    table.routes = {{{0xc6120001, 443}, {{0, 1}}}};
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("the directory passes on changes, orders them, and tells silent targets")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    CHECK(directory.announce(Start, record).size() == 1);
+    record.sequence = 2;
+    CHECK(directory.announce(Start + seconds(1), record).empty());
+    record.sequence = 1;
+    record.phase = TargetPhase::Draining;
+    CHECK(directory.announce(Start + seconds(1), record).empty());
+    record.sequence = 3;
+    CHECK(directory.announce(Start + seconds(1), record).size() == 1);
+    CHECK(directory.takeHeardHere().size() == 4);
+    CHECK(directory.tick(Start + seconds(2)).empty());
+    CHECK(directory.tick(Start + seconds(4)).size() == 1);
+    const std::vector<TargetKey> keys = {TargetKey{5}};
+    CHECK(directory.heard(Start + seconds(5), keys).size() == 1);
+    CHECK(directory.leave(Start + seconds(6), TargetKey{5}));
+    record.sequence = 4;
+    record.phase = TargetPhase::Serving;
+    CHECK(directory.announce(Start + seconds(7), record).empty());
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Left);
+}
+
+TEST_CASE("a target that takes over an address ends the one that was silent there, and no other")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord crashed = targetOf(5, "quotes");
+    TargetRecord successor = targetOf(6, "decks");
+    successor.address = crashed.address;
+    directory.announce(Start, crashed);
+    const std::vector<TargetStatus> news = directory.announce(Start + seconds(2), successor);
+    REQUIRE(news.size() == 2);
+    CHECK(news[0].record.key == TargetKey{5});
+    CHECK(news[0].record.phase == TargetPhase::Left);
+    // An announcement of the crashed one that was held up on its way ends nobody, nor is anybody else ended.
+    crashed.sequence = 7;
+    CHECK(directory.announce(Start + seconds(3), crashed).empty());
+    TargetRecord late = targetOf(4, "quotes");
+    late.address = crashed.address;
+    CHECK(directory.announce(Start + seconds(3), late).size() == 1);
+    CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
+}
+
+TEST_CASE("a target that restarts at once ends its former lifetime as soon as that one missed its turn")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord crashed = targetOf(5, "quotes");
+    TargetRecord reborn = targetOf(6, "quotes");
+    reborn.address = crashed.address;
+    directory.announce(Start, crashed);
+    // The former lifetime was heard a moment ago, so nothing can be said of it yet.
+    CHECK(directory.announce(Start + milliseconds(500), reborn).size() == 1);
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+    reborn.sequence = 2;
+    CHECK(directory.announce(Start + seconds(1), reborn).empty());
+    reborn.sequence = 3;
+    const std::vector<TargetStatus> news = directory.announce(Start + seconds(2), reborn);
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].record.key == TargetKey{5});
+    CHECK(news[0].record.phase == TargetPhase::Left);
+    // An announcement of the ended lifetime that was held up ends nobody, whoever was silent at the address.
+    crashed.sequence = 9;
+    CHECK(directory.announce(Start + seconds(5), crashed).empty());
+    CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
+}
+
+TEST_CASE("a target that moves to another address ends nobody at its former one")
+{
+    TargetDirectory directory(seconds(3));
+    TargetRecord moving = targetOf(5, "quotes");
+    directory.announce(Start, moving);
+    const Endpoint former = moving.address;
+    moving.address.port = 9090;
+    moving.sequence = 2;
+    CHECK(directory.announce(Start + seconds(1), moving).size() == 1);
+    TargetRecord next = targetOf(6, "quotes");
+    next.address = former;
+    CHECK(directory.announce(Start + seconds(4), next).size() == 1);
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+}
+
+TEST_CASE("a drain is confirmed by enough different replicas, or given up in time")
+{
+    DrainConfirmations drains(2);
+    std::vector<bool> answers;
+    const auto note = [&answers](bool confirmed) {
+        answers.push_back(confirmed);
+    };
+    drains.await(Start, TargetKey{5}, TargetPhase::Draining, note);
+    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
+    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
+    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Serving);
+    drains.receipt(SecondReplica, TargetKey{6}, TargetPhase::Draining);
+    CHECK(answers.empty());
+    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Left);
+    CHECK(answers == std::vector<bool>{true});
+    drains.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    CHECK(drains.expire(Start + DrainAnswerTimeout - milliseconds(1)) == 0);
+    CHECK(drains.expire(Start + DrainAnswerTimeout) == 1);
+    CHECK(answers == std::vector<bool>{true, false});
+    DrainConfirmations alone(0);
+    alone.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    CHECK(answers.size() == 3);
+}
+
+TEST_CASE("the highest version holds under one order, the expected base under the other")
+{
+    CHECK(HighestVersion::judge(7, 0, 9) == VersionVerdict::Apply);
+    CHECK(HighestVersion::judge(7, 7, 7) == VersionVerdict::Superseded);
+    CHECK(HighestVersion::judge(7, 7, 3) == VersionVerdict::Superseded);
+    CHECK(CompareAndSet::judge(7, 7, 8) == VersionVerdict::Apply);
+    CHECK(CompareAndSet::judge(7, 6, 8) == VersionVerdict::Conflict);
+
+    RoutingState state;
+    RoutingDocument document{"second", tableOf(9)};
+    CHECK(state.applyCommand(RoutingState::encodeChange(document)).verdict == VersionVerdict::Apply);
+    document = {"older", tableOf(4)};
+    CHECK(state.applyCommand(RoutingState::encodeChange(document)).held == 9);
+    CHECK(state.document().text == "second");
+    RoutingState restored;
+    CHECK(restored.restore(state.serialize()));
+    CHECK(restored.document().table == state.document().table);
+}
