Keep connections, bound the attempts to link, encode a list of targets once: 300 machines without a storm

(1) The server closed each connection after its answer: 411 new ones a second at each replica, the larger part of its time. (2) A link that was not greeted in time was dialled again while the attempts before were still under way, up to 8 for each pair: 4,405 connections at a replica of 300 balancers. (3) For each link the list of all targets was built and encoded anew, so a replica answered no pings meanwhile, its links were dropped as silent, and dialled again. (4) Each target that fell silent or came back was a message of its own to each balancer, and a log line without a bound.

Ruled out: disks (2.5 syncs a second), the size of documents (in force within 0.1 s).

Change: HTTP connections are kept as long as the client wants, at most 4 s between requests, at most 2,048; at most 2 attempts to link to one replica are under way; the encoded list serves all links that come within 0.1 s and no change; silent and returned targets go out in one message; target-silent lines have a budget.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -37,7 +37,8 @@
     return request;
 }
 
-// One connection: one request, one answer, close. Keeps itself alive through its handlers.
+// One connection: requests and answers in turn, until the client wants no more. Keeps itself alive through its
+// handlers. To open a connection costs several times what a request does, and targets call every second.
 class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
@@ -57,11 +58,13 @@
         --*m_open;
     }
 
-    void start()
+    // Reads the next request; the first one may take longer than a later one may keep us waiting.
+    void start(std::chrono::seconds patience = HttpTimeout)
     {
-        m_parser.body_limit(MaxHttpBody);
-        m_stream.expires_after(HttpTimeout);
-        http::async_read(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        m_parser.emplace();
+        m_parser->body_limit(MaxHttpBody);
+        m_stream.expires_after(patience);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
             if (!error) {
                 self->handle();
             }
@@ -71,23 +74,27 @@
 private:
     void handle()
     {
-        m_handler(unpack(m_parser.get()), [self = shared_from_this()](HttpReply reply) {
+        m_handler(unpack(m_parser->get()), [self = shared_from_this()](HttpReply reply) {
             self->answer(std::move(reply));
         });
     }
 
     void answer(HttpReply reply)
     {
+        m_response = {};
         m_response.result(reply.status);
         m_response.set(http::field::content_type, reply.contentType);
         if (!reply.location.empty()) {
             m_response.set(http::field::location, reply.location);
         }
-        m_response.keep_alive(false);
+        m_response.keep_alive(m_parser->get().keep_alive());
         m_response.body() = std::move(reply.body);
         m_response.prepare_payload();
         m_stream.expires_after(HttpTimeout);
-        http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code, std::size_t) {
+        http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (!error && self->m_response.keep_alive()) {
+                return self->start(HttpIdleTimeout);
+            }
             beast::error_code ignored;
             self->m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
         });
@@ -95,7 +102,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    http::request_parser<http::string_body> m_parser;
+    std::optional<http::request_parser<http::string_body>> m_parser; // Of the present request.
     http::response<http::string_body> m_response;
     const HttpHandler &m_handler;
     std::shared_ptr<std::size_t> m_open;
--- a/src/http.h
+++ b/src/http.h
@@ -18,8 +18,13 @@
 inline constexpr std::size_t MaxHttpBody = std::size_t{2} << 20U;
 inline constexpr std::chrono::seconds HttpTimeout{10};
 
-// Most open connections; one more is closed at once.
-inline constexpr std::size_t MaxHttpConnections = 128;
+// How long a connection may rest before its next request: three announcements of a target that makes them every
+// 1.2 s. A target that went to another replica would hold this one's connection for nothing.
+inline constexpr std::chrono::seconds HttpIdleTimeout{4};
+
+// Most open connections; one more is closed at once. At 3,000 targets that keep their connections, each of 5
+// replicas has 600; a process of the users' platform may have 4,096 descriptors.
+inline constexpr std::size_t MaxHttpConnections = 2048;
 
 struct HttpRequest {
     std::string method;
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -70,17 +70,35 @@
         drop(handle);
     }
     for (auto &[replica, dial] : m_dials) {
-        if (dial.up == 0 && now >= dial.due) {
-            ++dial.attempts;
-            dial.due = now + std::min(LinkRedialPause * dial.attempts, LongestRedialPause);
-            m_hub.connect(addressText({value(replica), m_port}), m_port, value(replica));
+        if (now - dial.dialled >= AttemptMemory) {
+            dial.open = 0;
+        }
+        if (dial.up == 0 && dial.open < MostOpenAttempts && now >= dial.due) {
+            this->dial(replica, dial);
         }
     }
 }
 
+void NodeLinks::dial(ReplicaId replica, Dial &dial)
+{
+    ++dial.attempts;
+    ++dial.open;
+    dial.dialled = m_now;
+    dial.due = m_now + std::min(LinkRedialPause * dial.attempts, LongestRedialPause);
+    m_hub.connect(addressText({value(replica), m_port}), m_port, value(replica));
+}
+
+void NodeLinks::attemptEnded(ReplicaId replica)
+{
+    if (const auto dial = m_dials.find(replica); dial != m_dials.end() && dial->second.open > 0) {
+        --dial->second.open;
+    }
+}
+
 void NodeLinks::opened(LinkHandle handle, std::uint64_t tag)
 {
     const ReplicaId replica{static_cast<std::uint32_t>(tag)};
+    attemptEnded(replica);
     const auto dial = m_dials.find(replica);
     const bool unwanted = tag != 0 && (dial == m_dials.end() || dial->second.up != 0);
     if (unwanted || m_links.size() >= MaxNodeLinks) {
@@ -122,6 +140,9 @@
 
 void NodeLinks::closed(LinkHandle handle, std::uint64_t tag)
 {
+    if (handle == 0) {
+        attemptEnded(ReplicaId{static_cast<std::uint32_t>(tag)});
+    }
     const auto at = m_links.find(handle);
     if (at == m_links.end()) {
         return; // An attempt that failed, or a link that was dropped before.
@@ -152,7 +173,7 @@
 void NodeLinks::send(LinkHandle link, const NodeMessage &message)
 {
     if (m_links.contains(link)) {
-        sendBytes(link, encodeMessage(message));
+        sendEncoded(link, encodeMessage(message));
     }
 }
 
@@ -160,15 +181,15 @@
 {
     const Bytes bytes = links.empty() ? Bytes() : encodeMessage(message);
     for (const LinkHandle link : links) {
-        sendBytes(link, bytes);
+        sendEncoded(link, bytes);
     }
 }
 
-void NodeLinks::sendBytes(LinkHandle handle, const Bytes &bytes)
+void NodeLinks::sendEncoded(LinkHandle link, const Bytes &message)
 {
-    if (const auto at = m_links.find(handle); at != m_links.end()) {
+    if (const auto at = m_links.find(link); at != m_links.end()) {
         at->second.said = m_now;
-        m_hub.send(handle, bytes);
+        m_hub.send(link, message);
     }
 }
 
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -25,6 +25,13 @@
 inline constexpr Duration LinkRedialPause = std::chrono::milliseconds(50);
 inline constexpr Duration LongestRedialPause = std::chrono::milliseconds(1000);
 
+// Attempts to one replica that are under way at once. More would only add to what a replica has to do that is
+// slow because many dial it at the same time.
+inline constexpr int MostOpenAttempts = 2;
+
+// An attempt that said nothing of its end for this long is counted no more: twice the hub's time-outs.
+inline constexpr Duration AttemptMemory = std::chrono::milliseconds(4000);
+
 // Most links that are open at once; one more is closed.
 inline constexpr std::size_t MaxNodeLinks = 1024;
 
@@ -52,6 +59,9 @@
     // The same message on several links, encoded once.
     void sendAll(std::span<const LinkHandle> links, const NodeMessage &message);
 
+    // A message that is encoded already.
+    void sendEncoded(LinkHandle link, const Bytes &message);
+
     // The link that was dialled to a replica; 0 without one.
     LinkHandle linkTo(ReplicaId replica) const;
 
@@ -73,13 +83,16 @@
     struct Dial {
         LinkHandle up = 0; // The link, once its connection is open.
         int attempts = 0; // Since it was up last.
+        int open = 0; // Of those, under way.
+        TimePoint dialled; // The newest of them.
         TimePoint due;
     };
     void opened(LinkHandle handle, std::uint64_t tag);
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
     void closed(LinkHandle handle, std::uint64_t tag);
     void drop(LinkHandle handle);
-    void sendBytes(LinkHandle handle, const Bytes &bytes);
+    void dial(ReplicaId replica, Dial &dial);
+    void attemptEnded(ReplicaId replica);
 
     NodeHello m_self;
     NodeLinkCallbacks m_callbacks;
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -77,7 +77,7 @@
     const TargetStatusList list{{news}};
     m_changed = true;
     m_links.sendAll(m_links.dialled(), list);
-    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), list);
+    tellBalancers(list);
     if (const auto leftOut = m_newsLog.take(monotonicNow())) {
         LogLine(LogLevel::Info, "target-changed")
             .with("target", value(news.record.key))
@@ -100,17 +100,21 @@
             m_links.send(link, TargetReceipt{news.record.key, news.record.phase});
         }
     }
-    if (!changed.news.empty()) {
-        m_changed = true;
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), changed);
+    m_changed = m_changed || !changed.news.empty();
+    tellBalancers(changed);
+}
+
+void TargetExchange::tellBalancers(const TargetStatusList &list)
+{
+    if (!list.news.empty()) {
+        m_greeting.clear();
+        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), list);
     }
 }
 
 void TargetExchange::onHeard(const TargetsHeard &heard)
 {
-    for (const TargetStatus &back : m_directory.heard(monotonicNow(), heard.keys)) {
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), TargetStatusList{{back}});
-    }
+    tellBalancers({m_directory.heard(monotonicNow(), heard.keys)});
 }
 
 void TargetExchange::onReceipt(ReplicaId from, const TargetReceipt &receipt)
@@ -135,28 +139,49 @@
 
 void TargetExchange::greet(TimePoint now, LinkHandle link)
 {
-    m_links.send(link, TargetStatusList{m_directory.all(now)});
+    makeGreeting(now);
+    m_links.sendEncoded(link, m_greeting);
     if (informed(now)) {
         m_links.send(link, TargetsTold{});
     }
 }
 
+// A change since then makes it stale at once: whoever links up after the change was told must not miss it.
+void TargetExchange::makeGreeting(TimePoint now)
+{
+    if (m_greeting.empty() || now - m_greetingMade >= GreetingLifetime) {
+        m_greeting = encodeMessage(NodeMessage(TargetStatusList{m_directory.all(now)}));
+        m_greetingMade = now;
+    }
+}
+
 void TargetExchange::beat(TimePoint now)
 {
     TargetsHeard heard{m_directory.takeHeardHere()};
     if (!heard.keys.empty()) {
         m_links.sendAll(m_links.dialled(), heard);
     }
-    for (const TargetStatus &news : m_directory.tick(now)) {
-        LogLine(LogLevel::Warning, "target-silent").with("target", value(news.record.key)).with("silent-ms", news.age.count() / 1000);
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), TargetStatusList{{news}});
+    const TargetStatusList silent{m_directory.tick(now)};
+    for (const TargetStatus &news : silent.news) {
+        logSilent(now, news);
     }
+    tellBalancers(silent);
     if (!m_toldBalancers && informed(now)) {
         m_toldBalancers = true;
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), TargetsTold{});
     }
 }
 
+void TargetExchange::logSilent(TimePoint now, const TargetStatus &news)
+{
+    if (const auto leftOut = m_silentLog.take(now)) {
+        LogLine(LogLevel::Warning, "target-silent")
+            .with("target", value(news.record.key))
+            .with("silent-ms", news.age.count() / 1000)
+            .with("left-out", *leftOut);
+    }
+}
+
 // Whether the targets that are there have had time to announce themselves, here or at another replica.
 bool TargetExchange::informed(TimePoint now) const
 {
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -16,6 +16,10 @@
 inline constexpr int MissedAnnouncements = 2;
 inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
 
+// A list of all targets that was made for a peer is good for others that come within this time: after a loss
+// of power some hundreds do. What changes meanwhile is told to those who are linked already.
+inline constexpr Duration GreetingLifetime = std::chrono::milliseconds(100);
+
 class TargetExchange
 {
 public:
@@ -60,8 +64,11 @@
 
 private:
     void spread(const TargetStatus &news);
+    void tellBalancers(const TargetStatusList &list);
     void confirm(const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
+    void makeGreeting(TimePoint now);
+    void logSilent(TimePoint now, const TargetStatus &news);
 
     NodeLinks &m_links;
     Duration m_announceInterval;
@@ -73,7 +80,10 @@
     bool m_toldByOther = false;
     bool m_toldBalancers = false;
     bool m_changed = false;
+    Bytes m_greeting; // All targets, encoded, as of m_greetingMade.
+    TimePoint m_greetingMade;
     LogBudget m_newsLog;
+    LogBudget m_silentLog;
     std::uint64_t m_announcements = 0;
     std::uint64_t m_drainsUnanswered = 0;
     LatencyHistogram m_drainTimes;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -85,6 +85,11 @@
     'return now < seen;' '*forgotten once its flows*'
 mutate "steering: messages of other clusters are taken" src/replica_driver.cpp \
     'if (cluster != 0 && envelope.cluster != cluster) {' 'if (cluster != 0 && envelope.cluster == 0) {' '*joins the first cluster*'
+mutate "links: any number of attempts at once" src/node_links.cpp 'dial.open < MostOpenAttempts &&' '' '*few attempts at once*'
+mutate "links: attempts without an end are remembered" src/node_links.cpp 'if (now - dial.dialled >= AttemptMemory) {' \
+    'if (now < dial.dialled) {' '*few attempts at once*'
+mutate "links: every connection is closed after its answer" src/http.cpp \
+    'm_response.keep_alive(m_parser->get().keep_alive());' 'm_response.keep_alive(false);' '*keeps its connection*'
 mutate "no compare-and-set on versions" src/control_state.cpp 'if (propose.baseVersion != latestVersion()) {' \
     'if (propose.baseVersion > latestVersion()) {' '*equal numbers*'
 mutate "no memory of changes" src/control_state.cpp 'if (const ChangeResult *known = resultOf(change.change)) {' \
