Hand on or hold an opening packet only until its next copy is due

The fabric may hand any packet to any VM at any time.

Ruled out: a hash of the copy's number for the target, so that all balancers choose alike: load and news differ between them. Times of arrival from the kernel: they are of the wall clock, which jumps.

Change: one rule for both: an opening that waited until its next copy is due (200, 400, 800 ms after it, less 30 ms) is dropped. The watch tells how long the standstill was instead of whether there was one. Packets of open flows are held and handed on as before.

--- a/src/flow_packet.h
+++ b/src/flow_packet.h
@@ -4,6 +4,8 @@
 
 #include "types.h"
 
+#include <algorithm>
+
 namespace Robinrail {
 
 // A number in each packet that the balancer writes and both ends echo; it names the flow's target. 0: none.
@@ -20,9 +22,20 @@
     bool opening = false;
     bool closing = false;
     bool reset = false;
-    bool late = false; // May have waited while this balancer stood still.
+    Duration waited{}; // At most, while this balancer stood still.
 };
 
+// How long a caller waits after a copy of its opening packet until it sends the next one, as far as a balancer may
+// count on it: 200, 400 and 800 ms, less what a packet may take on its way. Whoever hands on a copy later than that
+// may open the flow a second time.
+inline Duration timeUntilNextCopy(std::uint8_t copy)
+{
+    constexpr Duration FirstPause = std::chrono::milliseconds(200);
+    constexpr Duration Slack = std::chrono::milliseconds(30);
+    constexpr unsigned LastCopy = 2;
+    return FirstPause * (1U << std::min<unsigned>(copy, LastCopy)) - Slack;
+}
+
 // A flow as any balancer recognizes it.
 struct FlowKey {
     Endpoint caller;
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -95,7 +95,7 @@
 template<SteeringChoice Choice>
 SteeringDecision BasicFlowSteering<Choice>::open(TimePoint now, const FlowPacket &packet)
 {
-    if (packet.late) {
+    if (packet.waited >= timeUntilNextCopy(packet.copy)) {
         return drop(SteeringReason::LateOpening);
     }
     const auto found = m_routes.find(packed(packet.route));
--- a/src/held_packets.h
+++ b/src/held_packets.h
@@ -3,16 +3,23 @@
 // would otherwise wait 200 ms to 1.6 s until it sends it again.
 #pragma once
 
-#include "types.h"
+#include "flow_packet.h"
 
 #include <deque>
 #include <utility>
 
 namespace Robinrail {
 
-// After this a copy has gone elsewhere, and the packet is worth nothing. Like StandstillLimit.
+// After this a packet of an open flow has been sent again, twice, and is worth nothing.
 inline constexpr Duration LongestHold = std::chrono::milliseconds(500);
 
+// How long a packet may be held. An opening packet must not outlast the pause until its next copy, which may open
+// the flow through another balancer.
+inline Duration holdTime(const FlowPacket &packet)
+{
+    return packet.opening ? std::min(timeUntilNextCopy(packet.copy), LongestHold) : LongestHold;
+}
+
 // Most packets that are held, 0.6 MB; beyond it the oldest goes. A balancer of the largest deployment gets 300
 // packets in the 0.3 s that it needs to learn the targets after a loss of power.
 inline constexpr std::size_t MostHeldPackets = 512;
@@ -20,13 +27,14 @@
 class HeldPackets
 {
 public:
-    void hold(TimePoint now, BytesView packet)
+    // Keeps a packet until this time.
+    void hold(TimePoint until, BytesView packet)
     {
         if (m_packets.size() >= MostHeldPackets) {
             m_packets.pop_front();
             ++m_dropped;
         }
-        m_packets.push_back({now, Bytes(packet.begin(), packet.end())});
+        m_packets.push_back({until, Bytes(packet.begin(), packet.end())});
     }
 
     // Takes out the packets that are not too old, in their order of arrival.
@@ -34,7 +42,7 @@
     {
         std::vector<Bytes> released;
         for (Packet &packet : std::exchange(m_packets, {})) {
-            if (now - packet.arrived < LongestHold) {
+            if (now < packet.until) {
                 released.push_back(std::move(packet.bytes));
             } else {
                 ++m_dropped;
@@ -51,7 +59,7 @@
 
 private:
     struct Packet {
-        TimePoint arrived;
+        TimePoint until;
         Bytes bytes;
     };
     std::deque<Packet> m_packets;
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -140,7 +140,7 @@
         case SteeringAction::Reset:
             return queue(slot, Codec::writeReset(slot, *head, decision.resetSequence), {head->caller.address, m_replyPort});
         case SteeringAction::Hold:
-            return m_held.hold(monotonicNow(), packet);
+            return m_held.hold(monotonicNow() + holdTime(*head), packet);
         case SteeringAction::Drop:
             return;
         }
--- a/src/standstill_watch.h
+++ b/src/standstill_watch.h
@@ -1,14 +1,15 @@
 // SPDX-License-Identifier: MIT
-// Standstill watch: tells when a process did not run for a while, so that what waited in its sockets is old.
+// Standstill watch: tells for how long a process did not run, so that what waited in its sockets is old.
 #pragma once
 
 #include "types.h"
 
+#include <algorithm>
+
 namespace Robinrail {
 
-// Longest pause between two turns of a process that runs. After as much the fabric may have handed a flow to
-// another balancer: it asks for readiness twice a second, and two misses suffice.
-inline constexpr Duration StandstillLimit = std::chrono::milliseconds(500);
+// A pause between two turns of a process that is no standstill: twice the interval of its clock.
+inline constexpr Duration LongestTurn = std::chrono::milliseconds(100);
 
 class StandstillWatch
 {
@@ -18,28 +19,31 @@
     {
     }
 
-    // The process runs. Call it more often than StandstillLimit, and before reading what may have waited.
+    // The process runs. Call it more often than LongestTurn, and before reading what may have waited.
     void turn(TimePoint now)
     {
-        m_tainted = m_tainted || now - m_last >= StandstillLimit;
+        const Duration pause = now - m_last;
         m_last = now;
+        if (pause >= LongestTurn) {
+            m_waited = std::max(m_waited, pause);
+        }
     }
 
     // All that waited has been read.
     void queueEmptied()
     {
-        m_tainted = false;
+        m_waited = {};
     }
 
-    // Whether what is read now may have waited through a standstill.
-    bool tainted() const
+    // How long what is read now may have waited at most; 0 if the process did not stand still.
+    Duration waited() const
     {
-        return m_tainted;
+        return m_waited;
     }
 
 private:
     TimePoint m_last;
-    bool m_tainted = false;
+    Duration m_waited{};
 };
 
 } // namespace Robinrail
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -119,7 +119,7 @@
 SteeringDecision SteeringNode::steer(FlowPacket packet)
 {
     const TimePoint now = monotonicNow();
-    packet.late = m_standstill.tainted();
+    packet.waited = m_standstill.waited();
     const SteeringDecision decision = m_steering.steer(now, packet);
     if (decision.reason != SteeringReason::OpenFlow) {
         logDecision(now, packet, decision);
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -73,8 +73,8 @@
     'const LogIndex agreed = matches.front();' '*replicas keep every promise*'
 mutate "voter before it caught up" src/raft_members.cpp \
     'return caughtUp && now' 'return (caughtUp || !caughtUp) && now' '*loss of a second one*,*replicas keep every promise*'
-mutate "steering: openings that waited are handed on" src/flow_steering.cpp 'if (packet.late) {' 'if (packet.late && packet.reset) {' \
-    '*waited through a standstill*'
+mutate "steering: openings that waited are handed on" src/flow_steering.cpp 'if (packet.waited >= timeUntilNextCopy(packet.copy)) {' \
+    'if (packet.waited >= timeUntilNextCopy(packet.copy) && packet.reset) {' '*waited until its next copy*'
 mutate "steering: a copy right behind tells silence" src/flow_steering.cpp '|| tooSoon) &&' '|| (tooSoon && packet.reset)) &&' '*right behind the first*'
 mutate "steering: what is not known yet is dropped" src/flow_steering.cpp \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed)' \
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -160,32 +160,49 @@
     CHECK(balancer.open(1, 2).reason == SteeringReason::OtherTarget);
 }
 
-TEST_CASE("an opening packet that waited through a standstill is dropped, other packets are not")
+TEST_CASE("an opening packet that waited until its next copy is dropped, other packets are not")
 {
     Balancer balancer;
     FlowPacket opening = Balancer::packet(1);
     opening.opening = true;
-    opening.late = true;
+    opening.waited = milliseconds(200);
     const SteeringDecision dropped = balancer.steering.steer(balancer.now, opening);
     CHECK(dropped.action == SteeringAction::Drop);
     CHECK(dropped.reason == SteeringReason::LateOpening);
+    // The pause after the first copy is longer.
+    opening.copy = 1;
+    CHECK(balancer.steering.steer(balancer.now, opening).action == SteeringAction::Forward);
+    opening.waited = milliseconds(400);
+    CHECK(balancer.steering.steer(balancer.now, opening).reason == SteeringReason::LateOpening);
     FlowPacket later = Balancer::packet(1);
     later.token = SteeringTargets::tokenOf(TargetKey{101});
-    later.late = true;
+    later.waited = seconds(3);
     CHECK(balancer.steering.steer(balancer.now, later).target == TargetKey{101});
 }
 
-TEST_CASE("a standstill taints what waited, until the queue is empty")
+TEST_CASE("a standstill tells how long what waited is old, until the queue is empty")
 {
     StandstillWatch watch(Start);
     watch.turn(Start + milliseconds(50));
-    CHECK_FALSE(watch.tainted());
-    watch.turn(Start + milliseconds(50) + StandstillLimit);
-    CHECK(watch.tainted());
-    watch.turn(Start + milliseconds(60) + StandstillLimit);
-    CHECK(watch.tainted());
+    CHECK(watch.waited() == Duration{0});
+    watch.turn(Start + milliseconds(350));
+    CHECK(watch.waited() == milliseconds(300));
+    watch.turn(Start + milliseconds(360));
+    CHECK(watch.waited() == milliseconds(300));
     watch.queueEmptied();
-    CHECK_FALSE(watch.tainted());
+    CHECK(watch.waited() == Duration{0});
+}
+
+TEST_CASE("an opening packet is held no longer than until its next copy")
+{
+    FlowPacket packet = Balancer::packet(1);
+    CHECK(holdTime(packet) == LongestHold);
+    packet.opening = true;
+    CHECK(holdTime(packet) < milliseconds(200));
+    packet.copy = 1;
+    CHECK(holdTime(packet) < milliseconds(400));
+    packet.copy = 2;
+    CHECK(holdTime(packet) == LongestHold);
 }
 
 TEST_CASE("a balancer measures how long flows take to open and requests to be answered")
@@ -348,14 +365,14 @@
     const auto packet = [](std::size_t number) {
         return Bytes{static_cast<std::uint8_t>(number), static_cast<std::uint8_t>(number >> 8U)};
     };
-    held.hold(Start, packet(0));
-    held.hold(Start + milliseconds(1), packet(1));
-    held.hold(Start + milliseconds(2), packet(2));
+    held.hold(Start + LongestHold, packet(0));
+    held.hold(Start + LongestHold + milliseconds(1), packet(1));
+    held.hold(Start + LongestHold + milliseconds(2), packet(2));
     CHECK(held.release(Start + LongestHold) == std::vector<Bytes>{packet(1), packet(2)});
     CHECK(held.release(Start + LongestHold).empty());
     CHECK(held.takeDropped() == 1);
     for (std::size_t i = 0; i < MostHeldPackets + 3; ++i) {
-        held.hold(Start, packet(i));
+        held.hold(Start + LongestHold, packet(i));
     }
     const std::vector<Bytes> released = held.release(Start);
     REQUIRE(released.size() == MostHeldPackets);
