Let a target end only older ones at its address: a held-up announcement reset its successor's flows

Cause: an announcement that a cut held up may come after its sender crashed and another target took its address. The replica then asked whether others at the address had missed their turn; a successor that announces itself elsewhere, and was heard of here 1.8 s ago, had. It was ended for good, and its live flows would have been reset. Ruled out: ignoring sequence numbers already seen (the held-up one is new); asking for a second announcement (a sender behind a cut tries several times, and all of those come late); suppressing the elder (an unknown late one would silence the successor). Change: replicas keep and tell since when a lifetime is known; of an unknown one its sequence tells, one announcement for each interval. Only those known earlier are ended. TargetStatus carries one more figure.

--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -8,8 +8,17 @@
 
 namespace Robinrail {
 
-TargetDirectory::TargetDirectory(Duration silenceLimit)
-    : m_silenceLimit(silenceLimit)
+namespace {
+
+// Announcements that are counted to tell the age of a lifetime: a day of those each second. A sequence number is what
+// a target says, and must not take a time beyond what a clock can hold.
+constexpr std::uint64_t MostCountedIntervals = 86'400;
+
+} // namespace
+
+TargetDirectory::TargetDirectory(Duration announceInterval, Duration silenceLimit)
+    : m_announceInterval(announceInterval)
+    , m_silenceLimit(silenceLimit)
 {
 }
 
@@ -19,7 +28,7 @@
     std::vector<TargetStatus> news;
     const TargetRecord *known = find(record.key);
     if (known == nullptr || known->phase != TargetPhase::Left) {
-        news = endOthersAt(now, record);
+        news = endOlderAt(now, record);
     }
     if (std::optional<TargetStatus> own = take(now, {record, false, Duration{0}})) {
         news.push_back(std::move(*own));
@@ -27,17 +36,20 @@
     return news;
 }
 
-// An address passes on only after its target has ended. An announcement that was held up on its way may still
-// come after its sender's end, so only a target that missed its turn is taken for ended. A target that
-// restarts at once is there before that, hence the question at each announcement and not only at the first.
-std::vector<TargetStatus> TargetDirectory::endOthersAt(TimePoint now, const TargetRecord &record)
+// An address passes on only after its target has ended, so of two lifetimes there the older one is over. Which one
+// that is can't be told from the order in which they are heard here: an announcement that was held up on its way may
+// come after its sender's end and its successor's first one. Hence a lifetime ends only those that were heard of before
+// it. A wrong end would be for good and reset live flows, so they must have missed their turn as well. A target that
+// restarts at once is there before that; this is therefore asked at each announcement and not only at the first.
+std::vector<TargetStatus> TargetDirectory::endOlderAt(TimePoint now, const TargetRecord &record)
 {
     std::vector<TargetStatus> ended;
+    const TimePoint since = firstHeard(now, record);
     const auto [first, last] = m_addresses.equal_range(record.address);
     for (auto at = first; at != last; ++at) {
         Entry &entry = m_entries.at(at->second);
-        const bool other = at->second != record.key && entry.record.phase != TargetPhase::Left;
-        if (other && now - entry.heard >= m_silenceLimit / 2) {
+        const bool older = at->second != record.key && entry.firstHeard < since && entry.record.phase != TargetPhase::Left;
+        if (older && now - entry.heard >= m_silenceLimit / 2) {
             entry.record.phase = TargetPhase::Left;
             entry.heard = now;
             ended.push_back(newsOf(entry, now));
@@ -46,6 +58,18 @@
     return ended;
 }
 
+// Since when a lifetime is known. Of one that is new here its announcements tell: one for each interval. That is the
+// longest that it can have lived, as calls that failed count, too; an unknown one is rather taken for the older.
+TimePoint TargetDirectory::firstHeard(TimePoint now, const TargetRecord &record) const
+{
+    const auto found = m_entries.find(record.key);
+    if (found != m_entries.end()) {
+        return found->second.firstHeard;
+    }
+    const std::uint64_t before = record.sequence > 0 ? record.sequence - 1 : 0;
+    return now - m_announceInterval * static_cast<std::int64_t>(std::min(before, MostCountedIntervals));
+}
+
 std::optional<TargetStatus> TargetDirectory::take(TimePoint now, const TargetStatus &news)
 {
     const auto found = m_entries.find(news.record.key);
@@ -53,12 +77,14 @@
         if (m_entries.size() >= MaxDirectoryTargets) {
             return std::nullopt;
         }
-        const Entry &entry = m_entries[news.record.key] = {news.record, now - news.age, news.silent};
+        const TimePoint since = std::min(firstHeard(now - news.age, news.record), now - news.known);
+        const Entry &entry = m_entries[news.record.key] = {news.record, now - news.age, since, news.silent};
         m_addresses.emplace(news.record.address, news.record.key);
         return newsOf(entry, now);
     }
     Entry &entry = found->second;
     entry.heard = std::max(entry.heard, now - news.age);
+    entry.firstHeard = std::min(entry.firstHeard, now - news.known);
     const bool wasSilent = std::exchange(entry.silent, entry.silent && now - entry.heard >= m_silenceLimit);
     if (!news.record.supersedes(entry.record)) {
         return wasSilent && !entry.silent ? std::optional(newsOf(entry, now)) : std::nullopt;
@@ -163,7 +189,7 @@
 
 TargetStatus TargetDirectory::newsOf(const Entry &entry, TimePoint now) const
 {
-    TargetStatus news{entry.record, entry.silent, now - entry.heard};
+    TargetStatus news{entry.record, entry.silent, now - entry.heard, now - entry.firstHeard};
     news.record.warmupLeft = std::max(Duration{0}, entry.record.warmupLeft - news.age);
     return news;
 }
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -25,11 +25,12 @@
 class TargetDirectory
 {
 public:
-    // Targets count as silent after `silenceLimit` without an announcement at any replica.
-    explicit TargetDirectory(Duration silenceLimit);
+    // Targets announce themselves once in `announceInterval`, and count as silent after `silenceLimit` without an
+    // announcement at any replica.
+    TargetDirectory(Duration announceInterval, Duration silenceLimit);
 
     // Takes what a target announced here. Returns the news to pass on: the target's own, and the end of
-    // others that were at its address and missed their turn.
+    // older ones that were at its address and missed their turn.
     std::vector<TargetStatus> announce(TimePoint now, const TargetRecord &record);
 
     // Takes another replica's news. Returns the news to pass on to balancers, if any.
@@ -55,13 +56,16 @@
     struct Entry {
         TargetRecord record;
         TimePoint heard;
+        TimePoint firstHeard; // By any replica.
         bool silent = false;
     };
-    std::vector<TargetStatus> endOthersAt(TimePoint now, const TargetRecord &record);
+    std::vector<TargetStatus> endOlderAt(TimePoint now, const TargetRecord &record);
+    TimePoint firstHeard(TimePoint now, const TargetRecord &record) const;
     void setRecord(Entry &entry, const TargetRecord &record);
     void unindex(const TargetRecord &record);
     TargetStatus newsOf(const Entry &entry, TimePoint now) const;
 
+    Duration m_announceInterval;
     Duration m_silenceLimit;
     std::map<TargetKey, Entry> m_entries;
     std::multimap<Endpoint, TargetKey> m_addresses; // Of all entries.
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -14,7 +14,7 @@
     : m_links(links)
     , m_announceInterval(announceInterval)
     , m_borneLosses(borneLosses)
-    , m_directory(announceInterval * MissedAnnouncements + AnnouncementSlack)
+    , m_directory(announceInterval, announceInterval * MissedAnnouncements + AnnouncementSlack)
     , m_drains(borneLosses)
     , m_started(now)
 {
@@ -52,7 +52,7 @@
 // Others may have missed the news that began this, so they are told again.
 void TargetExchange::confirm(const TargetRecord &record, Respond respond)
 {
-    m_links.sendAll(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}}}});
+    m_links.sendAll(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}, Duration{0}}}});
     const TimePoint began = monotonicNow();
     m_drains.await(began, record.key, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
         if (confirmed) {
@@ -133,7 +133,7 @@
 {
     m_restored = !targets.empty();
     for (const TargetStatus &status : targets) {
-        m_directory.take(now, {status.record, false, Duration{0}});
+        m_directory.take(now, {status.record, false, Duration{0}, status.known});
     }
 }
 
--- a/src/target_record.h
+++ b/src/target_record.h
@@ -54,10 +54,11 @@
     TargetRecord record;
     bool silent = false; // No announcement reached any replica for a while.
     Duration age{}; // Since the last announcement.
+    Duration known{}; // Since the first one, as far as anybody heard it; it orders lifetimes at one address.
 
     auto fields()
     {
-        return std::tie(record, silent, age);
+        return std::tie(record, silent, age, known);
     }
 };
 
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -81,6 +81,11 @@
     'm_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed)' '*holds what it does not know*'
 mutate "steering: former lifetimes end at the first announcement only" src/target_directory.cpp \
     'if (known == nullptr || known->phase != TargetPhase::Left) {' 'if (known == nullptr) {' '*restarts at once*'
+mutate "steering: any lifetime ends the others at its address" src/target_directory.cpp 'entry.firstHeard < since' '(entry.firstHeard < since || entry.firstHeard >= since)' '*held up ends no successor*'
+mutate "steering: an unknown lifetime is the youngest" src/target_directory.cpp 'std::min(before, MostCountedIntervals)' \
+    'std::min(before, MostCountedIntervals / 100'"'"'000)' '*held up ends no successor*'
+mutate "steering: replicas do not tell since when a lifetime is known" src/target_directory.cpp \
+    'std::min(entry.firstHeard, now - news.known)' 'entry.firstHeard' '*agree which is the older*'
 mutate "steering: removed routes are never forgotten" src/flow_steering.cpp 'return now - seen >= RememberLeft;' \
     'return now < seen;' '*forgotten once its flows*'
 mutate "steering: messages of other clusters are taken" src/replica_driver.cpp \
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -62,7 +62,7 @@
 
     void take(const TargetRecord &record, bool silent = false, ReplicaId replica = FirstReplica)
     {
-        steering.targets().take(now, replica, {record, silent, Duration{0}});
+        steering.targets().take(now, replica, {record, silent, Duration{0}, Duration{0}});
     }
 
     static FlowPacket packet(std::uint32_t caller, Endpoint route = QuoteRoute)
--- a/tests/test_targets.cpp
+++ b/tests/test_targets.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace Robinrail;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -40,7 +42,7 @@
 
 TEST_CASE("the directory passes on changes, orders them, and tells silent targets")
 {
-    TargetDirectory directory(seconds(3));
+    TargetDirectory directory(seconds(1), seconds(3));
     TargetRecord record = targetOf(5, "quotes");
     CHECK(directory.announce(Start, record).size() == 1);
     record.sequence = 2;
@@ -64,7 +66,7 @@
 
 TEST_CASE("a target that takes over an address ends the one that was silent there, and no other")
 {
-    TargetDirectory directory(seconds(3));
+    TargetDirectory directory(seconds(1), seconds(3));
     TargetRecord crashed = targetOf(5, "quotes");
     TargetRecord successor = targetOf(6, "decks");
     successor.address = crashed.address;
@@ -84,7 +86,7 @@
 
 TEST_CASE("a target that restarts at once ends its former lifetime as soon as that one missed its turn")
 {
-    TargetDirectory directory(seconds(3));
+    TargetDirectory directory(seconds(1), seconds(3));
     TargetRecord crashed = targetOf(5, "quotes");
     TargetRecord reborn = targetOf(6, "quotes");
     reborn.address = crashed.address;
@@ -105,9 +107,79 @@
     CHECK(directory.find(TargetKey{6})->phase == TargetPhase::Serving);
 }
 
+// The pattern: a cut holds announcements up, their sender crashes, its address passes on, and the cut heals. Which
+// announcement comes first then is chance.
+TEST_CASE("an announcement that was held up ends no successor, whether its lifetime was known or not")
+{
+    TargetRecord crashed = targetOf(5, "quotes");
+    TargetRecord successor = targetOf(6, "decks");
+    successor.address = crashed.address;
+    for (const bool known : {true, false}) {
+        CAPTURE(known);
+        TargetDirectory directory(seconds(1), seconds(3));
+        if (known) {
+            crashed.sequence = 30;
+            directory.announce(Start, crashed);
+        }
+        // The successor announces itself elsewhere, and what is heard of it here is old.
+        successor.sequence = 1;
+        directory.take(Start + seconds(1), {successor, false, Duration{0}, Duration{0}});
+        for (const std::uint64_t sequence : {31, 32}) {
+            crashed.sequence = sequence;
+            for (const TargetStatus &news : directory.announce(Start + seconds(4) + milliseconds(sequence), crashed)) {
+                CHECK(news.record.key == crashed.key);
+            }
+        }
+        CHECK(directory.find(successor.key)->phase == TargetPhase::Serving);
+        // The successor itself ends it, once it missed its turn again.
+        successor.sequence = 7;
+        CHECK(directory.announce(Start + seconds(7), successor).size() == 1);
+        CHECK(directory.find(crashed.key)->phase == TargetPhase::Left);
+        CHECK(directory.find(successor.key)->phase == TargetPhase::Serving);
+    }
+}
+
+TEST_CASE("replicas that heard two lifetimes at one address in other orders agree which is the older")
+{
+    TargetRecord older = targetOf(5, "quotes");
+    TargetRecord younger = targetOf(6, "decks");
+    younger.address = older.address;
+    TargetDirectory informed(seconds(1), seconds(3));
+    informed.announce(Start, older);
+    younger.sequence = 1;
+    informed.announce(Start + seconds(1), younger);
+    // This one met the older one last, as it had just lost its disk; the other tells it since when it is known.
+    TargetDirectory wiped(seconds(1), seconds(3));
+    wiped.announce(Start + seconds(1), younger);
+    older.sequence = 2;
+    wiped.announce(Start + milliseconds(1100), older);
+    for (const TargetStatus &status : informed.all(Start + milliseconds(1200))) {
+        wiped.take(Start + milliseconds(1200), status);
+    }
+    older.sequence = 3;
+    CHECK(wiped.announce(Start + seconds(4), older).empty());
+    CHECK(wiped.find(younger.key)->phase == TargetPhase::Serving);
+    younger.sequence = 2;
+    CHECK(wiped.announce(Start + seconds(7), younger).size() == 1);
+    CHECK(wiped.find(older.key)->phase == TargetPhase::Left);
+}
+
+TEST_CASE("a sequence number of any size orders lifetimes and overflows nothing")
+{
+    TargetDirectory directory(seconds(1), seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    record.sequence = std::numeric_limits<std::uint64_t>::max();
+    CHECK(directory.announce(Start, record).size() == 1);
+    TargetRecord other = targetOf(6, "quotes");
+    other.address = record.address;
+    other.sequence = 0;
+    CHECK(directory.announce(Start + seconds(2), other).size() == 2);
+    CHECK(directory.find(record.key)->phase == TargetPhase::Left);
+}
+
 TEST_CASE("a target that moves to another address ends nobody at its former one")
 {
-    TargetDirectory directory(seconds(3));
+    TargetDirectory directory(seconds(1), seconds(3));
     TargetRecord moving = targetOf(5, "quotes");
     directory.announce(Start, moving);
     const Endpoint former = moving.address;
