Dial a dark peer each 50 ms: an attempt that says nothing no longer keeps the next one back

Pattern: machines come back from a loss of power at different moments, and those that are still dark answer nothing. Ruled out: a shorter time-out (20 ms each way between regions, and choked links); more attempts of any kind (a slow replica would be dialled by a storm, as at 300 machines). Change: dial_schedule.h, without I/O: only attempts that a machine has answered are bounded; the pause stays 50 ms for half a second and grows to 1 s.

--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -21,6 +21,12 @@
              },
              [this](LinkHandle handle, std::uint64_t tag) {
                  closed(handle, tag);
+             },
+             [this](std::uint64_t tag) {
+                 connected(tag);
+             },
+             [this](std::uint64_t tag, bool connected) {
+                 failed(tag, connected);
              }})
 {
 }
@@ -70,10 +76,7 @@
         drop(handle);
     }
     for (auto &[replica, dial] : m_dials) {
-        if (now - dial.dialled >= AttemptMemory) {
-            dial.open = 0;
-        }
-        if (dial.up == 0 && dial.open < MostOpenAttempts && now >= dial.due) {
+        if (dial.up == 0 && dial.schedule.due(now)) {
             this->dial(replica, dial);
         }
     }
@@ -81,25 +84,32 @@
 
 void NodeLinks::dial(ReplicaId replica, Dial &dial)
 {
-    ++dial.attempts;
-    ++dial.open;
-    dial.dialled = m_now;
-    dial.due = m_now + std::min(LinkRedialPause * dial.attempts, LongestRedialPause);
+    dial.schedule.began(m_now);
     m_hub.connect(addressText({value(replica), m_port}), m_port, value(replica));
 }
 
-void NodeLinks::attemptEnded(ReplicaId replica)
+void NodeLinks::connected(std::uint64_t tag)
+{
+    if (const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)}); dial != m_dials.end()) {
+        dial->second.schedule.connected(m_now);
+    }
+}
+
+void NodeLinks::failed(std::uint64_t tag, bool connected)
 {
-    if (const auto dial = m_dials.find(replica); dial != m_dials.end() && dial->second.open > 0) {
-        --dial->second.open;
+    const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)});
+    if (connected && dial != m_dials.end()) {
+        dial->second.schedule.handshakeEnded();
     }
 }
 
 void NodeLinks::opened(LinkHandle handle, std::uint64_t tag)
 {
     const ReplicaId replica{static_cast<std::uint32_t>(tag)};
-    attemptEnded(replica);
     const auto dial = m_dials.find(replica);
+    if (dial != m_dials.end()) {
+        dial->second.schedule.handshakeEnded();
+    }
     const bool unwanted = tag != 0 && (dial == m_dials.end() || dial->second.up != 0);
     if (unwanted || m_links.size() >= MaxNodeLinks) {
         m_hub.close(handle);
@@ -127,7 +137,7 @@
     if (const auto *hello = std::get_if<NodeHello>(&*message)) {
         at->second.peer = *hello;
         if (const auto dial = m_dials.find(at->second.dialledTo); dial != m_dials.end()) {
-            dial->second.attempts = 0;
+            dial->second.schedule.linked();
         }
         m_callbacks.established(handle, *hello);
         return;
@@ -140,12 +150,9 @@
 
 void NodeLinks::closed(LinkHandle handle, std::uint64_t tag)
 {
-    if (handle == 0) {
-        attemptEnded(ReplicaId{static_cast<std::uint32_t>(tag)});
-    }
     const auto at = m_links.find(handle);
     if (at == m_links.end()) {
-        return; // An attempt that failed, or a link that was dropped before.
+        return; // A link that was dropped before.
     }
     const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)});
     if (tag != 0 && dial != m_dials.end() && dial->second.up == handle) {
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -3,6 +3,7 @@
 // dialled again; the network is trusted, so nothing is authenticated.
 #pragma once
 
+#include "dial_schedule.h"
 #include "node_message.h"
 #include "websocket_hub.h"
 
@@ -19,19 +20,6 @@
 // A link on which nothing was heard for this long is closed: four lost pings.
 inline constexpr Duration LinkSilenceLimit = std::chrono::milliseconds(2000);
 
-// As long as a link is not up it is dialled again after this time, and each time after as much more, up to
-// the limit, whether or not the attempt before has ended: after a loss of power the peers come up within a few
-// hundred milliseconds of each other, and a machine that is still dark leaves an attempt hanging for longer.
-inline constexpr Duration LinkRedialPause = std::chrono::milliseconds(50);
-inline constexpr Duration LongestRedialPause = std::chrono::milliseconds(1000);
-
-// Attempts to one replica that are under way at once. More would only add to what a replica has to do that is
-// slow because many dial it at the same time.
-inline constexpr int MostOpenAttempts = 2;
-
-// An attempt that said nothing of its end for this long is counted no more: twice the hub's time-outs.
-inline constexpr Duration AttemptMemory = std::chrono::milliseconds(4000);
-
 // Most links that are open at once; one more is closed.
 inline constexpr std::size_t MaxNodeLinks = 1024;
 
@@ -82,17 +70,15 @@
     };
     struct Dial {
         LinkHandle up = 0; // The link, once its connection is open.
-        int attempts = 0; // Since it was up last.
-        int open = 0; // Of those, under way.
-        TimePoint dialled; // The newest of them.
-        TimePoint due;
+        DialSchedule schedule;
     };
     void opened(LinkHandle handle, std::uint64_t tag);
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
     void closed(LinkHandle handle, std::uint64_t tag);
     void drop(LinkHandle handle);
     void dial(ReplicaId replica, Dial &dial);
-    void attemptEnded(ReplicaId replica);
+    void connected(std::uint64_t tag);
+    void failed(std::uint64_t tag, bool connected);
 
     NodeHello m_self;
     NodeLinkCallbacks m_callbacks;
--- a/src/secure_links.cpp
+++ b/src/secure_links.cpp
@@ -22,6 +22,10 @@
              },
              [this](LinkHandle handle, std::uint64_t tag) {
                  closed(handle, tag);
+             },
+             [](std::uint64_t) {},
+             [this](std::uint64_t tag, bool) {
+                 redial(tag);
              }})
 {
 }
--- a/src/websocket_hub.cpp
+++ b/src/websocket_hub.cpp
@@ -147,14 +147,19 @@
     websocketpp::lib::error_code error;
     const Client::connection_ptr connection = m_private->client.get_connection("ws://" + address + ":" + std::to_string(port) + "/", error);
     if (error) {
-        m_private->callbacks.closed(0, tag);
+        m_private->callbacks.failed(tag, false);
         return;
     }
+    const auto answered = std::make_shared<bool>(false);
+    connection->set_tcp_post_init_handler([this, tag, answered](const Weak &) {
+        *answered = true;
+        m_private->callbacks.connected(tag);
+    });
     connection->set_open_handler([this, tag](const Weak &weak) {
         m_private->opened(weak, false, tag);
     });
-    connection->set_fail_handler([this, tag](const Weak &) {
-        m_private->callbacks.closed(0, tag);
+    connection->set_fail_handler([this, tag, answered](const Weak &) {
+        m_private->callbacks.failed(tag, *answered);
     });
     m_private->client.connect(connection);
 }
--- a/src/websocket_hub.h
+++ b/src/websocket_hub.h
@@ -22,7 +22,9 @@
 struct WebsocketCallbacks {
     std::function<void(LinkHandle, std::uint64_t tag)> opened;
     std::function<void(LinkHandle, const std::vector<std::uint8_t> &)> received;
-    std::function<void(LinkHandle, std::uint64_t tag)> closed; // Also for a connect that failed; the handle is 0 then.
+    std::function<void(LinkHandle, std::uint64_t tag)> closed;
+    std::function<void(std::uint64_t tag)> connected; // The peer's machine answered; its handshake begins.
+    std::function<void(std::uint64_t tag, bool connected)> failed; // A connect that never opened.
 };
 
 class WebsocketHub
