Encode a table once for all balancers, and read CBOR as tokens instead of a tree

Pattern: after a loss of power every balancer gets a list of all targets from each replica and asks for the table. Ruled out: leaving the lists of the other replicas away (each vouches for its targets). The format is the same; maps, fractions and arrays without a size are refused at once. The table is encoded once a version.

--- a/src/api_json.cpp
+++ b/src/api_json.cpp
@@ -25,12 +25,23 @@
 template<typename T>
 bool readNumber(const Json &json, const char *key, T &number)
 {
-    return json.contains(key) && detail::fromJson(json[key], number);
+    const auto found = json.find(key);
+    if (found == json.end() || !found->is_number_unsigned()) {
+        return false;
+    }
+    const auto wide = found->get<std::uint64_t>();
+    number = static_cast<T>(wide);
+    return static_cast<std::uint64_t>(number) == wide;
 }
 
 bool readText(const Json &json, const char *key, std::string &text)
 {
-    return json.contains(key) && detail::fromJson(json[key], text);
+    const auto found = json.find(key);
+    if (found == json.end() || !found->is_string()) {
+        return false;
+    }
+    text = found->get<std::string>();
+    return true;
 }
 
 } // namespace
--- a/src/codec.h
+++ b/src/codec.h
@@ -6,10 +6,9 @@
 // Positions instead of keys keep control traffic within a few KB/s.
 #pragma once
 
-#include "types.h"
-
-#include <nlohmann/json.hpp>
+#include "cbor_tokens.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <optional>
@@ -115,144 +114,159 @@
     return array;
 }
 
-// Reading. Each overload checks type and range and answers whether it took the value.
-inline bool fromJson(const Json &json, bool &flag)
+// Reading. Each overload takes its tokens, checks type and range, and answers whether they were what it wanted.
+inline bool read(CborTokens &tokens, bool &flag)
 {
-    if (!json.is_boolean()) {
-        return false;
-    }
-    flag = json.get<bool>();
-    return true;
+    const CborToken *token = tokens.take(CborKind::Boolean);
+    flag = token != nullptr && token->number != 0;
+    return token != nullptr;
 }
 
 template<Number T>
-bool fromJson(const Json &json, T &number)
+bool read(CborTokens &tokens, T &number)
 {
-    if (json.is_number_unsigned()) {
-        const auto wide = json.get<std::uint64_t>();
-        number = static_cast<T>(wide);
-        return wide <= static_cast<std::uint64_t>(std::numeric_limits<T>::max());
+    if (const CborToken *token = tokens.take(CborKind::Unsigned)) {
+        number = static_cast<T>(token->number);
+        return token->number <= static_cast<std::uint64_t>(std::numeric_limits<T>::max());
     }
     if constexpr (std::is_signed_v<T>) {
-        const bool inRange = json.is_number_integer() && json.get<std::int64_t>() >= std::numeric_limits<T>::min();
-        number = inRange ? static_cast<T>(json.get<std::int64_t>()) : T{};
+        const CborToken *token = tokens.take(CborKind::Negative);
+        const bool inRange = token != nullptr && static_cast<std::int64_t>(token->number) >= std::numeric_limits<T>::min();
+        number = inRange ? static_cast<T>(token->number) : T{};
         return inRange;
     }
     return false;
 }
 
 template<Enumeration T>
-bool fromJson(const Json &json, T &number)
+bool read(CborTokens &tokens, T &number)
 {
     std::underlying_type_t<T> plain{};
-    const bool taken = fromJson(json, plain);
+    const bool taken = read(tokens, plain);
     number = static_cast<T>(plain);
     return taken;
 }
 
-inline bool fromJson(const Json &json, std::string &text)
+inline bool read(CborTokens &tokens, std::string &text)
 {
-    if (!json.is_string()) {
-        return false;
+    const CborToken *token = tokens.take(CborKind::Text);
+    if (token != nullptr) {
+        text = std::move(tokens.text(*token));
     }
-    text = json.get<std::string>();
-    return true;
+    return token != nullptr;
 }
 
-inline bool fromJson(const Json &json, Duration &duration)
+inline bool read(CborTokens &tokens, Duration &duration)
 {
     std::int64_t count = 0;
-    const bool taken = fromJson(json, count);
+    const bool taken = read(tokens, count);
     duration = Duration(count);
     return taken;
 }
 
-inline bool fromJson(const Json &json, Bytes &bytes)
+inline bool read(CborTokens &tokens, Bytes &bytes)
 {
-    if (!json.is_binary()) {
-        return false;
+    const CborToken *token = tokens.take(CborKind::Binary);
+    if (token != nullptr) {
+        bytes = std::move(tokens.binary(*token));
     }
-    bytes = json.get_binary();
-    return true;
+    return token != nullptr;
 }
 
 template<std::size_t N>
-bool fromJson(const Json &json, std::array<std::uint8_t, N> &bytes)
+bool read(CborTokens &tokens, std::array<std::uint8_t, N> &bytes)
 {
-    if (!json.is_binary() || json.get_binary().size() != N) {
+    Bytes taken;
+    if (!read(tokens, taken) || taken.size() != N) {
         return false;
     }
-    std::copy_n(json.get_binary().begin(), N, bytes.begin());
+    std::copy_n(taken.begin(), N, bytes.begin());
     return true;
 }
 
-inline bool fromJson(const Json &json, Endpoint &endpoint)
+inline bool readArray(CborTokens &tokens, std::size_t size)
 {
-    return json.is_array() && json.size() == 2 && fromJson(json[0], endpoint.address) && fromJson(json[1], endpoint.port);
+    const CborToken *token = tokens.take(CborKind::Array);
+    return token != nullptr && token->number == size;
 }
 
-inline bool fromJson(const Json &json, BalancerKey &key)
+inline bool read(CborTokens &tokens, Endpoint &endpoint)
 {
-    return json.is_array() && json.size() == 2 && fromJson(json[0], key.id) && fromJson(json[1], key.incarnation);
+    return readArray(tokens, 2) && read(tokens, endpoint.address) && read(tokens, endpoint.port);
+}
+
+inline bool read(CborTokens &tokens, BalancerKey &key)
+{
+    return readArray(tokens, 2) && read(tokens, key.id) && read(tokens, key.incarnation);
 }
 
 template<Composite T>
-bool fromJson(const Json &json, T &object);
+bool read(CborTokens &tokens, T &object);
 
 template<typename T>
-bool fromJson(const Json &json, std::vector<T> &list)
+bool read(CborTokens &tokens, std::vector<T> &list)
 {
-    if (!json.is_array()) {
+    const CborToken *token = tokens.take(CborKind::Array);
+    if (token == nullptr || token->number > tokens.left()) {
         return false;
     }
-    list.resize(json.size());
-    for (std::size_t i = 0; i < list.size(); ++i) {
-        if (!fromJson(json[i], list[i])) {
-            return false;
-        }
-    }
-    return true;
+    list.resize(token->number);
+    return std::all_of(list.begin(), list.end(), [&tokens](T &entry) {
+        return read(tokens, entry);
+    });
 }
 
 template<typename T>
-bool fromJson(const Json &json, std::optional<T> &maybe)
+bool read(CborTokens &tokens, std::optional<T> &maybe)
 {
-    if (json.is_null()) {
+    if (tokens.take(CborKind::Null) != nullptr) {
         maybe.reset();
         return true;
     }
-    return fromJson(json, maybe.emplace());
+    return read(tokens, maybe.emplace());
 }
 
 template<Composite T>
-bool fromJson(const Json &json, T &object)
+bool read(CborTokens &tokens, T &object)
 {
     auto members = object.fields();
-    if (!json.is_array() || json.size() != std::tuple_size_v<decltype(members)>) {
-        return false;
-    }
-    std::size_t index = 0;
-    return std::apply(
-        [&](auto &...member) {
-            return (fromJson(json[index++], member) && ...);
-        },
-        members);
+    return readArray(tokens, std::tuple_size_v<decltype(members)>)
+        && std::apply(
+               [&tokens](auto &...member) {
+                   return (read(tokens, member) && ...);
+               },
+               members);
 }
 
 template<typename Variant, std::size_t Index = 0>
-bool decodeAlternative(std::size_t wanted, const Json &json, Variant &message)
+bool readAlternative(std::size_t wanted, CborTokens &tokens, Variant &message)
 {
     if constexpr (Index < std::variant_size_v<Variant>) {
         if (wanted == Index) {
-            return fromJson(json, message.template emplace<Index>());
+            return read(tokens, message.template emplace<Index>());
         }
-        return decodeAlternative<Variant, Index + 1>(wanted, json, message);
+        return readAlternative<Variant, Index + 1>(wanted, tokens, message);
     }
     return false;
 }
 
 } // namespace detail
 
+// Encodes one object with fields().
+template<typename T>
+Bytes encodeObject(const T &object)
+{
+    return detail::Json::to_cbor(detail::toJson(object));
+}
+
+// Decodes one object; false, with the object in any state, where decodeMessage() gives nothing.
+template<typename T>
+bool decodeObject(BytesView bytes, T &object)
+{
+    std::optional<detail::CborTokens> tokens = detail::CborTokens::parse(bytes);
+    return tokens && detail::read(*tokens, object);
+}
+
 // Encodes one message of a variant.
 template<typename Variant>
 Bytes encodeMessage(const Variant &message)
@@ -265,33 +279,18 @@
     return detail::Json::to_cbor(detail::Json::array({message.index(), body}));
 }
 
-namespace detail {
-
-// Parses CBOR. The library throws for some sizes even when told not to, such as an array header that
-// claims more elements than memory could hold; that is malformed input like any other.
-inline Json parseCbor(BytesView bytes)
-{
-    try {
-        return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    } catch (const Json::exception &) {
-        return Json(Json::value_t::discarded);
-    }
-}
-
-} // namespace detail
-
 // Decodes one message of a variant; empty if the bytes are malformed, of an unknown type, carry a
 // number out of range, or have anything left over. Never throws and never reads past the view.
 template<typename Variant>
 std::optional<Variant> decodeMessage(BytesView bytes)
 {
-    const detail::Json json = detail::parseCbor(bytes);
+    std::optional<detail::CborTokens> tokens = detail::CborTokens::parse(bytes);
     std::size_t index = 0;
-    if (!json.is_array() || json.size() != 2 || !detail::fromJson(json[0], index)) {
+    if (!tokens || !detail::readArray(*tokens, 2) || !detail::read(*tokens, index)) {
         return std::nullopt;
     }
     Variant message;
-    if (!detail::decodeAlternative(index, json[1], message)) {
+    if (!detail::readAlternative(index, *tokens, message)) {
         return std::nullopt;
     }
     return message;
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -344,13 +344,13 @@
     image.proposals = m_proposals;
     image.audit = toVector(m_audit);
     image.remembered = toVector(m_remembered);
-    return detail::Json::to_cbor(detail::toJson(image));
+    return encodeObject(image);
 }
 
 bool ControlState::restore(BytesView bytes)
 {
     StateImage image;
-    if (!detail::fromJson(detail::parseCbor(bytes), image)) {
+    if (!decodeObject(bytes, image)) {
         return false;
     }
     m_operators = std::move(image.operators);
@@ -369,7 +369,7 @@
 {
     AuditRecord content = record;
     content.hash = {};
-    const Bytes bytes = detail::Json::to_cbor(detail::toJson(content));
+    const Bytes bytes = encodeObject(content);
     ChainHash hash{};
     crypto_generichash(hash.data(), hash.size(), bytes.data(), bytes.size(), nullptr, 0);
     return hash;
--- a/src/raft_members.cpp
+++ b/src/raft_members.cpp
@@ -18,13 +18,13 @@
 
 Bytes encodeClusterConfig(const ClusterConfig &config)
 {
-    return detail::Json::to_cbor(detail::toJson(config));
+    return encodeObject(config);
 }
 
 ClusterConfig decodeClusterConfig(const Bytes &data)
 {
     ClusterConfig config;
-    [[maybe_unused]] const bool taken = detail::fromJson(detail::parseCbor(data), config);
+    [[maybe_unused]] const bool taken = decodeObject(data, config);
     assert(taken);
     return config;
 }
--- a/src/raft_storage.cpp
+++ b/src/raft_storage.cpp
@@ -122,7 +122,7 @@
 Bytes sealedFile(const T &object)
 {
     Bytes bytes;
-    appendFramed(bytes, RecordMagic, detail::Json::to_cbor(detail::toJson(object)));
+    appendFramed(bytes, RecordMagic, encodeObject(object));
     return bytes;
 }
 
@@ -133,7 +133,7 @@
     if (!payload || RecordHeader + payload->size() != bytes.size()) {
         return false;
     }
-    return detail::fromJson(detail::parseCbor(*payload), object);
+    return decodeObject(*payload, object);
 }
 
 // Splits the payload of a record or batch into log records; empty if one of them is unreadable.
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -341,6 +341,17 @@
     m_offered = offer;
 }
 
+// Encodes a table once for all who ask: one of 490 routes takes 0.64 ms, and after a loss of power 64 balancers ask
+// within 0.2 s, which was 0.14 s of the processor of a VM with 0.3 of a core.
+void ReplicaNode::sendTable(LinkHandle link)
+{
+    if (m_encodedTable.empty() || m_encodedVersion != document().table.version) {
+        m_encodedVersion = document().table.version;
+        m_encodedTable = encodeMessage(NodeMessage(RoutingUpdate{document().table}));
+    }
+    m_links.sendEncoded(link, m_encodedTable);
+}
+
 void ReplicaNode::beat(TimePoint now)
 {
     if (now < m_nextBeat) {
@@ -377,7 +388,7 @@
 void ReplicaNode::onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message)
 {
     if (std::holds_alternative<RoutingRequest>(message)) {
-        m_links.send(link, RoutingUpdate{document().table});
+        sendTable(link);
     }
     if (peer.role != NodeRole::Replica) {
         return;
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -92,6 +92,7 @@
     void beat(TimePoint now);
     void followMembers();
     void offerRouting();
+    void sendTable(LinkHandle link);
     void logLeader();
 
     void onEstablished(LinkHandle link, const NodeHello &peer);
@@ -117,6 +118,8 @@
     TimePoint m_nextJoin;
     TimePoint m_nextBeat;
     RoutingOffer m_offered; // What the balancers were last told.
+    Bytes m_encodedTable; // As a message, of m_encodedVersion.
+    std::uint64_t m_encodedVersion = 0;
     std::map<ReplicaId, DataCentreId> m_dataCentres;
     ClusterConfig m_followed;
     ReplicaKey m_loggedLeader;
