Reset the flows of targets that are gone before their callers' next request

Cause: steering follows a flow's token until the lifetime is known to be over, 2 s later and more, and a reset that meets a request on an open flow comes too late for what must not be repeated. Change: target_probe.h, without I/O: reports of repeated data go to the replicas, two of them set off a connection, n+1 replicas that connect in vain make a target gone, unless the balancer saw it live. Six mutations in tests/mutations.sh, not run yet.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -3,6 +3,7 @@
 #include "flow_steering.h"
 
 #include "target_directory.h"
+#include "target_probe.h"
 
 #include <algorithm>
 #include <utility>
@@ -191,6 +192,9 @@
         } else if (target.alive + flow.sentAt.elapsed(now) <= now) {
             // Data is sent again, and nothing came from the target since it was sent first.
             suspect(now, target);
+            if (m_unanswered.size() < MostReportsPerTick) {
+                m_unanswered.push_back(target.record.key);
+            }
         }
         setBusy(flow, true);
     }
@@ -322,6 +326,37 @@
     }
 }
 
+template<SteeringChoice Choice>
+std::vector<TargetKey> BasicFlowSteering<Choice>::takeUnanswered()
+{
+    return std::exchange(m_unanswered, {});
+}
+
+template<SteeringChoice Choice>
+std::vector<FlowReset> BasicFlowSteering<Choice>::takeResets(TimePoint now)
+{
+    std::vector<FlowReset> resets;
+    if (!m_targets.markFlowsOver(now)) {
+        return resets;
+    }
+    boost::unordered::erase_if(m_flows, [&](auto &each) {
+        auto &[key, flow] = each;
+        const SteeredTarget *target = flow.counted ? m_targets.find(flow.target) : nullptr;
+        if (target == nullptr || !target->flowsOver || resets.size() >= MostResetsPerTick) {
+            return false;
+        }
+        if (flow.open) {
+            resets.push_back({key, flow.acknowledged});
+        }
+        release(flow);
+        return true;
+    });
+    if (resets.size() < MostResetsPerTick) {
+        m_targets.clearFlowsOver();
+    }
+    return resets;
+}
+
 template<SteeringChoice Choice>
 void BasicFlowSteering<Choice>::tick(TimePoint now)
 {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -13,9 +13,6 @@
 
 namespace Robinrail {
 
-// A target whose end was announced still empties its sockets; only after this are its flows reset.
-inline constexpr Duration LeftGrace = std::chrono::seconds(1);
-
 // A request without a sign of its answer is no longer counted as load after this. The longest time budget of
 // an interactive request is 3 s.
 inline constexpr Duration LongestBusy = std::chrono::seconds(4);
@@ -68,6 +65,15 @@
     std::uint32_t resetSequence = 0; // Of Reset.
 };
 
+// A flow that this balancer resets of its own accord.
+struct FlowReset {
+    FlowKey flow;
+    std::uint32_t sequence = 0;
+};
+
+// Most resets that one tick gives; the rest wait for the next one.
+inline constexpr std::size_t MostResetsPerTick = 512;
+
 namespace detail {
 
 struct SteeredFlow {
@@ -117,6 +123,13 @@
 
     void tick(TimePoint now);
 
+    // Open flows to reset now: their targets left, or were taken for gone, and their callers are better told before the
+    // next request than by its deadline. Call it at each tick.
+    std::vector<FlowReset> takeResets(TimePoint now);
+
+    // Targets that repeated data of open flows got no answer from, to be reported, once for each repetition.
+    std::vector<TargetKey> takeUnanswered();
+
     std::size_t flowCount() const;
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
@@ -159,6 +172,7 @@
     std::vector<SteeredTarget *> m_candidates; // Kept between packets, so that no choice allocates.
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
     std::uint64_t m_suspicions = 0;
+    std::vector<TargetKey> m_unanswered;
     LatencyHistogram m_openTimes;
     LatencyHistogram m_answerTimes;
 };
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -81,6 +81,26 @@
     }
 };
 
+// A balancer to replicas: data of open flows to these targets was repeated, and nothing came from them since.
+struct TargetsUnanswered {
+    std::vector<TargetKey> keys;
+
+    auto fields()
+    {
+        return std::tie(keys);
+    }
+};
+
+// A replica to balancers: it tried just now to connect to these targets, in vain.
+struct TargetsUnreachable {
+    std::vector<TargetKey> keys;
+
+    auto fields()
+    {
+        return std::tie(keys);
+    }
+};
+
 // A replica's newest committed routing version. Confirmed: it heard from a quorum or its leader of late, so
 // no higher version was accepted before that.
 struct RoutingOffer {
@@ -120,6 +140,8 @@
                                  TargetReceipt,
                                  RoutingOffer,
                                  RoutingRequest,
-                                 RoutingUpdate>;
+                                 RoutingUpdate,
+                                 TargetsUnanswered,
+                                 TargetsUnreachable>;
 
 } // namespace Robinrail
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -76,6 +76,9 @@
         m_node.onLearnt([this] {
             releaseHeld();
         });
+        m_node.onResets([this](std::span<const FlowReset> resets) {
+            sendResets(resets);
+        });
         wait();
         return !error;
     }
@@ -163,6 +166,21 @@
         }
     }
 
+    void sendResets(std::span<const FlowReset> resets)
+    {
+        for (std::size_t at = 0; at < resets.size(); at += PacketBatch) {
+            m_outCount = 0;
+            for (const FlowReset &each : resets.subspan(at, std::min(PacketBatch, resets.size() - at))) {
+                FlowPacket packet;
+                packet.caller = each.flow.caller;
+                packet.route = each.flow.route;
+                Slot &slot = m_slots[m_outCount];
+                queue(slot, Codec::writeReset(slot, packet, each.sequence), {packet.caller.address, m_replyPort});
+            }
+            flush();
+        }
+    }
+
     void queue(Slot &slot, std::size_t length, Endpoint to)
     {
         m_outParts[m_outCount] = {slot.data(), length};
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -56,6 +56,7 @@
                    }
                }})
     , m_targets(m_links, monotonicNow(), m_file.announceInterval, m_file.borneLosses)
+    , m_prober(io)
     , m_notes(m_file.dataFolder / NotesFile)
     , m_timer(io)
 {
@@ -154,6 +155,7 @@
         flush();
     }
     beat(now);
+    tellUnreachable(now);
     m_targets.expireDrains(now);
     m_timer.expires_after(ReplicaTick);
     m_timer.async_wait([this](const boost::system::error_code &error) {
@@ -352,6 +354,16 @@
     m_links.sendEncoded(link, m_encodedTable);
 }
 
+void ReplicaNode::tellUnreachable(TimePoint now)
+{
+    m_prober.turn(now);
+    const TargetsUnreachable found{m_prober.takeUnreachable()};
+    if (!found.keys.empty()) {
+        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
+        LogLine(LogLevel::Info, "targets-unreachable").with("targets", found.keys.size()).with("first", value(found.keys.front()));
+    }
+}
+
 void ReplicaNode::beat(TimePoint now)
 {
     if (now < m_nextBeat) {
@@ -389,6 +401,10 @@
 {
     if (std::holds_alternative<RoutingRequest>(message)) {
         sendTable(link);
+    } else if (const auto *unanswered = std::get_if<TargetsUnanswered>(&message)) {
+        m_targets.onUnanswered(*unanswered, [this](TargetKey key, Endpoint address) {
+            m_prober.reported(monotonicNow(), key, address);
+        });
     }
     if (peer.role != NodeRole::Replica) {
         return;
@@ -492,6 +508,7 @@
     text.counter("robinrail_announcements_total", "Announcements of targets", static_cast<double>(m_targets.announcements()));
     text.counter("robinrail_changes_total", "Routing documents proposed here", static_cast<double>(m_changes));
     text.counter("robinrail_storage_failures_total", "Times that the disk refused to work", static_cast<double>(m_storageFailures));
+    text.counter("robinrail_target_probes_total", "Connections tried to targets that balancers reported", static_cast<double>(m_prober.probes()));
     text.counter("robinrail_drains_unanswered_total", "Drains that too few replicas confirmed", static_cast<double>(m_targets.drainsUnanswered()));
     text.histogram("robinrail_commit_seconds", "From a proposed document to its commit", m_commitTimes);
     text.histogram("robinrail_drain_confirm_seconds", "From a drain to its confirmation", m_targets.drainTimes());
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -9,6 +9,7 @@
 #include "routing_state.h"
 #include "settings.h"
 #include "target_exchange.h"
+#include "target_prober.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -92,6 +93,7 @@
     void beat(TimePoint now);
     void followMembers();
     void offerRouting();
+    void tellUnreachable(TimePoint now);
     void sendTable(LinkHandle link);
     void logLeader();
 
@@ -109,6 +111,7 @@
     TimePoint m_storageDue;
     NodeLinks m_links;
     TargetExchange m_targets;
+    TargetProber m_prober;
     BackgroundFile m_notes;
     bool m_notesDue = false;
     boost::asio::steady_timer m_timer;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -28,6 +28,8 @@
     , m_standstill(monotonicNow())
     , m_now(monotonicNow())
     , m_onLearnt([] {})
+    , m_findings(m_file.borneLosses + 1)
+    , m_sendResets([](std::span<const FlowReset>) {})
 {
 }
 
@@ -87,6 +89,7 @@
     m_standstill.turn(m_now);
     m_links.tick(m_now);
     m_steering.tick(m_now);
+    resetFlows();
     fetchIfBehind(m_now);
     updateReadiness();
     m_timer.expires_after(SteeringTick);
@@ -188,6 +191,8 @@
 {
     if (const auto *news = std::get_if<TargetStatusList>(&message)) {
         onNews(peer.replica, *news);
+    } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message)) {
+        onUnreachable(peer.replica, *gone);
     } else if (std::holds_alternative<TargetsTold>(message)) {
         m_told = true;
     } else if (const auto *list = std::get_if<ReplicaList>(&message)) {
@@ -211,6 +216,34 @@
     }
 }
 
+// ---- Targets that are gone ----
+
+void SteeringNode::onResets(std::function<void(std::span<const FlowReset>)> send)
+{
+    m_sendResets = std::move(send);
+}
+
+void SteeringNode::onUnreachable(ReplicaId replica, const TargetsUnreachable &list)
+{
+    const TimePoint now = monotonicNow();
+    for (const TargetKey key : list.keys) {
+        if (m_findings.unreachable(now, replica, key) && m_steering.targets().takeForGone(now, key)) {
+            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", addressText({value(replica), 0}));
+        }
+    }
+    resetFlows();
+}
+
+void SteeringNode::resetFlows()
+{
+    if (const std::vector<TargetKey> unanswered = m_steering.takeUnanswered(); !unanswered.empty()) {
+        m_links.sendAll(m_links.dialled(), TargetsUnanswered{unanswered});
+    }
+    const std::vector<FlowReset> resets = m_steering.takeResets(monotonicNow());
+    m_flowsReset += resets.size();
+    m_sendResets(resets);
+}
+
 // ---- Routing tables ----
 
 void SteeringNode::onOffer(LinkHandle link, const RoutingOffer &offer)
@@ -293,6 +326,7 @@
     text.histogram("robinrail_answer_seconds", "From a request's data to a sign of its answer", m_steering.answerTimes());
     text.gauge("robinrail_dropped_routes", "Removed routes whose flows may still be there", static_cast<double>(m_steering.droppedRoutes()));
     text.counter("robinrail_suspicions_total", "Times that a target was suspected", static_cast<double>(m_steering.suspicions()));
+    text.counter("robinrail_flows_reset_total", "Flows that were reset as their targets were gone", static_cast<double>(m_flowsReset));
     text.counter("robinrail_malformed_packets_total", "Packets without a readable head", static_cast<double>(m_malformed));
     text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(m_heldTooLong));
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -8,6 +8,7 @@
 #include "node_links.h"
 #include "settings.h"
 #include "standstill_watch.h"
+#include "target_probe.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -54,6 +55,9 @@
     // the newest one only after an election: 130 to 300 ms later on the smallest deployment.
     void onLearnt(std::function<void()> learnt);
 
+    // What sends resets of flows whose targets are gone.
+    void onResets(std::function<void(std::span<const FlowReset>)> send);
+
     // A turn of the packet port begins; ends. `emptied`: all packets that had arrived were read.
     void beginPackets();
     void endPackets(bool emptied);
@@ -75,6 +79,8 @@
     void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onNews(ReplicaId replica, const TargetStatusList &list);
+    void onUnreachable(ReplicaId replica, const TargetsUnreachable &list);
+    void resetFlows();
     void onOffer(LinkHandle link, const RoutingOffer &offer);
     void onUpdate(const RoutingUpdate &update);
     void fetchIfBehind(TimePoint now);
@@ -98,6 +104,9 @@
     bool m_told = false; // A replica told all targets.
     bool m_informed = false;
     std::function<void()> m_onLearnt;
+    ProbeFindings m_findings;
+    std::function<void(std::span<const FlowReset>)> m_sendResets;
+    std::uint64_t m_flowsReset = 0;
     bool m_ready = false;
     bool m_stopping = false;
     std::array<LogBudget, SteeringReasonCount> m_logs;
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -4,8 +4,10 @@
 
 #include "hash.h"
 #include "target_directory.h"
+#include "target_probe.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Robinrail {
 
@@ -32,6 +34,7 @@
     }
     if (news.record.phase == TargetPhase::Left && (added || target.record.phase != TargetPhase::Left)) {
         target.leftAt = now;
+        m_flowsEnds.push_back({now + LeftGrace, news.record.key});
     }
     target.record = news.record;
     target.token = tokenOf(news.record.key);
@@ -106,6 +109,38 @@
     target.suspectUntil = {};
 }
 
+bool SteeringTargets::takeForGone(TimePoint now, TargetKey key)
+{
+    const auto at = m_targets.find(key);
+    if (at == m_targets.end() || now - at->second.alive < RecentLife) {
+        return false;
+    }
+    m_flowsEnds.push_back({now, key});
+    suspect(now, at->second);
+    return true;
+}
+
+bool SteeringTargets::markFlowsOver(TimePoint now)
+{
+    bool any = false;
+    for (const FlowsEnd &end : m_flowsEnds) {
+        const auto at = m_targets.find(end.key);
+        if (at != m_targets.end() && now >= end.due) {
+            at->second.flowsOver = true;
+            any = true;
+        }
+    }
+    return any;
+}
+
+void SteeringTargets::clearFlowsOver()
+{
+    std::erase_if(m_flowsEnds, [this](const FlowsEnd &end) {
+        const auto at = m_targets.find(end.key);
+        return at == m_targets.end() || std::exchange(at->second.flowsOver, false);
+    });
+}
+
 SteeredTarget *SteeringTargets::find(FlowToken token)
 {
     const auto at = m_tokens.find(value(token));
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -19,6 +19,9 @@
 inline constexpr Duration FirstSuspicion = std::chrono::seconds(1);
 inline constexpr Duration LongestSuspicion = std::chrono::seconds(8);
 
+// A target whose end was announced still empties its sockets; only after this are its flows reset.
+inline constexpr Duration LeftGrace = std::chrono::seconds(1);
+
 struct SteeredTarget {
     TargetRecord record;
     FlowToken token{};
@@ -28,6 +31,7 @@
     Duration suspicion{}; // The last one's length; 0 after a sign of life.
     TimePoint alive; // Last sign of life that passed through here.
     TimePoint leftAt; // When its end was learnt.
+    bool flowsOver = false; // Its flows are to be reset now.
     bool ambiguous = false; // An older target has the same token: it gets no flows.
     std::uint32_t flows = 0; // Open flows that pass through here.
     std::uint32_t busy = 0; // Flows of those with a request under way.
@@ -54,6 +58,16 @@
     void suspect(TimePoint now, SteeredTarget &target);
     void sawAlive(TimePoint now, SteeredTarget &target);
 
+    // Takes a target for gone, unless it showed life through here of late. Whether it is.
+    bool takeForGone(TimePoint now, TargetKey key);
+
+    // Marks targets whose flows are over: those that are gone, and those that left LeftGrace ago, so that no answer of
+    // theirs is on its way. Whether there are any.
+    bool markFlowsOver(TimePoint now);
+
+    // All flows of the marked targets were reset.
+    void clearFlowsOver();
+
     // The target behind a token; null if it is not known.
     SteeredTarget *find(FlowToken token);
 
@@ -69,7 +83,12 @@
     void add(SteeredTarget &target);
     void remove(SteeredTarget &target);
 
+    struct FlowsEnd {
+        TimePoint due;
+        TargetKey key{};
+    };
     std::map<TargetKey, SteeredTarget> m_targets;
+    std::vector<FlowsEnd> m_flowsEnds; // Of targets that left or are gone.
     boost::unordered_flat_map<std::uint32_t, SteeredTarget *> m_tokens;
     std::map<std::string, std::vector<SteeredTarget *>> m_services;
 };
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -33,6 +33,18 @@
     void announce(const TargetRecord &record, Respond respond);
     void leave(TargetKey key, Respond respond);
 
+    // A balancer's targets that do not answer; the address of each that may still be there is passed on.
+    template<typename Probe>
+    void onUnanswered(const TargetsUnanswered &list, Probe probe) const
+    {
+        for (const TargetKey key : list.keys) {
+            const TargetRecord *record = m_directory.find(key);
+            if (record != nullptr && record->phase != TargetPhase::Left) {
+                probe(key, record->address);
+            }
+        }
+    }
+
     // What another replica says over its link.
     void onNews(LinkHandle link, const TargetStatusList &list);
     void onHeard(const TargetsHeard &heard);
--- /dev/null
+++ b/src/target_prober.cpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: MIT
+// Target prober: implementation.
+#include "target_prober.h"
+
+#include "net.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace Robinrail {
+
+TargetProber::TargetProber(boost::asio::io_context &io)
+    : m_io(io)
+    , m_lastTurn(monotonicNow())
+{
+}
+
+void TargetProber::reported(TimePoint now, TargetKey key, Endpoint address)
+{
+    if (!m_schedule.reported(now, key)) {
+        return;
+    }
+    ++m_probes;
+    const auto stream = std::make_shared<boost::beast::tcp_stream>(m_io);
+    stream->expires_after(ProbeTimeout);
+    stream->async_connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(address.address), address.port),
+                          [this, stream, key, standstills = m_standstills](const boost::system::error_code &error) {
+                              ended(key, standstills, !error);
+                          });
+}
+
+void TargetProber::turn(TimePoint now)
+{
+    if (now - std::exchange(m_lastTurn, now) >= LongestTurn) {
+        ++m_standstills;
+    }
+}
+
+void TargetProber::ended(TargetKey key, std::uint64_t standstills, bool answered)
+{
+    turn(monotonicNow());
+    m_schedule.ended(key);
+    if (!answered && standstills == m_standstills) {
+        m_unreachable.push_back(key);
+    }
+}
+
+std::vector<TargetKey> TargetProber::takeUnreachable()
+{
+    return std::exchange(m_unreachable, {});
+}
+
+std::uint64_t TargetProber::probes() const
+{
+    return m_probes;
+}
+
+} // namespace Robinrail
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -86,6 +86,17 @@
     'std::min(before, MostCountedIntervals / 100'"'"'000)' '*held up ends no successor*'
 mutate "steering: replicas do not tell since when a lifetime is known" src/target_directory.cpp \
     'std::min(entry.firstHeard, now - news.known)' 'entry.firstHeard' '*agree which is the older*'
+mutate "steering: one replica's word makes a target gone" src/target_probe.h 'return finders.size() >= m_needed;' \
+    'return finders.size() + m_needed > 0;' '*enough different replicas*,*troubles no flow*'
+mutate "steering: signs of life do not speak against a target's end" src/steering_targets.cpp \
+    '|| now - at->second.alive < RecentLife' '' '*showed life through*'
+mutate "steering: a probe during a standstill counts" src/target_prober.cpp '&& standstills == m_standstills' \
+    '&& standstills <= m_standstills' '*stood still during a probe*'
+mutate "steering: any lost packet sets off probes" src/target_probe.h '++probe.reports < ReportsForProbe' \
+    '++probe.reports < 1' '*lost here and there*'
+mutate "steering: what was found long ago counts" src/target_probe.h 'return now - each.second >= ProbeLifetime;' \
+    'return now < each.second;' '*enough different replicas*'
+mutate "steering: flows of targets that left are reset at once" src/steering_targets.cpp 'now + LeftGrace' 'now' '*none of its answers*'
 mutate "steering: removed routes are never forgotten" src/flow_steering.cpp 'return now - seen >= RememberLeft;' \
     'return now < seen;' '*forgotten once its flows*'
 mutate "steering: messages of other clusters are taken" src/replica_driver.cpp \
--- /dev/null
+++ b/tests/test_target_probe.cpp
@@ -0,0 +1,325 @@
+// SPDX-License-Identifier: MIT
+// Target probe: flows of targets that lose power or leave are reset before their callers' next requests, and those of
+// targets that live never are.
+#include "flow_steering.h"
+#include "net.h"
+#include "target_probe.h"
+#include "target_prober.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <pcg_random.hpp>
+
+using namespace Robinrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr DataCentreId Here{1};
+constexpr ReplicaId FirstReplica{11};
+constexpr ReplicaId SecondReplica{12};
+constexpr Endpoint FeedRoute{0xc6120001, 443};
+constexpr TargetKey Silent{101};
+constexpr TargetKey Living{102};
+const TimePoint Start(std::chrono::hours(1));
+
+TargetRecord feedTarget(TargetKey key)
+{
+    TargetRecord record;
+    record.key = key;
+    record.service = "feed";
+    record.address = {static_cast<std::uint32_t>(value(key)), 8080};
+    record.dataCentre = Here;
+    record.slots = 2;
+    record.sequence = 1;
+    return record;
+}
+
+// A balancer with two targets, and callers with long flows to them.
+struct Balancer {
+    FlowSteering steering{Here};
+    TimePoint now = Start;
+
+    Balancer()
+    {
+        RoutingTable table;
+        table.version = 1;
+        table.services = {"feed"};
+        table.routes = {{FeedRoute, {{0, 1}}}};
+        steering.apply(table);
+        steering.setInformed();
+        for (const TargetKey key : {Silent, Living}) {
+            steering.targets().take(now, FirstReplica, {feedTarget(key), false, Duration{0}, Duration{0}});
+        }
+    }
+
+    static FlowPacket packet(std::uint32_t caller, TargetKey target, std::uint32_t sequence, std::uint32_t acknowledged)
+    {
+        FlowPacket made;
+        made.caller = {0x64400000 + caller, 40000};
+        made.route = FeedRoute;
+        made.token = SteeringTargets::tokenOf(target);
+        made.sequence = sequence;
+        made.acknowledged = acknowledged;
+        made.dataBytes = 100;
+        return made;
+    }
+
+    SteeringDecision request(std::uint32_t caller, TargetKey target, std::uint32_t sequence, std::uint32_t acknowledged)
+    {
+        return steering.steer(now, packet(caller, target, sequence, acknowledged));
+    }
+
+    void acknowledge(std::uint32_t caller, TargetKey target, std::uint32_t acknowledged)
+    {
+        FlowPacket answer = packet(caller, target, 100, acknowledged);
+        answer.dataBytes = 0;
+        steering.steer(now, answer);
+    }
+};
+
+} // namespace
+
+TEST_CASE("idle flows of a target that lost power are reset once, those of others are not")
+{
+    Balancer balancer;
+    for (std::uint32_t caller = 1; caller <= 20; ++caller) {
+        balancer.request(caller, caller % 2 == 0 ? Silent : Living, 100, 1);
+        balancer.acknowledge(caller, caller % 2 == 0 ? Silent : Living, 50);
+    }
+    balancer.now += seconds(1);
+    REQUIRE(balancer.steering.targets().takeForGone(balancer.now, Silent));
+    const std::vector<FlowReset> resets = balancer.steering.takeResets(balancer.now);
+    CHECK(resets.size() == 10);
+    for (const FlowReset &each : resets) {
+        CHECK(each.flow.caller.address % 2 == 0);
+        CHECK(each.sequence == 50);
+    }
+    CHECK(balancer.steering.takeResets(balancer.now + seconds(5)).empty());
+    CHECK(balancer.steering.flowCount() == 10);
+}
+
+TEST_CASE("flows of a target that left are reset when none of its answers is on its way any more")
+{
+    Balancer balancer;
+    balancer.request(1, Silent, 100, 1);
+    balancer.acknowledge(1, Silent, 50);
+    TargetRecord left = feedTarget(Silent);
+    left.phase = TargetPhase::Left;
+    balancer.steering.targets().take(balancer.now, FirstReplica, {left, false, Duration{0}, Duration{0}});
+    CHECK(balancer.steering.takeResets(balancer.now + LeftGrace - milliseconds(1)).empty());
+    CHECK(balancer.steering.takeResets(balancer.now + LeftGrace).size() == 1);
+}
+
+TEST_CASE("many flows are reset over several ticks, each once")
+{
+    Balancer balancer;
+    for (std::uint32_t caller = 1; caller <= MostResetsPerTick + 10; ++caller) {
+        balancer.request(caller, Silent, 100, 1);
+    }
+    balancer.now += seconds(1);
+    REQUIRE(balancer.steering.targets().takeForGone(balancer.now, Silent));
+    CHECK(balancer.steering.takeResets(balancer.now).size() == MostResetsPerTick);
+    CHECK(balancer.steering.takeResets(balancer.now).size() == 10);
+    CHECK(balancer.steering.takeResets(balancer.now).empty());
+}
+
+TEST_CASE("a target that showed life through this balancer of late is not taken for gone")
+{
+    Balancer balancer;
+    balancer.request(1, Silent, 100, 1);
+    balancer.now += seconds(1);
+    balancer.acknowledge(1, Silent, 50);
+    balancer.now += RecentLife - milliseconds(1);
+    CHECK_FALSE(balancer.steering.targets().takeForGone(balancer.now, Silent));
+    CHECK(balancer.steering.takeResets(balancer.now).empty());
+    balancer.now += milliseconds(1);
+    CHECK(balancer.steering.targets().takeForGone(balancer.now, Silent));
+    CHECK_FALSE(balancer.steering.targets().takeForGone(balancer.now, TargetKey{999}));
+}
+
+TEST_CASE("only repeated data on an open flow is reported, each time that it shows no sign of life since")
+{
+    Balancer balancer;
+    balancer.request(1, Silent, 100, 1);
+    CHECK(balancer.steering.takeUnanswered().empty());
+    balancer.now += milliseconds(200);
+    balancer.request(1, Silent, 100, 1);
+    CHECK(balancer.steering.takeUnanswered() == std::vector<TargetKey>{Silent});
+    // The first packet of a newer flow is a sign of life, which the older request does not speak against.
+    balancer.request(2, Silent, 100, 1);
+    balancer.now += milliseconds(400);
+    balancer.request(1, Silent, 100, 1);
+    CHECK(balancer.steering.takeUnanswered().empty());
+    for (std::size_t i = 0; i < 2 * MostReportsPerTick; ++i) {
+        balancer.request(2, Silent, 100, 1);
+    }
+    CHECK(balancer.steering.takeUnanswered().size() == MostReportsPerTick);
+    // Copies of an opening packet say nothing: a target that is full keeps silent on them.
+    Balancer full;
+    FlowPacket opening = Balancer::packet(1, Silent, 0, 0);
+    opening.opening = true;
+    for (std::uint8_t copy = 0; copy < 3; ++copy) {
+        opening.copy = copy;
+        full.steering.steer(full.now, opening);
+        full.now += milliseconds(400);
+    }
+    CHECK(full.steering.takeUnanswered().empty());
+}
+
+TEST_CASE("a target is gone when enough different replicas find it unreachable at the same time")
+{
+    ProbeFindings findings(2);
+    CHECK_FALSE(findings.unreachable(Start, FirstReplica, Silent));
+    CHECK_FALSE(findings.unreachable(Start, FirstReplica, Silent));
+    CHECK_FALSE(findings.unreachable(Start, SecondReplica, Living));
+    CHECK(findings.unreachable(Start + ProbeLifetime - milliseconds(1), SecondReplica, Silent));
+    // What was found long ago says nothing.
+    ProbeFindings old(2);
+    old.unreachable(Start, FirstReplica, Silent);
+    CHECK_FALSE(old.unreachable(Start + ProbeLifetime, SecondReplica, Silent));
+}
+
+TEST_CASE("floods of findings and of reports take bounded memory and probes")
+{
+    ProbeFindings findings(2);
+    for (std::uint64_t key = 1; key <= 2 * MostProbes; ++key) {
+        findings.unreachable(Start, FirstReplica, TargetKey{key});
+    }
+    CHECK(findings.unreachable(Start, SecondReplica, TargetKey{1}));
+    CHECK_FALSE(findings.unreachable(Start, SecondReplica, TargetKey{2 * MostProbes}));
+    ProbeSchedule schedule;
+    std::size_t begun = 0;
+    for (std::uint64_t key = 1; key <= 2 * MostProbes; ++key) {
+        CHECK_FALSE(schedule.reported(Start, TargetKey{key}));
+        begun += schedule.reported(Start, TargetKey{key}) ? 1 : 0;
+        CHECK_FALSE(schedule.reported(Start, TargetKey{key}));
+    }
+    CHECK(begun == MostProbes);
+    // A probe that is under way is not begun again, however long it takes; one that ended is after the pause.
+    CHECK_FALSE(schedule.reported(Start + seconds(9), TargetKey{1}));
+    schedule.ended(TargetKey{1});
+    CHECK_FALSE(schedule.reported(Start + seconds(9), TargetKey{1}));
+    CHECK(schedule.reported(Start + seconds(9), TargetKey{1}));
+}
+
+TEST_CASE("packets lost here and there set off no probe, reports that come together do")
+{
+    ProbeSchedule schedule;
+    for (int i = 0; i < 20; ++i) {
+        CHECK_FALSE(schedule.reported(Start + i * ProbePause, Living));
+    }
+    CHECK_FALSE(schedule.reported(Start, Silent));
+    CHECK(schedule.reported(Start + ProbePause - milliseconds(1), Silent));
+}
+
+TEST_CASE("a replica finds a refusing target unreachable and a listening one not, also when it is too busy to accept")
+{
+    namespace asio = boost::asio;
+    asio::io_context io;
+    const asio::ip::tcp::endpoint anywhere(asio::ip::address_v4::loopback(), 0);
+    asio::ip::tcp::acceptor listening(io, anywhere);
+    std::optional<asio::ip::tcp::acceptor> closing(std::in_place, io, anywhere);
+    const std::uint16_t refusingPort = closing->local_endpoint().port();
+    closing.reset();
+    const std::uint32_t loopback = asio::ip::address_v4::loopback().to_uint();
+    TargetProber prober(io);
+    const TimePoint now = monotonicNow();
+    for (int i = 0; i < ReportsForProbe + 1; ++i) {
+        prober.reported(now, Living, {loopback, listening.local_endpoint().port()});
+        prober.reported(now, Silent, {loopback, refusingPort});
+    }
+    CHECK(prober.probes() == 2);
+    io.run();
+    CHECK(prober.takeUnreachable() == std::vector<TargetKey>{Silent});
+    CHECK(prober.takeUnreachable().empty());
+}
+
+TEST_CASE("a replica that stood still during a probe finds nothing")
+{
+    namespace asio = boost::asio;
+    asio::io_context io;
+    asio::ip::tcp::acceptor closing(io, {asio::ip::address_v4::loopback(), 0});
+    const std::uint16_t port = closing.local_endpoint().port();
+    closing.close();
+    TargetProber prober(io);
+    const TimePoint now = monotonicNow();
+    for (int i = 0; i < ReportsForProbe; ++i) {
+        prober.reported(now, Silent, {asio::ip::address_v4::loopback().to_uint(), port});
+    }
+    prober.turn(now + LongestTurn);
+    io.run();
+    CHECK(prober.takeUnreachable().empty());
+}
+
+// The pattern with everything that may go wrong around it: balancers that are cut off from a target or freeze, replicas
+// that are cut off, packets that are lost, targets that are slow for seconds and live. Time runs in steps of 10 ms.
+TEST_CASE("in random troubles no flow of a target that lives and can be reached is reset")
+{
+    constexpr int Runs = 400;
+    constexpr int Steps = 400;
+    constexpr std::size_t Replicas = 3;
+    constexpr std::size_t Needed = 2;
+    int resetsOfSilent = 0;
+    for (int run = 0; run < Runs; ++run) {
+        pcg64 random(static_cast<std::uint64_t>(run));
+        const auto chance = [&random](unsigned percent) {
+            return random() % 100 < percent;
+        };
+        Balancer balancer;
+        ProbeFindings findings(Needed);
+        ProbeSchedule schedule; // Of all replicas, as they get the same reports.
+        const bool dies = chance(50);
+        const bool oneReplicaErrs = chance(50); // Cut off from the targets, and linked to the balancer.
+        const bool slow = chance(30); // The living target takes seconds, and its kernel answers.
+        std::array<std::uint32_t, 10> sequence{};
+        std::array<std::uint32_t, 10> acknowledged{};
+        std::array<int, 10> unanswered{}; // Steps since the request, 0 without one.
+        std::vector<std::pair<int, TargetKey>> probes; // When they end.
+        for (int step = 0; step < Steps; ++step) {
+            balancer.now += milliseconds(10);
+            const bool dead = dies && step > 100;
+            for (std::uint32_t caller = 0; caller < sequence.size(); ++caller) {
+                const TargetKey target = caller % 2 == 0 ? Silent : Living;
+                const bool answers = target == Silent ? !dead : !slow || chance(1);
+                int &waited = unanswered[caller];
+                if (waited == 0 && chance(3)) {
+                    sequence[caller] += 100;
+                    balancer.request(caller, target, sequence[caller], acknowledged[caller]);
+                    waited = 1;
+                } else if (waited > 0 && answers && !chance(10)) {
+                    acknowledged[caller] += 100;
+                    balancer.acknowledge(caller, target, acknowledged[caller]);
+                    waited = 0;
+                } else if (waited > 0 && (++waited == 20 || waited == 60)) {
+                    balancer.request(caller, target, sequence[caller], acknowledged[caller]);
+                }
+            }
+            for (const TargetKey key : balancer.steering.takeUnanswered()) {
+                if (schedule.reported(balancer.now, key)) {
+                    probes.emplace_back(step + 30, key);
+                }
+            }
+            for (const auto &[end, key] : probes) {
+                if (end == step) {
+                    schedule.ended(key);
+                }
+                for (std::size_t replica = 0; end == step && replica < Replicas; ++replica) {
+                    const bool errs = replica == 0 && oneReplicaErrs;
+                    const bool unreachable = errs || (key == Silent && dead);
+                    if (unreachable && findings.unreachable(balancer.now, ReplicaId{static_cast<std::uint32_t>(replica + 1)}, key)) {
+                        balancer.steering.targets().takeForGone(balancer.now, key);
+                    }
+                }
+            }
+            for (const FlowReset &each : balancer.steering.takeResets(balancer.now)) {
+                const std::uint32_t caller = each.flow.caller.address - 0x64400000;
+                REQUIRE(caller % 2 == 0);
+                REQUIRE(dead);
+                ++resetsOfSilent;
+            }
+        }
+    }
+    CHECK(resetsOfSilent > Runs);
+}
