Split the request engine's attempts and the balancer core's peers from their files; offload windows on their own

The usual time of a service is a member of its line. No behaviour changes. Ruled out: a base class for both engines (nothing is shared but the context).

--- a/src/request_engine.h
+++ b/src/request_engine.h
@@ -9,6 +9,7 @@
 #include "answer_assembly.h"
 #include "balancer_context.h"
 #include "fair_queue.h"
+#include "offload_windows.h"
 #include "retry_budget.h"
 #include "settled_answers.h"
 #include "slot_policy.h"
@@ -90,6 +91,11 @@
         FairQueue<RequestKey> queue;
         RetryBudget budget;
         double serviceTime = InitialServiceTime; // Moving average, microseconds.
+
+        Duration usualTime() const
+        {
+            return Duration(static_cast<std::int64_t>(serviceTime));
+        }
     };
 
     struct Pending {
@@ -138,12 +144,6 @@
         auto operator<=>(const Timer &) const = default;
     };
 
-    // Attempts of one peer run that were taken or declined; each is taken at most once.
-    struct OffloadWindow {
-        std::unordered_map<std::uint64_t, TimePoint> seen;
-        std::uint64_t floor = 0; // Serials up to here count as seen.
-    };
-
     static constexpr double InitialServiceTime = 50'000;
     static constexpr double ServiceTimeGain = 0.05;
 
@@ -158,7 +158,6 @@
     void limitAttempt(TimePoint now, const Pending &pending, std::uint64_t serial, const ServiceLine &line);
     bool offload(TimePoint now, RequestKey key, Pending &pending, ServiceLine &line);
     Peer *choosePeer(ServiceId service, std::uint64_t salt, bool mayProbe);
-    bool firstTime(TimePoint now, const AttemptKey &attempt);
 
     void answer(TimePoint now, std::uint64_t serial, Attempt &attempt);
     void retryOrRefuse(TimePoint now, RequestKey key, Pending &pending, RefusalReason reason);
@@ -178,7 +177,7 @@
     std::unordered_map<std::uint16_t, ServiceLine> m_lines; // By service.
     std::unordered_map<RequestKey, Pending, RequestKeyHash> m_pending;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
-    std::unordered_map<std::uint64_t, OffloadWindow> m_offloads; // By hash of the peer run.
+    OffloadWindows m_offloads;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     SettledAnswers m_settled;
     std::uint64_t m_dealtTargets = 0;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -59,7 +59,7 @@
 mutate "no fence at the handover" src/handover.cpp \
     'return sent != m_sent.end() ? std::optional(sent->second.to) : std::nullopt;' \
     'return sent == m_sent.end() ? std::optional(BalancerKey{}) : std::nullopt;' '*stopping balancer hands*'
-mutate "no deduplication of offloads" src/request_engine.cpp \
+mutate "no deduplication of offloads" src/offload_windows.cpp \
     'if (attempt.serial <= window.floor || !window.seen.emplace(attempt.serial, now).second) {' \
     'if (attempt.serial <= window.floor) {' '*offload runs at most once*,*tenth of the packets*'
 mutate "answers complete with any part" src/answer_assembly.h 'return m_received == m_count ?' 'return m_received > 0 ?' \
