Log each flow that is reset for its target's end, within the budget

Cause: a decision that touches a request had no line: resets of flows whose targets are gone were only counted.

--- a/src/balancer_peers.cpp
+++ b/src/balancer_peers.cpp
@@ -116,6 +116,7 @@
         targetChanged(now, target, AnnouncementEffect::Drained);
     }
 }
+
 template class BalancerCore<OwnCounts>;
 template class BalancerCore<DealtTargets>;
 template class BalancerCore<DealtSlotsAlone>;
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -346,7 +346,7 @@
             return false;
         }
         if (flow.open) {
-            resets.push_back({key, flow.acknowledged});
+            resets.push_back({key, target->record.key, flow.acknowledged});
         }
         release(flow);
         return true;
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -68,7 +68,8 @@
 // A flow that this balancer resets of its own accord.
 struct FlowReset {
     FlowKey flow;
-    std::uint32_t sequence = 0;
+    TargetKey target{};
+    std::uint32_t sequence = 0; // What the caller acknowledged last, as a reset must name.
 };
 
 // Most resets that one tick gives; the rest wait for the next one.
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -153,6 +153,9 @@
     // Steers the packets that were held, a batch at a time.
     void releaseHeld()
     {
+        if (m_held.empty()) {
+            return;
+        }
         const std::vector<HeldPacket> held = m_held.release(monotonicNow());
         m_node.countHeldTooLong(m_held.takeDropped());
         for (std::size_t at = 0; at < held.size(); at += PacketBatch) {
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -89,6 +89,7 @@
     m_standstill.turn(m_now);
     m_links.tick(m_now);
     m_steering.tick(m_now);
+    reportUnanswered();
     resetFlows();
     fetchIfBehind(m_now);
     updateReadiness();
@@ -234,14 +235,34 @@
     resetFlows();
 }
 
-void SteeringNode::resetFlows()
+void SteeringNode::reportUnanswered()
 {
-    if (const std::vector<TargetKey> unanswered = m_steering.takeUnanswered(); !unanswered.empty()) {
-        m_links.sendAll(m_links.dialled(), TargetsUnanswered{unanswered});
+    const TargetsUnanswered unanswered{m_steering.takeUnanswered()};
+    if (!unanswered.keys.empty()) {
+        m_links.sendAll(m_links.dialled(), unanswered);
     }
-    const std::vector<FlowReset> resets = m_steering.takeResets(monotonicNow());
+}
+
+void SteeringNode::resetFlows()
+{
+    const TimePoint now = monotonicNow();
+    const std::vector<FlowReset> resets = m_steering.takeResets(now);
     m_flowsReset += resets.size();
     m_sendResets(resets);
+    for (const FlowReset &reset : resets) {
+        logReset(now, reset);
+    }
+}
+
+void SteeringNode::logReset(TimePoint now, const FlowReset &reset)
+{
+    if (const auto leftOut = m_resetLog.take(now)) {
+        LogLine(LogLevel::Info, "flow-reset")
+            .with("caller", toText(reset.flow.caller))
+            .with("route", toText(reset.flow.route))
+            .with("target", value(reset.target))
+            .with("left-out", *leftOut);
+    }
 }
 
 // ---- Routing tables ----
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -80,7 +80,9 @@
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onNews(ReplicaId replica, const TargetStatusList &list);
     void onUnreachable(ReplicaId replica, const TargetsUnreachable &list);
+    void reportUnanswered();
     void resetFlows();
+    void logReset(TimePoint now, const FlowReset &reset);
     void onOffer(LinkHandle link, const RoutingOffer &offer);
     void onUpdate(const RoutingUpdate &update);
     void fetchIfBehind(TimePoint now);
@@ -107,6 +109,7 @@
     ProbeFindings m_findings;
     std::function<void(std::span<const FlowReset>)> m_sendResets;
     std::uint64_t m_flowsReset = 0;
+    LogBudget m_resetLog;
     bool m_ready = false;
     bool m_stopping = false;
     std::array<LogBudget, SteeringReasonCount> m_logs;
