--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -333,10 +333,10 @@
 }
 
 template<SteeringChoice Choice>
-std::vector<FlowReset> BasicFlowSteering<Choice>::takeResets(TimePoint now)
+std::vector<FlowReset> BasicFlowSteering<Choice>::takeResets()
 {
     std::vector<FlowReset> resets;
-    if (!m_targets.markFlowsOver(now)) {
+    if (!m_targets.anyFlowsOver()) {
         return resets;
     }
     boost::unordered::erase_if(m_flows, [&](auto &each) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -13,6 +13,9 @@
 
 namespace Robinrail {
 
+// A target whose end was announced still empties its sockets; only after this are packets of its flows reset.
+inline constexpr Duration LeftGrace = std::chrono::seconds(1);
+
 // A request without a sign of its answer is no longer counted as load after this. The longest time budget of
 // an interactive request is 3 s.
 inline constexpr Duration LongestBusy = std::chrono::seconds(4);
@@ -124,9 +127,9 @@
 
     void tick(TimePoint now);
 
-    // Open flows to reset now: their targets left, or were taken for gone, and their callers are better told before the
-    // next request than by its deadline. Call it at each tick.
-    std::vector<FlowReset> takeResets(TimePoint now);
+    // Open flows to reset now: their targets were taken for gone, and their callers are better told before the next
+    // request than by its deadline. Call it at each tick.
+    std::vector<FlowReset> takeResets();
 
     // Targets that repeated data of open flows got no answer from, to be reported, once for each repetition.
     std::vector<TargetKey> takeUnanswered();
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -246,7 +246,7 @@
 void SteeringNode::resetFlows()
 {
     const TimePoint now = monotonicNow();
-    const std::vector<FlowReset> resets = m_steering.takeResets(now);
+    const std::vector<FlowReset> resets = m_steering.takeResets();
     m_flowsReset += resets.size();
     m_sendResets(resets);
     for (const FlowReset &reset : resets) {
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -34,7 +34,6 @@
     }
     if (news.record.phase == TargetPhase::Left && (added || target.record.phase != TargetPhase::Left)) {
         target.leftAt = now;
-        m_flowsEnds.push_back({now + LeftGrace, news.record.key});
     }
     target.record = news.record;
     target.token = tokenOf(news.record.key);
@@ -105,6 +104,7 @@
 void SteeringTargets::sawAlive(TimePoint now, SteeredTarget &target)
 {
     target.alive = now;
+    target.flowsOver = false;
     target.suspicion = {};
     target.suspectUntil = {};
 }
@@ -115,30 +115,24 @@
     if (at == m_targets.end() || now - at->second.alive < RecentLife) {
         return false;
     }
-    m_flowsEnds.push_back({now, key});
+    at->second.flowsOver = true;
+    m_flowsOver.push_back(key);
     suspect(now, at->second);
     return true;
 }
 
-bool SteeringTargets::markFlowsOver(TimePoint now)
+bool SteeringTargets::anyFlowsOver() const
 {
-    bool any = false;
-    for (const FlowsEnd &end : m_flowsEnds) {
-        const auto at = m_targets.find(end.key);
-        if (at != m_targets.end() && now >= end.due) {
-            at->second.flowsOver = true;
-            any = true;
-        }
-    }
-    return any;
+    return !m_flowsOver.empty();
 }
 
 void SteeringTargets::clearFlowsOver()
 {
-    std::erase_if(m_flowsEnds, [this](const FlowsEnd &end) {
-        const auto at = m_targets.find(end.key);
-        return at == m_targets.end() || std::exchange(at->second.flowsOver, false);
-    });
+    for (const TargetKey key : std::exchange(m_flowsOver, {})) {
+        if (const auto at = m_targets.find(key); at != m_targets.end()) {
+            at->second.flowsOver = false;
+        }
+    }
 }
 
 SteeredTarget *SteeringTargets::find(FlowToken token)
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -19,9 +19,6 @@
 inline constexpr Duration FirstSuspicion = std::chrono::seconds(1);
 inline constexpr Duration LongestSuspicion = std::chrono::seconds(8);
 
-// A target whose end was announced still empties its sockets; only after this are its flows reset.
-inline constexpr Duration LeftGrace = std::chrono::seconds(1);
-
 struct SteeredTarget {
     TargetRecord record;
     FlowToken token{};
@@ -61,11 +58,8 @@
     // Takes a target for gone, unless it showed life through here of late. Whether it is.
     bool takeForGone(TimePoint now, TargetKey key);
 
-    // Marks targets whose flows are over: those that are gone, and those that left LeftGrace ago, so that no answer of
-    // theirs is on its way. Whether there are any.
-    bool markFlowsOver(TimePoint now);
-
-    // All flows of the marked targets were reset.
+    // Whether there are targets whose flows are to be reset, and that they were.
+    bool anyFlowsOver() const;
     void clearFlowsOver();
 
     // The target behind a token; null if it is not known.
@@ -83,12 +77,8 @@
     void add(SteeredTarget &target);
     void remove(SteeredTarget &target);
 
-    struct FlowsEnd {
-        TimePoint due;
-        TargetKey key{};
-    };
     std::map<TargetKey, SteeredTarget> m_targets;
-    std::vector<FlowsEnd> m_flowsEnds; // Of targets that left or are gone.
+    std::vector<TargetKey> m_flowsOver; // Targets that were taken for gone, until their flows are reset.
     boost::unordered_flat_map<std::uint32_t, SteeredTarget *> m_tokens;
     std::map<std::string, std::vector<SteeredTarget *>> m_services;
 };
