Let the case of two replicas fail without the time since when a target is known

Cause: the mutation 'replicas do not tell since when a lifetime is known' survived: the older target met the second replica with its second announcement, whose number already told its age.

--- a/tests/test_targets.cpp
+++ b/tests/test_targets.cpp
@@ -148,10 +148,10 @@
     informed.announce(Start, older);
     younger.sequence = 1;
     informed.announce(Start + seconds(1), younger);
-    // This one met the older one last, as it had just lost its disk; the other tells it since when it is known.
+    // This one met the older one last, as it had just lost its disk, and by its very first announcement, which was held
+    // up. The other one tells it since when that target is known.
     TargetDirectory wiped(seconds(1), seconds(3));
     wiped.announce(Start + seconds(1), younger);
-    older.sequence = 2;
     wiped.announce(Start + milliseconds(1100), older);
     for (const TargetStatus &status : informed.all(Start + milliseconds(1200))) {
         wiped.take(Start + milliseconds(1200), status);
