Mend what the fault soak found of gone targets: stand-ins take connections, and probes count only where targets do

Two replicas that connected to a living one were refused, and it counted as gone. No check is eased: the stand-in now listens as long as a lifetime runs. The product had a fault in it, too: where targets take no connections at all, each lost packet would make one look gone.

--- a/soak/node_herd.cpp
+++ b/soak/node_herd.cpp
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <fstream>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 namespace Robinrail::Soak {
 
@@ -106,9 +107,10 @@
     // Appended to: a node's runs follow each other in one log.
     std::FILE *const output = std::fopen(log.c_str(), "a");
     const std::string settings = "--settings=" + (m_work / (node.name + ".json")).string();
-    // The programs must not outlive the soak, however it ends.
+    // The programs must not outlive the soak, however it ends, nor keep sockets of targets that have ended open.
     const auto endWithParent = process::extend::on_exec_setup([](auto &) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     });
     node.child = process::child(node.program.string(), process::args = settings, process::std_out > output, process::std_err > output, endWithParent);
     std::fclose(output);
--- a/soak/target_fleet.cpp
+++ b/soak/target_fleet.cpp
@@ -2,7 +2,6 @@
 // Target fleet: implementation.
 #include "target_fleet.h"
 
-#include "http.h"
 #include "log.h"
 #include "settings.h"
 
@@ -88,7 +87,21 @@
     target.record.slots = SlotsPerTarget;
     target.announceDue = now;
     target.replica = pick(m_random, m_plan.replicas);
+    const Endpoint address = target.record.address;
     m_places[place].target = std::move(target);
+    m_places[place].health = std::make_unique<HttpServer>(m_io, [](const HttpRequest &, const HttpRespond &respond) {
+        constexpr unsigned Ok = 200;
+        respond({Ok, "application/json", "{}", {}});
+    });
+    if (!m_places[place].health->listen(address)) {
+        LogLine(LogLevel::Error, "health-not-bound").with("address", toText(address));
+    }
+}
+
+void TargetFleet::end(Place &place)
+{
+    place.target.reset();
+    place.health.reset();
 }
 
 void TargetFleet::crash(TimePoint now, milliseconds pause)
@@ -96,7 +109,7 @@
     Place &place = m_places[pick(m_random, m_places.size())];
     if (place.target) {
         LogLine(LogLevel::Info, "target-crashed").with("target", value(place.target->record.key));
-        place.target.reset();
+        end(place);
         place.nextDue = now + pause;
     }
 }
@@ -118,7 +131,7 @@
     startHttpCall(m_io, replica, {"DELETE", Platform::targetPath(place.target->record.key), {}, {}, {}}, CallTimeout, [](const auto &) {
         // A target that ends does not wait for the answer.
     });
-    place.target.reset();
+    end(place);
     place.nextDue = now + AnnounceInterval;
 }
 
--- a/soak/target_fleet.h
+++ b/soak/target_fleet.h
@@ -2,6 +2,7 @@
 // Target fleet: stand-in targets that announce themselves, answer requests on flows, drain, crash and come back.
 #pragma once
 
+#include "http.h"
 #include "soak_types.h"
 #include "standin_common.h"
 #include "standin_wire.h"
@@ -71,10 +72,12 @@
     struct Place {
         std::unique_ptr<DatagramSocket> socket;
         std::optional<Target> target;
+        std::unique_ptr<HttpServer> health; // Takes connections as long as a lifetime runs here, as on the platform.
         TimePoint nextDue; // When the next lifetime begins.
     };
 
     void begin(TimePoint now, std::size_t place);
+    static void end(Place &place);
     void announce(TimePoint now, Place &place);
     void announced(TargetKey key, std::size_t place, TargetPhase phase, bool taken);
     void leave(TimePoint now, Place &place);
--- a/src/target_prober.cpp
+++ b/src/target_prober.cpp
@@ -42,7 +42,8 @@
 {
     turn(monotonicNow());
     m_schedule.ended(key);
-    if (!answered && standstills == m_standstills) {
+    m_anyAnswered = m_anyAnswered || answered;
+    if (!answered && m_anyAnswered && standstills == m_standstills) {
         m_unreachable.push_back(key);
     }
 }
--- a/src/target_prober.h
+++ b/src/target_prober.h
@@ -24,7 +24,8 @@
     // The process runs. Call it at each tick: a probe during which it did not run says nothing.
     void turn(TimePoint now);
 
-    // The targets that were found unreachable since the last call.
+    // The targets that were found unreachable since the last call. None as long as no target ever answered a probe of
+    // this process: where targets take no connections at all, an unanswered one says nothing.
     std::vector<TargetKey> takeUnreachable();
 
     std::uint64_t probes() const;
@@ -36,6 +37,7 @@
     ProbeSchedule m_schedule;
     TimePoint m_lastTurn;
     std::uint64_t m_standstills = 0;
+    bool m_anyAnswered = false; // Targets here do take connections.
     std::vector<TargetKey> m_unreachable;
     std::uint64_t m_probes = 0;
 };
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -92,6 +92,7 @@
     '|| now - at->second.alive < RecentLife' '' '*showed life through*'
 mutate "steering: a probe during a standstill counts" src/target_prober.cpp '&& standstills == m_standstills' \
     '&& standstills <= m_standstills' '*stood still during a probe*'
+mutate "steering: probes count where no target takes any" src/target_prober.cpp '&& m_anyAnswered &&' '&&' '*no target ever answered*'
 mutate "steering: any lost packet sets off probes" src/target_probe.h '++probe.reports < ReportsForProbe' \
     '++probe.reports < 1' '*lost here and there*'
 mutate "steering: what was found long ago counts" src/target_probe.h 'return now - each.second >= ProbeLifetime;' \
