--- a/src/codec.h
+++ b/src/codec.h
@@ -279,6 +279,16 @@
     return detail::Json::to_cbor(detail::Json::array({message.index(), body}));
 }
 
+// Which alternative of a variant an encoded message holds; empty if it does not begin like one. Variants have fewer than
+// 24 alternatives, whose numbers are one byte of CBOR, behind the head of an array of two.
+inline std::optional<std::size_t> messageKind(BytesView bytes)
+{
+    constexpr std::uint8_t ArrayOfTwo = 0x82;
+    constexpr std::uint8_t SmallNumbers = 24;
+    const bool sound = bytes.size() >= 2 && bytes[0] == ArrayOfTwo && bytes[1] < SmallNumbers;
+    return sound ? std::optional<std::size_t>(bytes[1]) : std::nullopt;
+}
+
 // Decodes one message of a variant; empty if the bytes are malformed, of an unknown type, carry a
 // number out of range, or have anything left over. Never throws and never reads past the view.
 template<typename Variant>
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -232,7 +232,7 @@
         if (target.token == avoid) {
             return Blemish::Avoided;
         }
-        if (target.vouchers.empty()) {
+        if (!m_targets.vouched(target)) {
             return Blemish::Silent;
         }
         return target.suspect(context.now) ? Blemish::Suspect : Blemish::None;
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -197,6 +197,9 @@
     if (const auto at = m_links.find(link); at != m_links.end()) {
         at->second.said = m_now;
         m_hub.send(link, message);
+        if (const std::optional<std::size_t> kind = messageKind(message); kind && *kind < m_bytesByKind.size()) {
+            m_bytesByKind[*kind] += message.size();
+        }
     }
 }
 
@@ -232,9 +235,24 @@
     return handles;
 }
 
+std::size_t NodeLinks::buffered(LinkHandle link) const
+{
+    return m_hub.buffered(link);
+}
+
 std::uint64_t NodeLinks::bytesSent() const
 {
     return m_hub.bytesSent();
 }
 
+void NodeLinks::describe(MetricsText &text) const
+{
+    text.gauge("robinrail_links", "Links to other nodes", static_cast<double>(m_links.size()));
+    text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(bytesSent()));
+    for (std::size_t i = 0; i < m_bytesByKind.size(); ++i) {
+        const std::string label = "message=\"" + std::string(NodeMessageNames[i]) + "\"";
+        text.counter("robinrail_link_message_bytes_total", "Bytes sent on links by kind of message", static_cast<double>(m_bytesByKind[i]), label);
+    }
+}
+
 } // namespace Robinrail
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "dial_schedule.h"
+#include "metrics.h"
 #include "node_message.h"
 #include "websocket_hub.h"
 
@@ -50,6 +51,9 @@
     // A message that is encoded already.
     void sendEncoded(LinkHandle link, const Bytes &message);
 
+    // Bytes that wait to be written on a link.
+    std::size_t buffered(LinkHandle link) const;
+
     // The link that was dialled to a replica; 0 without one.
     LinkHandle linkTo(ReplicaId replica) const;
 
@@ -61,6 +65,9 @@
 
     std::uint64_t bytesSent() const;
 
+    // The same by kind of message, and the number of links, as lines of figures.
+    void describe(MetricsText &text) const;
+
 private:
     struct Link {
         std::optional<NodeHello> peer; // Once it said hello.
@@ -86,6 +93,7 @@
     std::map<ReplicaId, Dial> m_dials;
     std::uint16_t m_port = 0;
     TimePoint m_now;
+    std::array<std::uint64_t, std::variant_size_v<NodeMessage>> m_bytesByKind{};
     WebsocketHub m_hub;
 };
 
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -6,6 +6,9 @@
 #include "routing_table.h"
 #include "target_record.h"
 
+#include <array>
+#include <string_view>
+
 namespace Robinrail {
 
 enum class NodeRole : std::uint8_t {
@@ -33,9 +36,22 @@
     }
 };
 
+// A replica and its data centre; 0 as long as that is not known.
+struct ReplicaPlace {
+    ReplicaId replica{};
+    DataCentreId dataCentre{};
+
+    bool operator==(const ReplicaPlace &) const = default;
+
+    auto fields()
+    {
+        return std::tie(replica, dataCentre);
+    }
+};
+
 // Where replicas are, as far as the sender knows.
 struct ReplicaList {
-    std::vector<ReplicaId> replicas;
+    std::vector<ReplicaPlace> replicas;
 
     auto fields()
     {
@@ -52,7 +68,54 @@
     }
 };
 
-// The sender has told all the targets that it knows.
+// A balancer asks a replica for what changed in its directory after a number of the log that `life` names, from now on.
+// Life 0: for all of it.
+struct FollowDirectory {
+    std::uint64_t life = 0;
+    std::uint64_t after = 0;
+
+    auto fields()
+    {
+        return std::tie(life, after);
+    }
+};
+
+// A target as a page of the directory has it: 27 bytes on the wire, a third of a record with its service by name.
+struct ListedTarget {
+    TargetKey key{};
+    std::uint16_t service = 0; // Position in the page.
+    Endpoint address;
+    DataCentreId dataCentre{};
+    std::uint32_t slots = 1;
+    TargetPhase phase = TargetPhase::Serving;
+    bool silent = false;
+    std::uint32_t warmupMs = 0; // How long it stays slow, milliseconds.
+    std::uint64_t sequence = 0;
+
+    auto fields()
+    {
+        return std::tie(key, service, address, dataCentre, slots, phase, silent, warmupMs, sequence);
+    }
+};
+
+// Targets that changed after a number, in the order of their changes, up to another number. After 0: what follows is the
+// whole directory, and a target that does not come is not in it.
+struct DirectoryPage {
+    std::uint64_t life = 0;
+    std::uint64_t after = 0;
+    std::uint64_t upTo = 0;
+    bool last = false; // Nothing followed when the page was made.
+    bool informed = false; // The replica has been told of all targets, or they have had time to announce themselves.
+    std::vector<std::string> services;
+    std::vector<ListedTarget> targets;
+
+    auto fields()
+    {
+        return std::tie(life, after, upTo, last, informed, services, targets);
+    }
+};
+
+// A replica has told another one all the targets that it knows.
 struct TargetsTold {
     auto fields()
     {
@@ -81,7 +144,8 @@
     }
 };
 
-// A balancer to replicas: data of open flows to these targets was repeated, and nothing came from them since.
+// A balancer to the replica that it follows, and that one to the others: data of open flows to these targets was
+// repeated, and nothing came from them since.
 struct TargetsUnanswered {
     std::vector<TargetKey> keys;
 
@@ -91,13 +155,14 @@
     }
 };
 
-// A replica to balancers: it tried just now to connect to these targets, in vain.
+// A replica to the others, and each to balancers: the finder tried just now to connect to these targets, in vain.
 struct TargetsUnreachable {
+    ReplicaId finder{};
     std::vector<TargetKey> keys;
 
     auto fields()
     {
-        return std::tie(keys);
+        return std::tie(finder, keys);
     }
 };
 
@@ -142,6 +207,25 @@
                                  RoutingRequest,
                                  RoutingUpdate,
                                  TargetsUnanswered,
-                                 TargetsUnreachable>;
+                                 TargetsUnreachable,
+                                 FollowDirectory,
+                                 DirectoryPage>;
+
+// What each kind of message is called in figures, in the order of the variant.
+inline constexpr std::array<std::string_view, std::variant_size_v<NodeMessage>> NodeMessageNames{"hello",
+                                                                                                 "ping",
+                                                                                                 "raft",
+                                                                                                 "replica-list",
+                                                                                                 "target-status",
+                                                                                                 "targets-told",
+                                                                                                 "targets-heard",
+                                                                                                 "target-receipt",
+                                                                                                 "routing-offer",
+                                                                                                 "routing-request",
+                                                                                                 "routing-update",
+                                                                                                 "targets-unanswered",
+                                                                                                 "targets-unreachable",
+                                                                                                 "follow-directory",
+                                                                                                 "directory-page"};
 
 } // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -2,6 +2,7 @@
 // Replica node: the disk, members, links and calls.
 #include "replica_node.h"
 
+#include "announcement_choice.h"
 #include "log.h"
 #include "metrics.h"
 #include "net.h"
@@ -50,10 +51,8 @@
                [this](LinkHandle link, const NodeHello &peer, const NodeMessage &message) {
                    onMessage(link, peer, message);
                },
-               [](LinkHandle, const NodeHello &peer) {
-                   if (peer.role == NodeRole::Replica) {
-                       LogLine(LogLevel::Warning, "replica-link-lost").with("replica", replicaText(peer.replica));
-                   }
+               [this](LinkHandle link, const NodeHello &peer) {
+                   onClosed(link, peer);
                }})
     , m_targets(m_links, monotonicNow(), m_file.announceInterval, m_file.borneLosses)
     , m_prober(io)
@@ -156,6 +155,7 @@
     }
     beat(now);
     tellUnreachable(now);
+    m_targets.publish(now);
     m_targets.expireDrains(now);
     m_timer.expires_after(ReplicaTick);
     m_timer.async_wait([this](const boost::system::error_code &error) {
@@ -242,16 +242,24 @@
     }
     m_followed = config;
     m_links.maintain(knownReplicas(), m_file.linkPort);
-    ReplicaList list;
     std::string voters;
     for (const ReplicaMember &member : config.members) {
-        list.replicas.push_back(member.key.id);
         voters += (voters.empty() ? "" : ",") + replicaText(member.key.id) + (member.voter ? "" : "(learner)");
     }
-    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), list);
+    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), replicaList());
     LogLine(LogLevel::Info, "members-changed").with("members", voters).with("term", value(raft().term()));
 }
 
+ReplicaList ReplicaNode::replicaList() const
+{
+    ReplicaList list{{{m_self, m_file.dataCentreId(m_file.dataCentre)}}};
+    for (const ReplicaId replica : knownReplicas()) {
+        const auto at = m_dataCentres.find(replica);
+        list.replicas.push_back({replica, at != m_dataCentres.end() ? at->second : DataCentreId{0}});
+    }
+    return list;
+}
+
 // Asks to be taken in, as long as no leader speaks to this replica: its disk is new, or it was removed while
 // it was away.
 void ReplicaNode::rejoin(TimePoint now)
@@ -357,8 +365,9 @@
 void ReplicaNode::tellUnreachable(TimePoint now)
 {
     m_prober.turn(now);
-    const TargetsUnreachable found{m_prober.takeUnreachable()};
+    const TargetsUnreachable found{m_self, m_prober.takeUnreachable()};
     if (!found.keys.empty()) {
+        m_links.sendAll(m_links.dialled(), found);
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
         LogLine(LogLevel::Info, "targets-unreachable").with("targets", found.keys.size()).with("first", value(found.keys.front()));
     }
@@ -386,15 +395,19 @@
             m_driver->core().setDataCentre(peer.replica, peer.dataCentre);
         }
         LogLine(LogLevel::Info, "replica-link-up").with("replica", replicaText(peer.replica));
+        m_targets.greet(now, link);
     } else {
-        ReplicaList list{{m_self}};
-        for (const ReplicaId replica : knownReplicas()) {
-            list.replicas.push_back(replica);
-        }
-        m_links.send(link, list);
+        m_links.send(link, replicaList());
         m_links.send(link, RoutingOffer{document().table.version, confirmed(now)});
     }
-    m_targets.greet(now, link);
+}
+
+void ReplicaNode::onClosed(LinkHandle link, const NodeHello &peer)
+{
+    m_targets.unfollow(link);
+    if (peer.role == NodeRole::Replica) {
+        LogLine(LogLevel::Warning, "replica-link-lost").with("replica", replicaText(peer.replica));
+    }
 }
 
 void ReplicaNode::onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message)
@@ -402,9 +415,9 @@
     if (std::holds_alternative<RoutingRequest>(message)) {
         sendTable(link);
     } else if (const auto *unanswered = std::get_if<TargetsUnanswered>(&message)) {
-        m_targets.onUnanswered(*unanswered, [this](TargetKey key, Endpoint address) {
-            m_prober.reported(monotonicNow(), key, address);
-        });
+        onUnanswered(peer, *unanswered);
+    } else if (const auto *follow = std::get_if<FollowDirectory>(&message)) {
+        m_targets.follow(monotonicNow(), link, *follow);
     }
     if (peer.role != NodeRole::Replica) {
         return;
@@ -419,7 +432,20 @@
         m_targets.onReceipt(peer.replica, *receipt);
     } else if (std::holds_alternative<TargetsTold>(message)) {
         m_targets.onTold();
+    } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->finder == peer.replica) {
+        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), *gone);
+    }
+}
+
+// A balancer reports to one replica; the others are to probe as well, as several must agree.
+void ReplicaNode::onUnanswered(const NodeHello &peer, const TargetsUnanswered &list)
+{
+    if (peer.role == NodeRole::Balancer) {
+        m_links.sendAll(m_links.dialled(), list);
     }
+    m_targets.onUnanswered(list, [this](TargetKey key, Endpoint address) {
+        m_prober.reported(monotonicNow(), key, address);
+    });
 }
 
 // ---- Calls: targets ----
@@ -438,6 +464,18 @@
     });
 }
 
+std::optional<Endpoint> ReplicaNode::announceAt(const TargetRecord &record) const
+{
+    std::vector<ReplicaPlace> reachable{{m_self, m_file.dataCentreId(m_file.dataCentre)}};
+    for (const auto &[replica, dataCentre] : m_dataCentres) {
+        if (m_links.linkTo(replica) != 0) {
+            reachable.push_back({replica, dataCentre});
+        }
+    }
+    const std::optional<ReplicaId> replica = announcementReplica(record, reachable);
+    return replica ? std::optional(Endpoint{value(*replica), m_file.adminListen.port}) : std::nullopt;
+}
+
 // ---- Calls: the routing document ----
 
 void ReplicaNode::submit(const RoutingDocument &routing, Respond respond)
@@ -504,6 +542,7 @@
     text.gauge("robinrail_replica_commit", "Index of the last committed entry", m_driver ? static_cast<double>(value(raft().commitIndex())) : 0);
     text.gauge("robinrail_routing_version", "Version of the routing document in force", static_cast<double>(document().table.version));
     text.gauge("robinrail_targets_known", "Targets in the directory", static_cast<double>(m_targets.size()));
+    text.gauge("robinrail_followers", "Balancers that follow this replica's directory", static_cast<double>(m_targets.followers()));
     text.gauge("robinrail_balancer_links", "Balancers linked to this replica", static_cast<double>(m_links.acceptedFrom(NodeRole::Balancer).size()));
     text.counter("robinrail_announcements_total", "Announcements of targets", static_cast<double>(m_targets.announcements()));
     text.counter("robinrail_changes_total", "Routing documents proposed here", static_cast<double>(m_changes));
@@ -517,7 +556,7 @@
     }
     text.counter("robinrail_notes_not_written_total", "Times that the recovery notes could not be written", static_cast<double>(m_notes.failures()));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
-    text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
+    m_links.describe(text);
     return text.text();
 }
 
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -67,6 +67,10 @@
     // A linearizable read: when it is Done, document() is the newest.
     void read(Respond respond);
 
+    // Where this target should make its announcements from now on: one replica for each, so that it keeps one
+    // connection, in its own data centre if one there can be reached. Empty: wherever it likes.
+    std::optional<Endpoint> announceAt(const TargetRecord &record) const;
+
     const RoutingDocument &document() const;
     const SteeringFile &settings() const;
 
@@ -93,6 +97,9 @@
     void beat(TimePoint now);
     void followMembers();
     void offerRouting();
+    ReplicaList replicaList() const;
+    void onClosed(LinkHandle link, const NodeHello &peer);
+    void onUnanswered(const NodeHello &peer, const TargetsUnanswered &list);
     void tellUnreachable(TimePoint now);
     void sendTable(LinkHandle link);
     void logLeader();
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -27,6 +27,8 @@
     , m_steering(m_file.dataCentreId(m_file.dataCentre))
     , m_standstill(monotonicNow())
     , m_now(monotonicNow())
+    , m_choice(m_file.dataCentreId(m_file.dataCentre), m_file.packetListen.address)
+    , m_follower(m_steering.targets())
     , m_onLearnt([] {})
     , m_findings(m_file.borneLosses + 1)
     , m_sendResets([](std::span<const FlowReset>) {})
@@ -40,14 +42,14 @@
         .with("data-centre", m_file.dataCentre)
         .with("packets", toText(m_file.packetListen))
         .with("seeds", m_file.seeds.size());
-    dialReplicas();
+    knowReplicas();
     tick();
 }
 
 void SteeringNode::reload(const SteeringFile &file)
 {
     m_file.seeds = file.seeds;
-    dialReplicas();
+    knowReplicas();
     LogLine(LogLevel::Info, "settings-reloaded").with("seeds", m_file.seeds.size());
 }
 
@@ -71,7 +73,7 @@
 void SteeringNode::updateReadiness()
 {
     m_confirmed = m_confirmed || (m_confirmedVersion > 0 && m_confirmedVersion <= m_steering.version());
-    if (!m_informed && m_confirmed && m_told && m_steering.targets().size() > 0) {
+    if (!m_informed && m_confirmed && m_choice.source() && m_steering.targets().size() > 0) {
         m_informed = true;
         m_steering.setInformed();
         m_onLearnt();
@@ -87,6 +89,7 @@
 {
     m_now = monotonicNow();
     m_standstill.turn(m_now);
+    chooseReplicas();
     m_links.tick(m_now);
     m_steering.tick(m_now);
     reportUnanswered();
@@ -159,21 +162,56 @@
 
 // ---- Replicas ----
 
-// Dials the seeds, and whatever replicas those name.
-void SteeringNode::dialReplicas()
+// The seeds, and whatever replicas those name.
+void SteeringNode::knowReplicas()
 {
-    std::set<ReplicaId> wanted;
+    std::vector<ReplicaId> seeds;
     for (const Endpoint &seed : m_file.seeds) {
-        wanted.insert(ReplicaId{seed.address});
+        seeds.push_back(ReplicaId{seed.address});
     }
+    std::vector<ReplicaPlace> named;
     for (const auto &[replica, list] : m_lists) {
-        wanted.insert(list.begin(), list.end());
+        named.insert(named.end(), list.begin(), list.end());
+    }
+    m_choice.know(named, seeds);
+    chooseReplicas();
+}
+
+void SteeringNode::chooseReplicas()
+{
+    const std::optional<ReplicaId> source = m_choice.source();
+    const std::set<ReplicaId> before = m_choice.wanted();
+    m_choice.turn(monotonicNow());
+    if (m_choice.source() && m_choice.source() != source) {
+        m_steering.targets().setSource(*m_choice.source());
+        LogLine(LogLevel::Info, "replica-followed").with("replica", addressText({value(*m_choice.source()), 0}));
+    }
+    const std::set<ReplicaId> &wanted = m_choice.wanted();
+    if (wanted != before) {
+        m_links.maintain(wanted, m_file.linkPort);
+    }
+    for (const ReplicaId replica : before) {
+        if (!wanted.contains(replica)) {
+            m_follower.forget(replica);
+        }
+    }
+    followDirectories();
+}
+
+// Asks for directories on links on which that was not done yet.
+void SteeringNode::followDirectories()
+{
+    for (const ReplicaId replica : m_choice.followed()) {
+        const LinkHandle link = m_links.linkTo(replica);
+        if (link != 0 && std::exchange(m_following[replica], link) != link) {
+            m_links.send(link, m_follower.request(replica));
+        }
     }
-    m_links.maintain(wanted, m_file.linkPort);
 }
 
 void SteeringNode::onEstablished(LinkHandle /*link*/, const NodeHello &peer)
 {
+    m_choice.linked(monotonicNow(), peer.replica);
     LogLine(LogLevel::Info, "replica-link-up").with("replica", addressText({value(peer.replica), 0}));
 }
 
@@ -181,38 +219,55 @@
 {
     LogLine(LogLevel::Warning, "replica-link-lost").with("replica", addressText({value(peer.replica), 0})).with("ready", m_ready);
     m_offers.erase(link);
+    m_choice.lost(peer.replica);
+    m_follower.lost(peer.replica);
+    m_following.erase(peer.replica);
     const bool others = !m_links.dialled().empty();
-    m_steering.targets().forgetReplica(peer.replica, others);
     if (others && m_lists.erase(peer.replica) > 0) {
-        dialReplicas();
+        knowReplicas();
     }
 }
 
 void SteeringNode::onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message)
 {
-    if (const auto *news = std::get_if<TargetStatusList>(&message)) {
-        onNews(peer.replica, *news);
+    if (const auto *page = std::get_if<DirectoryPage>(&message)) {
+        onPage(link, peer.replica, *page);
     } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message)) {
-        onUnreachable(peer.replica, *gone);
-    } else if (std::holds_alternative<TargetsTold>(message)) {
-        m_told = true;
+        onUnreachable(*gone);
     } else if (const auto *list = std::get_if<ReplicaList>(&message)) {
         m_lists[peer.replica] = list->replicas;
-        dialReplicas();
+        knowReplicas();
     } else if (const auto *offer = std::get_if<RoutingOffer>(&message)) {
+        if (offer->confirmed) {
+            m_choice.confirmed(monotonicNow(), peer.replica);
+        }
         onOffer(link, *offer);
+        chooseReplicas();
     } else if (const auto *update = std::get_if<RoutingUpdate>(&message)) {
         onUpdate(*update);
     }
     updateReadiness();
 }
 
-void SteeringNode::onNews(ReplicaId replica, const TargetStatusList &list)
+void SteeringNode::onPage(LinkHandle link, ReplicaId replica, const DirectoryPage &page)
 {
-    for (const TargetStatus &news : list.news) {
-        m_steering.targets().take(monotonicNow(), replica, news);
+    switch (m_follower.take(monotonicNow(), replica, page)) {
+    case PageVerdict::Taken:
+        break;
+    case PageVerdict::Completed:
+        m_choice.completed(replica);
+        chooseReplicas();
+        break;
+    case PageVerdict::Gap:
+        LogLine(LogLevel::Warning, "directory-gap").with("replica", addressText({value(replica), 0})).with("after", page.after);
+        m_links.send(link, m_follower.request(replica));
+        return;
+    case PageVerdict::Malformed:
+        LogLine(LogLevel::Error, "directory-page-malformed").with("replica", addressText({value(replica), 0})).with("after", page.after);
+        return;
     }
-    if (!m_informed) {
+    // With part of a directory, all openings would go to the few targets of its first pages.
+    if (!m_informed && page.last) {
         m_onLearnt();
     }
 }
@@ -224,12 +279,12 @@
     m_sendResets = std::move(send);
 }
 
-void SteeringNode::onUnreachable(ReplicaId replica, const TargetsUnreachable &list)
+void SteeringNode::onUnreachable(const TargetsUnreachable &list)
 {
     const TimePoint now = monotonicNow();
     for (const TargetKey key : list.keys) {
-        if (m_findings.unreachable(now, replica, key) && m_steering.targets().takeForGone(now, key)) {
-            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", addressText({value(replica), 0}));
+        if (m_findings.unreachable(now, list.finder, key) && m_steering.targets().takeForGone(now, key)) {
+            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", addressText({value(list.finder), 0}));
         }
     }
     resetFlows();
@@ -238,8 +293,8 @@
 void SteeringNode::reportUnanswered()
 {
     const TargetsUnanswered unanswered{m_steering.takeUnanswered()};
-    if (!unanswered.keys.empty()) {
-        m_links.sendAll(m_links.dialled(), unanswered);
+    if (!unanswered.keys.empty() && m_choice.source()) {
+        m_links.send(m_links.linkTo(*m_choice.source()), unanswered);
     }
 }
 
@@ -352,7 +407,7 @@
     text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(m_heldTooLong));
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
-    text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_links.bytesSent()));
+    m_links.describe(text);
     return text.text();
 }
 
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -3,9 +3,11 @@
 // come through a PacketPort.
 #pragma once
 
+#include "directory_follower.h"
 #include "flow_steering.h"
 #include "log_budget.h"
 #include "node_links.h"
+#include "replica_choice.h"
 #include "settings.h"
 #include "standstill_watch.h"
 #include "target_probe.h"
@@ -78,15 +80,17 @@
     void onEstablished(LinkHandle link, const NodeHello &peer);
     void onMessage(LinkHandle link, const NodeHello &peer, const NodeMessage &message);
     void onClosed(LinkHandle link, const NodeHello &peer);
-    void onNews(ReplicaId replica, const TargetStatusList &list);
-    void onUnreachable(ReplicaId replica, const TargetsUnreachable &list);
+    void onPage(LinkHandle link, ReplicaId replica, const DirectoryPage &page);
+    void onUnreachable(const TargetsUnreachable &list);
     void reportUnanswered();
     void resetFlows();
     void logReset(TimePoint now, const FlowReset &reset);
     void onOffer(LinkHandle link, const RoutingOffer &offer);
     void onUpdate(const RoutingUpdate &update);
     void fetchIfBehind(TimePoint now);
-    void dialReplicas();
+    void knowReplicas();
+    void chooseReplicas();
+    void followDirectories();
     void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
     void updateReadiness();
 
@@ -96,14 +100,16 @@
     FlowSteering m_steering;
     StandstillWatch m_standstill;
     TimePoint m_now;
-    std::map<ReplicaId, std::vector<ReplicaId>> m_lists; // Replicas that each replica named.
+    std::map<ReplicaId, std::vector<ReplicaPlace>> m_lists; // Replicas that each replica named.
+    ReplicaChoice m_choice;
+    DirectoryFollower m_follower;
+    std::map<ReplicaId, LinkHandle> m_following; // The links on which replicas were asked for their directories.
     std::map<LinkHandle, std::uint64_t> m_offers; // Newest version that a link's replica has.
     TimePoint m_fetchDue;
     LinkHandle m_fetchedFrom = 0;
     bool m_fetching = false;
     std::uint64_t m_confirmedVersion = 0; // The newest one at some moment, as a replica with a quorum said.
     bool m_confirmed = false; // The table was the newest one once.
-    bool m_told = false; // A replica told all targets.
     bool m_informed = false;
     std::function<void()> m_onLearnt;
     ProbeFindings m_findings;
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -77,12 +77,31 @@
     }
 }
 
+void SteeringTargets::keepVouched(ReplicaId replica, const std::set<TargetKey> &told)
+{
+    for (auto &[key, target] : m_targets) {
+        if (!told.contains(key)) {
+            target.vouchers.erase(replica);
+        }
+    }
+}
+
+void SteeringTargets::setSource(ReplicaId replica)
+{
+    m_source = replica;
+}
+
+bool SteeringTargets::vouched(const SteeredTarget &target) const
+{
+    return m_source ? target.vouchers.contains(*m_source) : !target.vouchers.empty();
+}
+
 void SteeringTargets::tick(TimePoint now)
 {
     for (auto at = m_targets.begin(); at != m_targets.end();) {
         SteeredTarget &target = at->second;
         const bool left = target.record.phase == TargetPhase::Left;
-        const bool over = left ? now - target.leftAt >= RememberLeft : target.vouchers.empty() && now - target.alive >= ForgetSilent;
+        const bool over = left ? now - target.leftAt >= RememberLeft : !vouched(target) && now - target.alive >= ForgetSilent;
         if (over && target.flows == 0) {
             remove(target);
             at = m_targets.erase(at);
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -9,6 +9,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 
@@ -22,7 +23,7 @@
 struct SteeredTarget {
     TargetRecord record;
     FlowToken token{};
-    std::set<ReplicaId> vouchers; // Replicas that say that it is alive; none: it is silent.
+    std::set<ReplicaId> vouchers; // Replicas that say that it is alive.
     TimePoint warmAt; // Slow before this.
     TimePoint suspectUntil;
     Duration suspicion{}; // The last one's length; 0 after a sign of life.
@@ -48,6 +49,15 @@
     // A replica can't be heard any more; it vouches for nobody. Without any other replica the view is kept.
     void forgetReplica(ReplicaId replica, bool others);
 
+    // All that this replica knows has been told; it vouches for these targets and no others.
+    void keepVouched(ReplicaId replica, const std::set<TargetKey> &told);
+
+    // From now on only this replica's word on who is alive holds.
+    void setSource(ReplicaId replica);
+
+    // Whether a target is said to be alive: by the source, or by any replica as long as there is none.
+    bool vouched(const SteeredTarget &target) const;
+
     // Leaves out targets that left or were silent for longer than flows live.
     void tick(TimePoint now);
 
@@ -78,6 +88,7 @@
     void remove(SteeredTarget &target);
 
     std::map<TargetKey, SteeredTarget> m_targets;
+    std::optional<ReplicaId> m_source;
     std::vector<TargetKey> m_flowsOver; // Targets that were taken for gone, until their flows are reset.
     boost::unordered_flat_map<std::uint32_t, SteeredTarget *> m_tokens;
     std::map<std::string, std::vector<SteeredTarget *>> m_services;
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -156,6 +156,7 @@
             return false;
         }
         unindex(each.second.record);
+        m_forgotten.push_back(each.first);
         return true;
     });
     return fallen;
@@ -166,6 +167,17 @@
     return std::exchange(m_heardHere, {});
 }
 
+std::vector<TargetKey> TargetDirectory::takeForgotten()
+{
+    return std::exchange(m_forgotten, {});
+}
+
+std::optional<TargetStatus> TargetDirectory::status(TimePoint now, TargetKey key) const
+{
+    const auto found = m_entries.find(key);
+    return found != m_entries.end() ? std::optional(newsOf(found->second, now)) : std::nullopt;
+}
+
 std::vector<TargetStatus> TargetDirectory::all(TimePoint now) const
 {
     std::vector<TargetStatus> list;
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -48,7 +48,11 @@
     // The targets that announced themselves here since the last call.
     std::vector<TargetKey> takeHeardHere();
 
+    // The targets that were forgotten since the last call.
+    std::vector<TargetKey> takeForgotten();
+
     std::vector<TargetStatus> all(TimePoint now) const;
+    std::optional<TargetStatus> status(TimePoint now, TargetKey key) const;
     const TargetRecord *find(TargetKey key) const;
     std::size_t size() const;
 
@@ -70,6 +74,7 @@
     std::map<TargetKey, Entry> m_entries;
     std::multimap<Endpoint, TargetKey> m_addresses; // Of all entries.
     std::vector<TargetKey> m_heardHere;
+    std::vector<TargetKey> m_forgotten;
 };
 
 } // namespace Robinrail
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -6,15 +6,28 @@
 #include "net.h"
 #include "settings.h"
 
+#include <random>
 #include <utility>
 
 namespace Robinrail {
 
+namespace {
+
+// Any number but 0, that no other process has.
+std::uint64_t newLife()
+{
+    std::random_device random;
+    return (std::uint64_t{random()} << 32U | random()) | 1U;
+}
+
+} // namespace
+
 TargetExchange::TargetExchange(NodeLinks &links, TimePoint now, Duration announceInterval, std::size_t borneLosses)
     : m_links(links)
     , m_announceInterval(announceInterval)
     , m_borneLosses(borneLosses)
     , m_directory(announceInterval, announceInterval * MissedAnnouncements + AnnouncementSlack)
+    , m_publisher(m_directory, newLife())
     , m_drains(borneLosses)
     , m_started(now)
 {
@@ -74,10 +87,9 @@
 
 void TargetExchange::spread(const TargetStatus &news)
 {
-    const TargetStatusList list{{news}};
     m_changed = true;
-    m_links.sendAll(m_links.dialled(), list);
-    tellBalancers(list);
+    m_links.sendAll(m_links.dialled(), TargetStatusList{{news}});
+    tellFollowers({&news, 1});
     if (const auto leftOut = m_newsLog.take(monotonicNow())) {
         LogLine(LogLevel::Info, "target-changed")
             .with("target", value(news.record.key))
@@ -91,30 +103,22 @@
 
 void TargetExchange::onNews(LinkHandle link, const TargetStatusList &list)
 {
-    TargetStatusList changed;
+    std::vector<TargetStatus> changed;
     for (const TargetStatus &news : list.news) {
         if (std::optional<TargetStatus> taken = m_directory.take(monotonicNow(), news)) {
-            changed.news.push_back(std::move(*taken));
+            changed.push_back(std::move(*taken));
         }
         if (news.record.phase != TargetPhase::Serving) {
             m_links.send(link, TargetReceipt{news.record.key, news.record.phase});
         }
     }
-    m_changed = m_changed || !changed.news.empty();
-    tellBalancers(changed);
-}
-
-void TargetExchange::tellBalancers(const TargetStatusList &list)
-{
-    if (!list.news.empty()) {
-        m_greeting.clear();
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), list);
-    }
+    m_changed = m_changed || !changed.empty();
+    tellFollowers(changed);
 }
 
 void TargetExchange::onHeard(const TargetsHeard &heard)
 {
-    tellBalancers({m_directory.heard(monotonicNow(), heard.keys)});
+    tellFollowers(m_directory.heard(monotonicNow(), heard.keys));
 }
 
 void TargetExchange::onReceipt(ReplicaId from, const TargetReceipt &receipt)
@@ -127,6 +131,36 @@
     m_toldByOther = true;
 }
 
+// ---- Followers ----
+
+void TargetExchange::tellFollowers(std::span<const TargetStatus> changed)
+{
+    for (const TargetStatus &status : changed) {
+        m_publisher.changed(status.record.key);
+    }
+}
+
+void TargetExchange::follow(TimePoint now, LinkHandle link, const FollowDirectory &request)
+{
+    if (!m_publisher.follow(link, request)) {
+        LogLine(LogLevel::Info, "directory-told-anew").with("life", request.life).with("after", request.after);
+    }
+    m_publisher.publishTo(now, informed(now), link, m_links);
+}
+
+void TargetExchange::unfollow(LinkHandle link)
+{
+    m_publisher.unfollow(link);
+}
+
+void TargetExchange::publish(TimePoint now)
+{
+    if (now >= m_publishDue) {
+        m_publishDue = now + PublishInterval;
+        m_publisher.publish(now, informed(now), m_links);
+    }
+}
+
 // ---- Whom to tell when ----
 
 void TargetExchange::restore(TimePoint now, std::span<const TargetStatus> targets)
@@ -135,41 +169,29 @@
     for (const TargetStatus &status : targets) {
         m_directory.take(now, {status.record, false, Duration{0}, status.known});
     }
+    tellFollowers(targets);
 }
 
 void TargetExchange::greet(TimePoint now, LinkHandle link)
 {
-    makeGreeting(now);
-    m_links.sendEncoded(link, m_greeting);
+    m_links.send(link, TargetStatusList{m_directory.all(now)});
     if (informed(now)) {
         m_links.send(link, TargetsTold{});
     }
 }
 
-// A change since then makes it stale at once: whoever links up after the change was told must not miss it.
-void TargetExchange::makeGreeting(TimePoint now)
-{
-    if (m_greeting.empty() || now - m_greetingMade >= GreetingLifetime) {
-        m_greeting = encodeMessage(NodeMessage(TargetStatusList{m_directory.all(now)}));
-        m_greetingMade = now;
-    }
-}
-
 void TargetExchange::beat(TimePoint now)
 {
     TargetsHeard heard{m_directory.takeHeardHere()};
     if (!heard.keys.empty()) {
         m_links.sendAll(m_links.dialled(), heard);
     }
-    const TargetStatusList silent{m_directory.tick(now)};
-    for (const TargetStatus &news : silent.news) {
+    const std::vector<TargetStatus> silent = m_directory.tick(now);
+    for (const TargetStatus &news : silent) {
         logSilent(now, news);
     }
-    tellBalancers(silent);
-    if (!m_toldBalancers && informed(now)) {
-        m_toldBalancers = true;
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), TargetsTold{});
-    }
+    tellFollowers(silent);
+    m_publisher.forget(m_directory.takeForgotten());
 }
 
 void TargetExchange::logSilent(TimePoint now, const TargetStatus &news)
@@ -205,6 +227,11 @@
     return m_directory.size();
 }
 
+std::size_t TargetExchange::followers() const
+{
+    return m_publisher.followers();
+}
+
 std::uint64_t TargetExchange::announcements() const
 {
     return m_announcements;
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -3,11 +3,11 @@
 // other replicas and to the balancers, and confirms drains once enough replicas know.
 #pragma once
 
+#include "directory_publisher.h"
 #include "drain_confirmations.h"
 #include "log_budget.h"
 #include "metrics.h"
 #include "node_links.h"
-#include "target_directory.h"
 
 namespace Robinrail {
 
@@ -16,9 +16,9 @@
 inline constexpr int MissedAnnouncements = 2;
 inline constexpr Duration AnnouncementSlack = std::chrono::milliseconds(1200);
 
-// A list of all targets that was made for a peer is good for others that come within this time: after a loss
-// of power some hundreds do. What changes meanwhile is told to those who are linked already.
-inline constexpr Duration GreetingLifetime = std::chrono::milliseconds(100);
+// Followers are told of changes this often. Callers lose 200 ms at a target that has fallen silent and nothing at one that
+// drains, which serves for seconds more; at 150 changes a second a batch saves six messages of seven.
+inline constexpr Duration PublishInterval = std::chrono::milliseconds(50);
 
 class TargetExchange
 {
@@ -45,6 +45,13 @@
         }
     }
 
+    // A balancer follows this replica's directory; its link is gone.
+    void follow(TimePoint now, LinkHandle link, const FollowDirectory &request);
+    void unfollow(LinkHandle link);
+
+    // Tells followers what changed, if that is due. Call it at each tick.
+    void publish(TimePoint now);
+
     // What another replica says over its link.
     void onNews(LinkHandle link, const TargetStatusList &list);
     void onHeard(const TargetsHeard &heard);
@@ -54,13 +61,13 @@
     // Takes the targets that were known before a restart; they are heard as of now.
     void restore(TimePoint now, std::span<const TargetStatus> targets);
 
-    // Tells a peer whose link has just come up all that is known.
+    // Tells a replica whose link has just come up all that is known.
     void greet(TimePoint now, LinkHandle link);
 
     // Gives up on drains that waited too long. Call it at each tick.
     void expireDrains(TimePoint now);
 
-    // Tells the others whom this replica heard, and balancers who fell silent. Call it once in a while.
+    // Tells the others whom this replica heard, and finds who fell silent. Call it once in a while.
     void beat(TimePoint now);
 
     // All targets; whether anything changed since the last call.
@@ -68,6 +75,7 @@
     bool takeChanged();
 
     std::size_t size() const;
+    std::size_t followers() const;
     std::uint64_t announcements() const;
     std::uint64_t drainsUnanswered() const;
 
@@ -76,24 +84,22 @@
 
 private:
     void spread(const TargetStatus &news);
-    void tellBalancers(const TargetStatusList &list);
+    void tellFollowers(std::span<const TargetStatus> changed);
     void confirm(const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
-    void makeGreeting(TimePoint now);
     void logSilent(TimePoint now, const TargetStatus &news);
 
     NodeLinks &m_links;
     Duration m_announceInterval;
     std::size_t m_borneLosses;
     TargetDirectory m_directory;
+    DirectoryPublisher m_publisher;
+    TimePoint m_publishDue;
     DrainConfirmations m_drains;
     TimePoint m_started;
     bool m_restored = false; // Targets were known from before the restart.
     bool m_toldByOther = false;
-    bool m_toldBalancers = false;
     bool m_changed = false;
-    Bytes m_greeting; // All targets, encoded, as of m_greetingMade.
-    TimePoint m_greetingMade;
     LogBudget m_newsLog;
     LogBudget m_silentLog;
     std::uint64_t m_announcements = 0;
--- a/src/websocket_hub.cpp
+++ b/src/websocket_hub.cpp
@@ -191,6 +191,21 @@
     }
 }
 
+std::size_t WebsocketHub::buffered(LinkHandle link) const
+{
+    const auto at = m_private->links.find(link);
+    if (at == m_private->links.end()) {
+        return 0;
+    }
+    websocketpp::lib::error_code error;
+    if (at->second.accepted) {
+        const auto connection = m_private->server.get_con_from_hdl(at->second.weak, error);
+        return error ? 0 : connection->get_buffered_amount();
+    }
+    const auto connection = m_private->client.get_con_from_hdl(at->second.weak, error);
+    return error ? 0 : connection->get_buffered_amount();
+}
+
 std::uint64_t WebsocketHub::bytesSent() const
 {
     return m_private->sent;
--- a/src/websocket_hub.h
+++ b/src/websocket_hub.h
@@ -42,6 +42,9 @@
     void send(LinkHandle link, const std::vector<std::uint8_t> &message);
     void close(LinkHandle link);
 
+    // Bytes that were sent on a link and wait to be written.
+    std::size_t buffered(LinkHandle link) const;
+
     // Bytes sent so far, headers left out.
     std::uint64_t bytesSent() const;
 
--- /dev/null
+++ b/tests/test_directory.cpp
@@ -0,0 +1,636 @@
+// SPDX-License-Identifier: MIT
+// Directory: what balancers learn of a replica's directory in pages, and which replica they follow.
+#include "announcement_choice.h"
+#include "directory_follower.h"
+#include "directory_publisher.h"
+#include "replica_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+using namespace Robinrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr ReplicaId Near{21};
+constexpr ReplicaId Far{22};
+constexpr ReplicaId Farther{23};
+constexpr DataCentreId Home{1};
+constexpr DataCentreId Elsewhere{2};
+constexpr std::uint64_t Life = 77;
+constexpr FollowerId OnlyFollower = 5;
+const TimePoint Start(std::chrono::hours(1));
+
+TargetRecord targetOf(std::uint64_t key, std::uint64_t sequence = 1)
+{
+    TargetRecord record;
+    record.key = TargetKey{key};
+    record.service = key % 2 == 0 ? "quotes" : "decks";
+    record.address = {0x0a000000U + static_cast<std::uint32_t>(key), 8080};
+    record.dataCentre = Home;
+    record.slots = 2;
+    record.sequence = sequence;
+    return record;
+}
+
+// Links whose messages wait until somebody takes them.
+struct WaitingLinks {
+    std::map<FollowerId, std::deque<Bytes>> queues;
+    std::uint64_t bytes = 0;
+
+    std::size_t buffered(FollowerId follower)
+    {
+        std::size_t waiting = 0;
+        for (const Bytes &message : queues[follower]) {
+            waiting += message.size();
+        }
+        return waiting;
+    }
+
+    void sendEncoded(FollowerId follower, const Bytes &message)
+    {
+        bytes += message.size();
+        queues[follower].push_back(message);
+    }
+
+    std::optional<DirectoryPage> take(FollowerId follower)
+    {
+        if (queues[follower].empty()) {
+            return std::nullopt;
+        }
+        const std::optional<NodeMessage> message = decodeMessage<NodeMessage>(queues[follower].front());
+        queues[follower].pop_front();
+        REQUIRE(message);
+        return std::get<DirectoryPage>(*message);
+    }
+};
+
+// A replica's directory with its publisher.
+struct Replica {
+    explicit Replica(std::uint64_t life = Life)
+        : publisher(directory, life)
+    {
+    }
+
+    void announce(TimePoint now, const TargetRecord &record)
+    {
+        for (const TargetStatus &news : directory.announce(now, record)) {
+            publisher.changed(news.record.key);
+        }
+    }
+
+    void tick(TimePoint now)
+    {
+        for (const TargetStatus &news : directory.tick(now)) {
+            publisher.changed(news.record.key);
+        }
+        publisher.forget(directory.takeForgotten());
+    }
+
+    TargetDirectory directory{seconds(1), seconds(3)};
+    DirectoryPublisher publisher;
+};
+
+// A balancer's side of one replica's directory.
+struct Balancer {
+    PageVerdict take(TimePoint now, const DirectoryPage &page, ReplicaId replica = Near)
+    {
+        return follower.take(now, replica, page);
+    }
+
+    // Takes all that waits; the last verdict.
+    PageVerdict drain(TimePoint now, WaitingLinks &links, FollowerId id = OnlyFollower, ReplicaId replica = Near)
+    {
+        PageVerdict verdict = PageVerdict::Taken;
+        while (const std::optional<DirectoryPage> page = links.take(id)) {
+            verdict = take(now, *page, replica);
+        }
+        return verdict;
+    }
+
+    const SteeredTarget *find(std::uint64_t key)
+    {
+        return targets.find(SteeringTargets::tokenOf(TargetKey{key}));
+    }
+
+    bool vouched(std::uint64_t key)
+    {
+        const SteeredTarget *target = find(key);
+        return target != nullptr && targets.vouched(*target);
+    }
+
+    SteeringTargets targets;
+    DirectoryFollower follower{targets};
+};
+
+// What a balancer must hold of a directory: each target's phase, and whether it is alive.
+void checkAlike(Balancer &balancer, const TargetDirectory &directory, TimePoint now)
+{
+    for (const TargetStatus &status : directory.all(now)) {
+        const SteeredTarget *target = balancer.find(value(status.record.key));
+        REQUIRE(target != nullptr);
+        CHECK(target->record.phase == status.record.phase);
+        CHECK(target->record.service == status.record.service);
+        CHECK(target->record.address == status.record.address);
+        CHECK(balancer.targets.vouched(*target) == !status.silent);
+    }
+}
+
+std::vector<ReplicaPlace> threePlaces()
+{
+    return {{Far, Elsewhere}, {Near, Home}, {Farther, Elsewhere}};
+}
+
+// A choice whose clock runs in steps of 50 ms and whose sound replicas say so each 500 ms.
+struct Chooser {
+    explicit Chooser(std::uint64_t self = 7)
+        : choice(Home, self)
+    {
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = now + time;
+        for (; now < end; now += milliseconds(50)) {
+            for (const ReplicaId replica : sound) {
+                choice.confirmed(now, replica);
+            }
+            choice.turn(now);
+        }
+    }
+
+    void linkUp(ReplicaId replica)
+    {
+        choice.linked(now, replica);
+        sound.insert(replica);
+    }
+
+    void lose(ReplicaId replica)
+    {
+        sound.erase(replica);
+        choice.lost(replica);
+    }
+
+    ReplicaChoice choice;
+    TimePoint now = Start;
+    std::set<ReplicaId> sound;
+};
+
+} // namespace
+
+TEST_CASE("a log holds each target once, and tells what changed after any number")
+{
+    DirectoryLog log(Life);
+    for (int round = 0; round < 50; ++round) {
+        log.changed(TargetKey{1});
+        log.changed(TargetKey{2});
+    }
+    log.changed(TargetKey{3});
+    CHECK(log.newest() == 101);
+    CHECK(log.after(0, 10).keys == std::vector<TargetKey>{TargetKey{1}, TargetKey{2}, TargetKey{3}});
+    CHECK(log.after(100, 10).keys == std::vector<TargetKey>{TargetKey{3}});
+    const DirectoryLogSlice first = log.after(0, 2);
+    CHECK(first.keys.size() == 2);
+    CHECK(log.after(first.upTo, 2).keys == std::vector<TargetKey>{TargetKey{3}});
+    CHECK(log.after(101, 10).upTo == 101);
+}
+
+TEST_CASE("a log goes on only where it can tell all that was missed")
+{
+    DirectoryLog log(Life);
+    log.changed(TargetKey{1});
+    log.changed(TargetKey{2});
+    log.changed(TargetKey{3});
+    CHECK(log.resume(Life, 2) == 2);
+    CHECK(log.resume(Life, 3) == 3);
+    CHECK(log.resume(Life, 4) == 0); // From the future.
+    CHECK(log.resume(Life + 1, 2) == 0); // From another life.
+    log.forget(TargetKey{2});
+    CHECK(log.resume(Life, 1) == 0); // It would never hear what became of the second one.
+    CHECK(log.resume(Life, 2) == 2);
+    log.forget(TargetKey{9});
+    CHECK(log.resume(Life, 2) == 2);
+}
+
+TEST_CASE("a follower that is slow gets each target once, in pages that leave room on its link")
+{
+    constexpr std::uint64_t Targets = 3000;
+    Replica replica;
+    for (std::uint64_t key = 1; key <= Targets; ++key) {
+        replica.announce(Start, targetOf(key));
+    }
+    WaitingLinks links;
+    replica.publisher.follow(OnlyFollower, {});
+    // Its link takes nothing for a while, in which everything changes ten times.
+    for (std::uint64_t round = 2; round < 12; ++round) {
+        for (std::uint64_t key = 1; key <= Targets; ++key) {
+            TargetRecord record = targetOf(key, round);
+            record.slots = static_cast<std::uint32_t>(round);
+            replica.announce(Start, record);
+        }
+        replica.publisher.publish(Start, true, links);
+        CHECK(links.buffered(OnlyFollower) < MostBuffered + 8192);
+    }
+    Balancer balancer;
+    PageVerdict verdict = PageVerdict::Taken;
+    TimePoint now = Start;
+    while (verdict != PageVerdict::Completed) {
+        now += milliseconds(50);
+        verdict = balancer.drain(now, links);
+        replica.publisher.publish(now, true, links);
+    }
+    checkAlike(balancer, replica.directory, now);
+    // Less than 40 bytes a target, as a link of 2 Mbit/s must take the whole in half a second.
+    CHECK(links.bytes < 40 * Targets);
+}
+
+TEST_CASE("a follower whose link stands still while a target ends and is forgotten is told all once more")
+{
+    Replica replica;
+    WaitingLinks links;
+    Balancer balancer;
+    for (std::uint64_t key = 1; key <= 3; ++key) {
+        replica.announce(Start, targetOf(key));
+    }
+    replica.publisher.follow(OnlyFollower, {});
+    replica.publisher.publish(Start, true, links);
+    balancer.drain(Start, links);
+    links.queues[OnlyFollower].push_back(Bytes(MostBuffered));
+    TargetRecord left = targetOf(2, 2);
+    left.phase = TargetPhase::Left;
+    replica.announce(Start + seconds(1), left);
+    replica.publisher.publish(Start + seconds(1), true, links);
+    const TimePoint late = Start + seconds(1) + RememberLeft;
+    replica.tick(late);
+    links.queues[OnlyFollower].clear();
+    replica.publisher.publish(late, true, links);
+    CHECK(balancer.drain(late, links) == PageVerdict::Completed);
+    CHECK_FALSE(balancer.vouched(2));
+}
+
+TEST_CASE("pages are encoded once for all who start at the same moment")
+{
+    Replica replica;
+    for (std::uint64_t key = 1; key <= 1000; ++key) {
+        replica.announce(Start, targetOf(key));
+    }
+    WaitingLinks links;
+    for (FollowerId follower = 1; follower <= 60; ++follower) {
+        replica.publisher.follow(follower, {});
+    }
+    replica.publisher.publish(Start, true, links);
+    CHECK(links.queues[1] == links.queues[60]);
+    replica.publisher.unfollow(60);
+    CHECK(replica.publisher.followers() == 59);
+}
+
+TEST_CASE("whoever was away gets the difference from the same life, and all of it from another one")
+{
+    Replica replica;
+    for (std::uint64_t key = 1; key <= 500; ++key) {
+        replica.announce(Start, targetOf(key));
+    }
+    WaitingLinks links;
+    Balancer balancer;
+    replica.publisher.follow(OnlyFollower, balancer.follower.request(Near));
+    replica.publisher.publish(Start, true, links);
+    CHECK(balancer.drain(Start, links) == PageVerdict::Completed);
+    balancer.follower.lost(Near);
+    TargetRecord drained = targetOf(7, 2);
+    drained.phase = TargetPhase::Draining;
+    replica.announce(Start + seconds(1), drained);
+    // The difference is one target.
+    links.bytes = 0;
+    CHECK(replica.publisher.follow(6, balancer.follower.request(Near)));
+    replica.publisher.publish(Start + seconds(1), true, links);
+    CHECK(balancer.drain(Start + seconds(1), links, 6) == PageVerdict::Completed);
+    CHECK(links.bytes < 100);
+    checkAlike(balancer, replica.directory, Start + seconds(1));
+    // The replica lost its disk and its memory; only one target has come back to it.
+    Replica restarted(Life + 1);
+    restarted.announce(Start + seconds(2), targetOf(8, 3));
+    CHECK_FALSE(restarted.publisher.follow(8, balancer.follower.request(Near)));
+    restarted.publisher.publish(Start + seconds(2), true, links);
+    CHECK(balancer.drain(Start + seconds(2), links, 8) == PageVerdict::Completed);
+    CHECK(balancer.vouched(8));
+    CHECK_FALSE(balancer.vouched(9));
+    // What it does not know it does not undo, either.
+    CHECK(balancer.find(7)->record.phase == TargetPhase::Draining);
+}
+
+TEST_CASE("a list that was broken off begins anew")
+{
+    Replica replica;
+    for (std::uint64_t key = 1; key <= 1000; ++key) {
+        replica.announce(Start, targetOf(key));
+    }
+    WaitingLinks links;
+    Balancer balancer;
+    replica.publisher.follow(OnlyFollower, {});
+    replica.publisher.publish(Start, true, links);
+    balancer.take(Start, *links.take(OnlyFollower));
+    CHECK(balancer.follower.request(Near).life == 0);
+    balancer.follower.lost(Near);
+    CHECK(balancer.follower.request(Near).life == 0);
+}
+
+TEST_CASE("a page that does not follow, or contradicts itself, is told from a sound one")
+{
+    Balancer balancer;
+    DirectoryPage page{Life, 0, 4, true, false, {"quotes"}, {}};
+    CHECK(balancer.take(Start, page) == PageVerdict::Taken);
+    page.after = 4;
+    page.upTo = 6;
+    page.informed = true;
+    CHECK(balancer.take(Start, page) == PageVerdict::Completed);
+    CHECK(balancer.take(Start, page) == PageVerdict::Gap);
+    CHECK(balancer.follower.request(Near).life == 0);
+    page.after = 0;
+    CHECK(balancer.take(Start, page) == PageVerdict::Completed);
+    page.after = 6;
+    page.life = Life + 1;
+    CHECK(balancer.take(Start, page) == PageVerdict::Gap);
+    page.upTo = 3;
+    CHECK(balancer.take(Start, page) == PageVerdict::Malformed);
+    page = {Life, 0, 4, true, true, {"quotes"}, {ListedTarget{}}};
+    page.targets[0].service = 1;
+    CHECK(balancer.take(Start, page) == PageVerdict::Malformed);
+    page.life = 0;
+    CHECK(balancer.take(Start, page) == PageVerdict::Malformed);
+}
+
+TEST_CASE("an older list of another replica undoes no drain, and its word on who lives waits until it is the source")
+{
+    Balancer balancer;
+    Replica current;
+    Replica stale(Life + 1);
+    WaitingLinks links;
+    for (std::uint64_t key = 1; key <= 10; ++key) {
+        stale.announce(Start, targetOf(key));
+        current.announce(Start, targetOf(key));
+    }
+    TargetRecord drained = targetOf(3, 5);
+    drained.phase = TargetPhase::Draining;
+    current.announce(Start, drained);
+    current.publisher.follow(OnlyFollower, {});
+    current.publisher.publish(Start, true, links);
+    balancer.drain(Start, links);
+    balancer.targets.setSource(Near);
+    // All of the other one's targets are silent by now.
+    stale.tick(Start + seconds(9));
+    stale.publisher.follow(6, {});
+    stale.publisher.publish(Start + seconds(9), true, links);
+    balancer.drain(Start + seconds(9), links, 6, Far);
+    CHECK(balancer.find(3)->record.phase == TargetPhase::Draining);
+    CHECK(balancer.vouched(4));
+    balancer.targets.setSource(Far);
+    CHECK_FALSE(balancer.vouched(4));
+    balancer.follower.forget(Near);
+    CHECK(balancer.follower.request(Near).life == 0);
+}
+
+TEST_CASE("through loss of links, restarts, forgetting and slow links a follower ends alike with its directory")
+{
+    constexpr int Runs = 60;
+    constexpr int Steps = 400;
+    constexpr std::uint64_t Places = 300;
+    for (int run = 0; run < Runs; ++run) {
+        std::mt19937 random(static_cast<std::uint32_t>(run));
+        const auto lot = [&random](std::uint64_t below) {
+            return std::uniform_int_distribution<std::uint64_t>(0, below - 1)(random);
+        };
+        std::uint64_t life = Life;
+        auto replica = std::make_unique<Replica>(life);
+        Balancer balancer;
+        balancer.targets.setSource(Near);
+        WaitingLinks links;
+        FollowerId link = 1;
+        TimePoint now = Start;
+        std::uint64_t sequence = 1;
+        std::array<TargetPhase, Places> phases{};
+        std::array<std::uint64_t, Places> lifetimes{};
+        const auto connect = [&] {
+            replica->publisher.unfollow(link);
+            links.queues.erase(link);
+            balancer.follower.lost(Near);
+            replica->publisher.follow(++link, balancer.follower.request(Near));
+        };
+        connect();
+        for (int step = 0; step < Steps; ++step) {
+            now += milliseconds(50 + lot(200));
+            // A target drains, ends, and then another lifetime takes its place.
+            const std::uint64_t place = lot(Places);
+            TargetRecord record = targetOf(1 + place + Places * lifetimes[place], ++sequence);
+            phases[place] = static_cast<TargetPhase>(std::max<std::uint64_t>(value(phases[place]), lot(20) == 0 ? 1 + lot(2) : 0));
+            record.phase = phases[place];
+            replica->announce(now, record);
+            if (record.phase == TargetPhase::Left) {
+                phases[place] = TargetPhase::Serving;
+                ++lifetimes[place];
+            }
+            replica->tick(now);
+            if (lot(30) == 0) {
+                connect();
+            }
+            if (lot(100) == 0) {
+                replica = std::make_unique<Replica>(++life);
+                connect();
+            }
+            if (lot(60) == 0) {
+                now += RememberLeft; // All that left is forgotten, and what is silent soon.
+            }
+            replica->publisher.publish(now, lot(10) != 0, links);
+            for (std::uint64_t i = lot(3); i > 0; --i) {
+                if (const std::optional<DirectoryPage> page = links.take(link)) {
+                    REQUIRE(balancer.take(now, *page) <= PageVerdict::Completed);
+                }
+            }
+        }
+        // The links are well again; three rounds carry more than the whole directory.
+        for (int round = 0; round < 3; ++round) {
+            now += PageLifetime;
+            replica->publisher.publish(now, true, links);
+            balancer.drain(now, links, link);
+        }
+        checkAlike(balancer, replica->directory, now);
+        for (std::uint64_t place = 0; place < Places; ++place) {
+            for (std::uint64_t lifetime = 0; lifetime <= lifetimes[place]; ++lifetime) {
+                const std::uint64_t key = 1 + place + Places * lifetime;
+                const bool known = replica->directory.status(now, TargetKey{key}).has_value();
+                const SteeredTarget *target = balancer.find(key);
+                const bool gone = target == nullptr || target->record.phase == TargetPhase::Left || !balancer.vouched(key);
+                CHECK((known || gone));
+            }
+        }
+    }
+}
+
+// ---- Which replica ----
+
+TEST_CASE("a balancer ends with one link, to the replica of its data centre, whichever seed it met first")
+{
+    for (std::uint64_t self = 1; self <= 50; ++self) {
+        Chooser chooser(self);
+        const std::vector<ReplicaId> seeds = {Far, Farther};
+        chooser.choice.know({}, seeds);
+        chooser.choice.turn(chooser.now);
+        REQUIRE(chooser.choice.wanted().size() == 1);
+        const ReplicaId first = *chooser.choice.wanted().begin();
+        chooser.linkUp(first);
+        chooser.choice.know(threePlaces(), seeds);
+        chooser.choice.turn(chooser.now);
+        CHECK(chooser.choice.wanted() == std::set<ReplicaId>{first, Near});
+        CHECK(chooser.choice.followed().empty());
+        chooser.run(milliseconds(20));
+        chooser.linkUp(Near);
+        chooser.run(milliseconds(50));
+        CHECK(chooser.choice.followed() == std::vector<ReplicaId>{Near});
+        chooser.choice.completed(Near);
+        chooser.run(milliseconds(50));
+        CHECK(chooser.choice.source() == Near);
+        CHECK(chooser.choice.wanted() == std::set<ReplicaId>{Near});
+    }
+}
+
+TEST_CASE("balancers that start while all is dark try one more replica each 50 ms and follow the first that is up")
+{
+    Chooser chooser;
+    const std::vector<ReplicaId> seeds = {Near, Far, Farther};
+    chooser.choice.know({}, seeds);
+    chooser.run(milliseconds(50));
+    CHECK(chooser.choice.wanted().size() == 1);
+    chooser.run(milliseconds(100));
+    CHECK(chooser.choice.wanted().size() == 3);
+    // Up, and without a quorum yet.
+    chooser.choice.linked(chooser.now, Farther);
+    chooser.run(FirstChoicePatience + milliseconds(50));
+    CHECK(chooser.choice.followed() == std::vector<ReplicaId>{Farther});
+    chooser.choice.completed(Farther);
+    chooser.run(milliseconds(50));
+    CHECK(chooser.choice.source() == Farther);
+}
+
+TEST_CASE("a balancer leaves a replica that lost its quorum, and keeps its view until another has told all")
+{
+    Chooser chooser;
+    chooser.choice.know(threePlaces(), {});
+    chooser.linkUp(Near);
+    chooser.choice.completed(Near);
+    chooser.run(milliseconds(500));
+    REQUIRE(chooser.choice.source() == Near);
+    // Cut off from the other replicas, it still speaks to this balancer.
+    chooser.sound.erase(Near);
+    chooser.run(SoundFor + SourceGrace + milliseconds(200));
+    CHECK(chooser.choice.wanted().size() >= 2);
+    chooser.linkUp(Far);
+    chooser.run(milliseconds(100));
+    CHECK(chooser.choice.source() == Near);
+    CHECK(chooser.choice.followed() == std::vector<ReplicaId>{Near, Far});
+    chooser.choice.completed(Far);
+    chooser.run(milliseconds(100));
+    CHECK(chooser.choice.source() == Far);
+    // The whole takes less than the shortest time in which a drain must be in force, 3 s, with a list of 1 s.
+    CHECK(chooser.now - Start < seconds(1) + milliseconds(1500) + SoundFor);
+    CHECK(chooser.choice.wanted().contains(Near));
+    CHECK(chooser.choice.wanted().contains(Far));
+}
+
+TEST_CASE("a killed replica that is back at once is waited for, and a source without any quorum is kept")
+{
+    Chooser chooser;
+    chooser.choice.know(threePlaces(), {});
+    chooser.linkUp(Near);
+    chooser.choice.completed(Near);
+    chooser.run(milliseconds(500));
+    chooser.lose(Near);
+    chooser.run(SourceGrace - milliseconds(100));
+    CHECK(chooser.choice.wanted() == std::set<ReplicaId>{Near});
+    chooser.linkUp(Near);
+    chooser.run(milliseconds(50));
+    CHECK(chooser.choice.followed() == std::vector<ReplicaId>{Near});
+    // No replica has a quorum any more.
+    chooser.sound.clear();
+    chooser.run(seconds(5));
+    for (const ReplicaId replica : {Far, Farther}) {
+        chooser.choice.linked(chooser.now, replica);
+    }
+    chooser.run(seconds(5));
+    CHECK(chooser.choice.source() == Near);
+    CHECK(chooser.choice.wanted().size() == 3);
+}
+
+TEST_CASE("balancers that moved away return one after the other")
+{
+    constexpr std::uint64_t Balancers = 60;
+    std::map<std::int64_t, int> perSecond;
+    for (std::uint64_t self = 1; self <= Balancers; ++self) {
+        Chooser chooser(self);
+        chooser.choice.know(threePlaces(), {});
+        chooser.linkUp(Far);
+        chooser.choice.completed(Far);
+        chooser.run(seconds(1));
+        REQUIRE(chooser.choice.source() == Far);
+        chooser.linkUp(Near);
+        const TimePoint back = chooser.now;
+        chooser.choice.completed(Near);
+        while (chooser.choice.source() != Near) {
+            chooser.run(milliseconds(50));
+            REQUIRE(chooser.now - back <= LongestReturn + milliseconds(100));
+        }
+        ++perSecond[std::chrono::duration_cast<seconds>(chooser.now - back).count()];
+    }
+    for (const auto &[second, moves] : perSecond) {
+        CHECK(moves < 30);
+    }
+}
+
+TEST_CASE("a replica that was removed is neither dialled nor followed any longer")
+{
+    Chooser chooser;
+    chooser.choice.know(threePlaces(), {});
+    chooser.linkUp(Near);
+    chooser.choice.completed(Near);
+    chooser.run(milliseconds(500));
+    const std::vector<ReplicaPlace> rest = {{Far, Elsewhere}, {Farther, Elsewhere}};
+    chooser.choice.know(rest, {});
+    chooser.run(milliseconds(50));
+    CHECK_FALSE(chooser.choice.wanted().contains(Near));
+    chooser.lose(Near);
+    chooser.run(seconds(2));
+    CHECK(chooser.choice.wanted() == std::set<ReplicaId>{Far, Farther});
+}
+
+TEST_CASE("a target is sent to one replica, of its data centre if one can be reached, and targets spread over equals")
+{
+    std::map<ReplicaId, int> counts;
+    for (std::uint64_t key = 1; key <= 400; ++key) {
+        TargetRecord record = targetOf(key);
+        record.dataCentre = Elsewhere;
+        std::set<ReplicaId> named;
+        int told = 0;
+        for (record.sequence = 1; record.sequence <= 40; ++record.sequence) {
+            if (const auto replica = announcementReplica(record, threePlaces())) {
+                named.insert(*replica);
+                ++told;
+            }
+        }
+        CHECK(told == 10);
+        REQUIRE(named.size() == 1);
+        ++counts[*named.begin()];
+    }
+    CHECK(counts.contains(Near) == false);
+    CHECK(counts[Far] > 150);
+    CHECK(counts[Farther] > 150);
+    TargetRecord alone = targetOf(1);
+    alone.dataCentre = DataCentreId{9};
+    int told = 0;
+    for (alone.sequence = 1; alone.sequence <= 4; ++alone.sequence) {
+        told += announcementReplica(alone, threePlaces()) ? 1 : 0;
+        CHECK_FALSE(announcementReplica(alone, {}));
+    }
+    CHECK(told == 1);
+}
