Close the connections that rest when a replica has as many as it may, and that of a target sent elsewhere

Cause: connections to a replica grow with the targets: 968 at 3,000 of them, 4,811 expected at 12,630, of 3,896 descriptors that sockets may use. Beyond 2,048 a new connection was refused, whoever it was from, while others rested for 4 s; and a target that is told to announce itself elsewhere left a connection behind that rested as long.

Ruled out: a shorter rest for all (a target that announces itself each 0.8 s would connect anew each time, 0.25 ms of a replica's processor); closing the longest open one, which may have an answer due.

Change: HttpServer keeps its resting connections in order, and for one more closes the one that rested longest and to which nothing has arrived; an answer may be the last of its connection. The bounds of connections and of links together stay below the descriptors.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -37,25 +37,28 @@
     return request;
 }
 
+} // namespace
+
 // One connection: requests and answers in turn, until the client wants no more. Keeps itself alive through its
 // handlers. To open a connection costs several times what a request does, and targets call every second.
-class Connection : public std::enable_shared_from_this<Connection>
+class detail::HttpConnection : public std::enable_shared_from_this<detail::HttpConnection>
 {
 public:
-    Connection(Tcp::socket socket, const HttpHandler &handler, std::shared_ptr<std::size_t> open)
+    HttpConnection(Tcp::socket socket, const HttpHandler &handler, std::shared_ptr<HttpConnections> connections)
         : m_stream(std::move(socket))
         , m_handler(handler)
-        , m_open(std::move(open))
+        , m_connections(std::move(connections))
     {
-        ++*m_open;
+        ++m_connections->open;
     }
 
-    Connection(const Connection &) = delete;
-    Connection &operator=(const Connection &) = delete;
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
 
-    ~Connection()
+    ~HttpConnection()
     {
-        --*m_open;
+        rouse();
+        --m_connections->open;
     }
 
     // Reads the next request; the first one may take longer than a later one may keep us waiting.
@@ -65,13 +68,40 @@
         m_parser->body_limit(MaxHttpBody);
         m_stream.expires_after(patience);
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->rouse();
             if (!error) {
                 self->handle();
             }
         });
     }
 
+    // Closes a resting connection; false if a request has begun to come.
+    bool closeIfUnused()
+    {
+        beast::error_code error;
+        if (m_buffer.size() > 0 || m_stream.socket().available(error) > 0) {
+            return false;
+        }
+        rouse();
+        m_stream.close();
+        return true;
+    }
+
 private:
+    void rest()
+    {
+        m_connections->resting.push_back(this);
+        m_resting = std::prev(m_connections->resting.end());
+        start(HttpIdleTimeout);
+    }
+
+    void rouse()
+    {
+        if (m_resting) {
+            m_connections->resting.erase(*std::exchange(m_resting, std::nullopt));
+        }
+    }
+
     void handle()
     {
         m_handler(unpack(m_parser->get()), [self = shared_from_this()](HttpReply reply) {
@@ -87,13 +117,13 @@
         if (!reply.location.empty()) {
             m_response.set(http::field::location, reply.location);
         }
-        m_response.keep_alive(m_parser->get().keep_alive());
+        m_response.keep_alive(m_parser->get().keep_alive() && !reply.last);
         m_response.body() = std::move(reply.body);
         m_response.prepare_payload();
         m_stream.expires_after(HttpTimeout);
         http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
             if (!error && self->m_response.keep_alive()) {
-                return self->start(HttpIdleTimeout);
+                return self->rest();
             }
             beast::error_code ignored;
             self->m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -105,9 +135,12 @@
     std::optional<http::request_parser<http::string_body>> m_parser; // Of the present request.
     http::response<http::string_body> m_response;
     const HttpHandler &m_handler;
-    std::shared_ptr<std::size_t> m_open;
+    std::shared_ptr<HttpConnections> m_connections;
+    std::optional<std::list<HttpConnection *>::iterator> m_resting; // Its place among those that rest.
 };
 
+namespace {
+
 // One call to a server: connect, write, read. Keeps itself alive through its handlers.
 class Call : public std::enable_shared_from_this<Call>
 {
@@ -171,13 +204,36 @@
 
 } // namespace
 
-HttpServer::HttpServer(boost::asio::io_context &io, HttpHandler handler)
+HttpServer::HttpServer(boost::asio::io_context &io, HttpHandler handler, std::size_t most)
     : m_acceptor(io)
     , m_handler(std::move(handler))
-    , m_open(std::make_shared<std::size_t>(0))
+    , m_connections(std::make_shared<detail::HttpConnections>(detail::HttpConnections{most, 0, {}}))
+{
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_connections->open;
+}
+
+namespace {
+
+// Makes room for one more connection if need be. Whether there is any.
+bool makeRoom(detail::HttpConnections &connections)
 {
+    if (connections.open < connections.most) {
+        return true;
+    }
+    for (detail::HttpConnection *connection : connections.resting) {
+        if (connection->closeIfUnused()) {
+            return true;
+        }
+    }
+    return false;
 }
 
+} // namespace
+
 bool HttpServer::listen(Endpoint endpoint)
 {
     beast::error_code error;
@@ -201,8 +257,8 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error && *m_open < MaxHttpConnections) {
-            std::make_shared<Connection>(std::move(socket), m_handler, m_open)->start();
+        if (!error && makeRoom(*m_connections)) {
+            std::make_shared<detail::HttpConnection>(std::move(socket), m_handler, m_connections)->start();
         }
         accept();
     });
--- a/src/http.h
+++ b/src/http.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,9 +23,10 @@
 // 1.2 s. A target that went to another replica would hold this one's connection for nothing.
 inline constexpr std::chrono::seconds HttpIdleTimeout{4};
 
-// Most open connections; one more is closed at once. At 3,000 targets that keep their connections, each of 5
-// replicas has 600; a process of the users' platform may have 4,096 descriptors.
-inline constexpr std::size_t MaxHttpConnections = 2048;
+// Most open connections; for one more the one that has rested longest is closed, or the new one if none rests. With
+// 12,630 targets at 5 replicas each has 2,526. Together with MaxNodeLinks it is below the 3,896 descriptors that sockets
+// may use on the smallest VM for a replica, so that a flood of connections never costs a link between nodes.
+inline constexpr std::size_t MaxHttpConnections = 2560;
 
 struct HttpRequest {
     std::string method;
@@ -39,15 +41,33 @@
     std::string contentType = "application/json";
     std::string body;
     std::string location = {}; // Of a redirection; empty otherwise.
+    bool last = false; // The client will not ask here again: its connection is closed behind the answer.
 };
 
 using HttpRespond = std::function<void(HttpReply)>;
 using HttpHandler = std::function<void(const HttpRequest &, HttpRespond)>;
 
+namespace detail {
+
+class HttpConnection;
+
+// The connections of one server.
+struct HttpConnections {
+    std::size_t most;
+    std::size_t open = 0;
+    std::list<HttpConnection *> resting; // Without a request under way, longest rest first.
+};
+
+} // namespace detail
+
 class HttpServer
 {
 public:
-    HttpServer(boost::asio::io_context &io, HttpHandler handler);
+    // Keeps `most` connections open at the most.
+    HttpServer(boost::asio::io_context &io, HttpHandler handler, std::size_t most = MaxHttpConnections);
+
+    // How many connections are open.
+    std::size_t connections() const;
 
     // Binds an address; false if it can't be bound.
     bool listen(Endpoint endpoint);
@@ -57,7 +77,7 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpHandler m_handler;
-    std::shared_ptr<std::size_t> m_open;
+    std::shared_ptr<detail::HttpConnections> m_connections;
 };
 
 // The answer to a call; empty if the server gave none in time.
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -21,8 +21,9 @@
 // A link on which nothing was heard for this long is closed: four lost pings.
 inline constexpr Duration LinkSilenceLimit = std::chrono::milliseconds(2000);
 
-// Most links that are open at once; one more is closed.
-inline constexpr std::size_t MaxNodeLinks = 1024;
+// Most links that are open at once; one more is closed, and its dialler tries again. 1,258 balancers that find no quorum
+// may all dial the same replica.
+inline constexpr std::size_t MaxNodeLinks = 1280;
 
 struct NodeLinkCallbacks {
     std::function<void(LinkHandle, const NodeHello &peer)> established;
--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -84,6 +84,63 @@
     CHECK(endsWith(client.text, "at /last"));
 }
 
+TEST_CASE("a flood of connections closes those that rested longest, none with an answer due, and no more than are allowed")
+{
+    constexpr std::size_t Most = 8;
+    boost::asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    std::vector<HttpRespond> due;
+    HttpServer server(
+        io,
+        [&due](const HttpRequest &request, const HttpRespond &respond) {
+            request.path == "/slow" ? due.push_back(respond) : respond({200, "text/plain", "at " + request.path, {}});
+        },
+        Most);
+    REQUIRE(server.listen({Loopback, port}));
+    Client waiting(io, port);
+    waiting.ask("/slow");
+    while (due.empty()) {
+        io.run_one();
+    }
+    std::vector<std::unique_ptr<Client>> flood;
+    for (std::size_t i = 0; i < 3 * Most; ++i) {
+        flood.push_back(std::make_unique<Client>(io, port));
+        flood.back()->ask("/one");
+        while (!endsWith(flood.back()->text, "at /one")) {
+            io.run_one();
+        }
+        CHECK(server.connections() <= Most);
+    }
+    while (!flood.front()->closed) {
+        io.run_one();
+    }
+    CHECK_FALSE(flood.back()->closed);
+    due.front()({200, "text/plain", "at last", {}});
+    while (!endsWith(waiting.text, "at last")) {
+        io.run_one();
+    }
+    CHECK_FALSE(waiting.closed);
+}
+
+TEST_CASE("a client that is sent elsewhere is hung up on behind its answer")
+{
+    boost::asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    HttpServer server(io, [](const HttpRequest &, const HttpRespond &respond) {
+        HttpReply reply{200, "text/plain", "go on there", {}};
+        reply.last = true;
+        respond(reply);
+    });
+    REQUIRE(server.listen({Loopback, port}));
+    Client client(io, port);
+    client.ask("/one");
+    while (!client.closed) {
+        io.run_one();
+    }
+    CHECK(endsWith(client.text, "go on there"));
+    CHECK(server.connections() == 0);
+}
+
 TEST_CASE("a replica that accepts connections and says nothing is dialled by few attempts at once")
 {
     boost::asio::io_context io;
