--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -287,6 +287,11 @@
     return boost::asio::ip::address_v4(endpoint.address).to_string();
 }
 
+std::string toText(ReplicaId replica)
+{
+    return addressText({value(replica), 0});
+}
+
 std::string toText(Endpoint endpoint)
 {
     return addressText(endpoint) + ":" + std::to_string(endpoint.port);
--- a/src/settings.h
+++ b/src/settings.h
@@ -101,4 +101,7 @@
 std::string toText(Endpoint endpoint);
 std::string addressText(Endpoint endpoint);
 
+// A replica that is numbered by its address, by that address.
+std::string toText(ReplicaId replica);
+
 } // namespace Robinrail
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -184,7 +184,7 @@
     m_choice.turn(monotonicNow());
     if (m_choice.source() && m_choice.source() != source) {
         m_steering.targets().setSource(*m_choice.source());
-        LogLine(LogLevel::Info, "replica-followed").with("replica", addressText({value(*m_choice.source()), 0}));
+        LogLine(LogLevel::Info, "replica-followed").with("replica", toText(*m_choice.source()));
     }
     const std::set<ReplicaId> &wanted = m_choice.wanted();
     if (wanted != before) {
@@ -212,12 +212,12 @@
 void SteeringNode::onEstablished(LinkHandle /*link*/, const NodeHello &peer)
 {
     m_choice.linked(monotonicNow(), peer.replica);
-    LogLine(LogLevel::Info, "replica-link-up").with("replica", addressText({value(peer.replica), 0}));
+    LogLine(LogLevel::Info, "replica-link-up").with("replica", toText(peer.replica));
 }
 
 void SteeringNode::onClosed(LinkHandle link, const NodeHello &peer)
 {
-    LogLine(LogLevel::Warning, "replica-link-lost").with("replica", addressText({value(peer.replica), 0})).with("ready", m_ready);
+    LogLine(LogLevel::Warning, "replica-link-lost").with("replica", toText(peer.replica)).with("ready", m_ready);
     m_offers.erase(link);
     m_choice.lost(peer.replica);
     m_follower.lost(peer.replica);
@@ -259,11 +259,11 @@
         chooseReplicas();
         break;
     case PageVerdict::Gap:
-        LogLine(LogLevel::Warning, "directory-gap").with("replica", addressText({value(replica), 0})).with("after", page.after);
+        LogLine(LogLevel::Warning, "directory-gap").with("replica", toText(replica)).with("after", page.after);
         m_links.send(link, m_follower.request(replica));
         return;
     case PageVerdict::Malformed:
-        LogLine(LogLevel::Error, "directory-page-malformed").with("replica", addressText({value(replica), 0})).with("after", page.after);
+        LogLine(LogLevel::Error, "directory-page-malformed").with("replica", toText(replica)).with("after", page.after);
         return;
     }
     // With part of a directory, all openings would go to the few targets of its first pages.
@@ -284,7 +284,7 @@
     const TimePoint now = monotonicNow();
     for (const TargetKey key : list.keys) {
         if (m_findings.unreachable(now, list.finder, key) && m_steering.targets().takeForGone(now, key)) {
-            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", addressText({value(list.finder), 0}));
+            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", toText(list.finder));
         }
     }
     resetFlows();
