Let replicas compare their versions, and name the data centre of one that joined

What the reading showed: a replica says that its version is confirmed as soon as it hears its leader, also while it lags behind; when balancers were linked to all replicas another one made up for that.

Change: replicas tell each other their versions twice a second, and one that sees a higher one than its own does not vouch for its own (VersionWatch); the list goes out again once the data centre of a replica is known; grace is only for lost links.

Tests: a lagging replica does not vouch; a source without a quorum is left within SoundFor and a second for the list.

--- a/src/node_message.h
+++ b/src/node_message.h
@@ -166,7 +166,7 @@
     }
 };
 
-// A replica's newest committed routing version. Confirmed: it heard from a quorum or its leader of late, so
+// A replica's newest committed routing version, to balancers and to the other replicas. Confirmed: it heard from a quorum or its leader of late, so
 // no higher version was accepted before that.
 struct RoutingOffer {
     std::uint64_t version = 0;
--- a/src/replica_choice.cpp
+++ b/src/replica_choice.cpp
@@ -52,9 +52,12 @@
     m_firstLink = m_firstLink.value_or(now);
 }
 
-void ReplicaChoice::lost(ReplicaId replica)
+void ReplicaChoice::lost(TimePoint now, ReplicaId replica)
 {
     m_states.erase(replica);
+    if (replica == m_source) {
+        m_sourceAwaited = now + SourceGrace;
+    }
 }
 
 void ReplicaChoice::confirmed(TimePoint now, ReplicaId replica)
@@ -135,8 +138,7 @@
     if (source != m_order.end() && sound(now, *source)) {
         m_reach = static_cast<std::size_t>(source - m_order.begin()) + 1;
         m_reachDue = now + CandidatePause;
-        m_sourceSound = now;
-    } else if (now >= m_reachDue && (!m_source || now - m_sourceSound >= SourceGrace)) {
+    } else if (now >= std::max(m_reachDue, m_sourceAwaited)) {
         const bool begun = m_reachDue != TimePoint{};
         m_reach = std::min(m_reach + (begun ? 1 : 0), m_order.size());
         m_reachDue = now + CandidatePause;
--- a/src/replica_choice.h
+++ b/src/replica_choice.h
@@ -29,8 +29,9 @@
 // targets. Longer costs callers as much where the first choice is dark.
 inline constexpr Duration FirstChoicePatience = std::chrono::milliseconds(25);
 
-// A source that is sound no more is waited for as long before another one is looked for: a killed process is back
-// within it, and moving away and back again costs two whole directories. Far below the time in which a drain must be known.
+// A source whose link is lost is waited for as long before another one is looked for: a killed process is back within it,
+// and moving away and back again costs two whole directories. Far below the time in which a drain must be known. One that
+// has been silent or without a quorum for SoundFor is not waited for any longer.
 inline constexpr Duration SourceGrace = std::chrono::milliseconds(500);
 
 // A better replica that is sound again is gone back to after a time by lot up to this, so that it is not asked for its
@@ -48,7 +49,7 @@
 
     // A link is up; is lost.
     void linked(TimePoint now, ReplicaId replica);
-    void lost(ReplicaId replica);
+    void lost(TimePoint now, ReplicaId replica);
 
     // A replica said that it is in contact with a quorum; all that it knows has been taken from it.
     void confirmed(TimePoint now, ReplicaId replica);
@@ -88,7 +89,7 @@
     std::vector<ReplicaId> m_order; // Best first.
     std::map<ReplicaId, State> m_states;
     std::optional<ReplicaId> m_source;
-    TimePoint m_sourceSound{}; // When the source was sound last.
+    TimePoint m_sourceAwaited{}; // The source's link was lost, and it may be back before this.
     std::optional<ReplicaId> m_next; // To be the source.
     std::size_t m_reach = 1; // So many of m_order are dialled.
     TimePoint m_reachDue{};
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -216,7 +216,7 @@
 
 bool ReplicaNode::confirmed(TimePoint now) const
 {
-    return m_driver && raft().inContact(now);
+    return m_driver && m_versions.newest(raft().inContact(now), document().table.version);
 }
 
 void ReplicaNode::offerRouting()
@@ -262,7 +262,9 @@
     }
     m_nextBeat = now + ReplicaBeatInterval;
     writeNotes();
-    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), RoutingOffer{document().table.version, confirmed(now)});
+    const RoutingOffer offer{document().table.version, confirmed(now)};
+    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), offer);
+    m_links.sendAll(m_links.dialled(), offer);
     m_targets.beat(now);
 }
 
@@ -272,7 +274,11 @@
 {
     const TimePoint now = monotonicNow();
     if (peer.role == NodeRole::Replica) {
-        m_dataCentres[peer.replica] = peer.dataCentre;
+        const bool moved = std::exchange(m_dataCentres[peer.replica], peer.dataCentre) != peer.dataCentre;
+        if (moved) {
+            // Balancers of its data centre look for it there.
+            m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), replicaList());
+        }
         if (m_driver) {
             m_driver->core().setDataCentre(peer.replica, peer.dataCentre);
         }
@@ -310,6 +316,8 @@
         m_targets.onNews(link, *news);
     } else if (const auto *heard = std::get_if<TargetsHeard>(&message)) {
         m_targets.onHeard(*heard);
+    } else if (const auto *offer = std::get_if<RoutingOffer>(&message)) {
+        m_versions.sawInForce(offer->version);
     } else if (const auto *receipt = std::get_if<TargetReceipt>(&message)) {
         m_targets.onReceipt(peer.replica, *receipt);
     } else if (std::holds_alternative<TargetsTold>(message)) {
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -10,6 +10,7 @@
 #include "settings.h"
 #include "target_exchange.h"
 #include "target_prober.h"
+#include "version_watch.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -28,7 +29,7 @@
 // time after which a second loss must be borne (4 s on the smallest deployment).
 inline constexpr Duration VoterLostAfter = std::chrono::milliseconds(1500);
 
-// Replicas tell each other this often whom they heard, and balancers which version is in force.
+// Replicas tell each other this often whom they heard, and all linked nodes which version is in force.
 inline constexpr Duration ReplicaBeatInterval = std::chrono::milliseconds(500);
 
 // A disk that refused a write is tried again this often.
@@ -128,6 +129,7 @@
     TimePoint m_nextJoin;
     TimePoint m_nextBeat;
     RoutingOffer m_offered; // What the balancers were last told.
+    VersionWatch m_versions; // Of the other replicas.
     Bytes m_encodedTable; // As a message, of m_encodedVersion.
     std::uint64_t m_encodedVersion = 0;
     std::map<ReplicaId, DataCentreId> m_dataCentres;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -223,7 +223,7 @@
 {
     LogLine(LogLevel::Warning, "replica-link-lost").with("replica", toText(peer.replica)).with("ready", m_ready);
     m_offers.erase(link);
-    m_choice.lost(peer.replica);
+    m_choice.lost(monotonicNow(), peer.replica);
     m_follower.lost(peer.replica);
     m_following.erase(peer.replica);
     const bool others = !m_links.dialled().empty();
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -4,6 +4,7 @@
 #include "directory_follower.h"
 #include "directory_publisher.h"
 #include "replica_choice.h"
+#include "version_watch.h"
 
 #include <doctest/doctest.h>
 
@@ -172,7 +173,7 @@
     void lose(ReplicaId replica)
     {
         sound.erase(replica);
-        choice.lost(replica);
+        choice.lost(now, replica);
     }
 
     ReplicaChoice choice;
@@ -524,7 +525,7 @@
     REQUIRE(chooser.choice.source() == Near);
     // Cut off from the other replicas, it still speaks to this balancer.
     chooser.sound.erase(Near);
-    chooser.run(SoundFor + SourceGrace + milliseconds(200));
+    chooser.run(SoundFor + milliseconds(200));
     CHECK(chooser.choice.wanted().size() >= 2);
     chooser.linkUp(Far);
     chooser.run(milliseconds(100));
@@ -534,7 +535,7 @@
     chooser.run(milliseconds(100));
     CHECK(chooser.choice.source() == Far);
     // The whole takes less than the shortest time in which a drain must be in force, 3 s, with a list of 1 s.
-    CHECK(chooser.now - Start < seconds(1) + milliseconds(1500) + SoundFor);
+    CHECK(chooser.now - Start < milliseconds(1000) + SoundFor);
     CHECK(chooser.choice.wanted().contains(Near));
     CHECK(chooser.choice.wanted().contains(Far));
 }
@@ -634,3 +635,16 @@
     }
     CHECK(told == 1);
 }
+
+TEST_CASE("a replica that lags behind another one does not vouch for its version, although it hears its leader")
+{
+    VersionWatch watch;
+    CHECK(watch.newest(true, 0));
+    watch.sawInForce(11);
+    CHECK_FALSE(watch.newest(true, 5));
+    CHECK(watch.newest(true, 11));
+    watch.sawInForce(5); // One that lags even more.
+    CHECK_FALSE(watch.newest(true, 5));
+    CHECK(watch.newest(true, 14));
+    CHECK_FALSE(watch.newest(false, 14));
+}
