Model how a directory is followed, and mutate its mechanisms

Cause: balancers believe one replica's pages; an error in numbers, lives or forgetting would leave a balancer wrong for good.

Ten mutations of the code for tests/mutations.sh.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -51,5 +51,9 @@
 for mutation in ADOPTER_RUNS NO_WINDOW EARLY_NOT_RUN NO_FENCE OFFLOAD_TWICE; do
     expect 1 owner.pml "owner-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 directory.pml directory
+for mutation in SKIP_NUMBER OLD_LIFE FORGET_QUIETLY KEEP_UNLISTED REVIVE; do
+    expect 1 directory.pml "directory-$mutation" "-DMUTATE_$mutation"
+done
 echo "model searches that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -109,7 +109,25 @@
     '*few attempts at once*,*two handshakes at once*'
 mutate "links: a dark peer keeps the next attempt back" src/dial_schedule.h 'm_due = now + std::min(' 'm_due = now + 8 * std::min(' '*within 50 ms*'
 mutate "links: every connection is closed after its answer" src/http.cpp \
-    'm_response.keep_alive(m_parser->get().keep_alive());' 'm_response.keep_alive(false);' '*keeps its connection*'
+    'm_response.keep_alive(m_parser->get().keep_alive() && !reply.last);' 'm_response.keep_alive(false);' '*keeps its connection*'
+mutate "links: the longest open connection is closed, busy or not" src/http.cpp 'if (connection->closeIfUnused()) {' \
+    'if (connection == nullptr) {' '*flood of connections*'
+mutate "directory: a page tells more than it holds" src/directory_log.cpp 'slice.upTo = std::prev(at)->first;' \
+    'slice.upTo = m_newest;' '*what changed after any number*,*ends alike*'
+mutate "directory: a target that was forgotten is passed over" src/directory_log.cpp 'return number >= m_forgotten;' \
+    'return number + m_forgotten >= number;' '*tell all that was missed*,*stands still while*'
+mutate "directory: numbers of another life go on" src/directory_log.cpp 'life == m_life && after <= m_newest' \
+    'life != 0 && after <= m_newest' '*tell all that was missed*,*ends alike*'
+mutate "directory: who is not listed stays" src/directory_follower.cpp 'm_targets.keepVouched(replica, std::exchange(progress.listed, {}));' \
+    'progress.listed.clear();' '*from the same life*,*ends alike*'
+mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MostBuffered' '' \
+    '*leave room on its link*'
+mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < SoundFor' \
+    'at->second.confirmedAt <= now' '*lost its quorum*'
+mutate "replica choice: all return at once" src/replica_choice.cpp 'now >= m_states.at(replica).returnAt' 'now >= TimePoint{}' '*one after the other*'
+mutate "replica choice: the new view holds before it is whole" src/replica_choice.cpp 'if (m_next && m_states.at(*m_next).completed) {' \
+    'if (m_next) {' '*until another has told all*'
+mutate "version watch: a lagging replica vouches" src/version_watch.h 'inContact && own >= m_highest' 'inContact' '*lags behind another*'
 mutate "no compare-and-set on versions" src/control_state.cpp 'if (propose.baseVersion != latestVersion()) {' \
     'if (propose.baseVersion > latestVersion()) {' '*equal numbers*'
 mutate "no memory of changes" src/control_state.cpp 'if (const ChangeResult *known = resultOf(change.change)) {' \
