Wait for a replica that took the connection before one more is dialled

They dialled one more seed each 50 ms, so that each of three seeds got 295 handshakes instead of 98 before any was done.

Ruled out: a longer pause between candidates (after a loss of power the replicas are dark, and each pause is paid by callers).

Change: ReplicaChoice hears from NodeLinks which replicas took a connection, and dials no further for 250 ms from then on.

Test: fails without the wait.

--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -92,6 +92,7 @@
 {
     if (const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)}); dial != m_dials.end()) {
         dial->second.schedule.connected(m_now);
+        m_callbacks.answered(dial->first);
     }
 }
 
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -26,6 +26,7 @@
 inline constexpr std::size_t MaxNodeLinks = 1280;
 
 struct NodeLinkCallbacks {
+    std::function<void(ReplicaId)> answered; // A dialled replica's machine took the connection.
     std::function<void(LinkHandle, const NodeHello &peer)> established;
     std::function<void(LinkHandle, const NodeHello &peer, const NodeMessage &)> received;
     std::function<void(LinkHandle, const NodeHello &peer)> closed; // Only for links that were established.
--- a/src/replica_choice.cpp
+++ b/src/replica_choice.cpp
@@ -46,8 +46,14 @@
     });
 }
 
+void ReplicaChoice::answered(TimePoint now, ReplicaId replica)
+{
+    m_answered.try_emplace(replica, now);
+}
+
 void ReplicaChoice::linked(TimePoint now, ReplicaId replica)
 {
+    m_answered.erase(replica);
     m_states[replica].linked = true;
     m_firstLink = m_firstLink.value_or(now);
 }
@@ -55,6 +61,7 @@
 void ReplicaChoice::lost(TimePoint now, ReplicaId replica)
 {
     m_states.erase(replica);
+    m_answered.erase(replica);
     if (replica == m_source) {
         m_sourceAwaited = now + SourceGrace;
     }
@@ -131,6 +138,14 @@
     return early && !first ? std::nullopt : replica;
 }
 
+// Whether a replica that took a connection is still likely to greet.
+bool ReplicaChoice::greetingDue(TimePoint now) const
+{
+    return std::any_of(m_answered.begin(), m_answered.end(), [now](const auto &each) {
+        return now - each.second < HandshakePatience;
+    });
+}
+
 // Dials no further than to a sound source, and otherwise ever further.
 void ReplicaChoice::extendReach(TimePoint now)
 {
@@ -138,7 +153,7 @@
     if (source != m_order.end() && sound(now, *source)) {
         m_reach = static_cast<std::size_t>(source - m_order.begin()) + 1;
         m_reachDue = now + CandidatePause;
-    } else if (now >= std::max(m_reachDue, m_sourceAwaited)) {
+    } else if (now >= std::max(m_reachDue, m_sourceAwaited) && !greetingDue(now)) {
         const bool begun = m_reachDue != TimePoint{};
         m_reach = std::min(m_reach + (begun ? 1 : 0), m_order.size());
         m_reachDue = now + CandidatePause;
--- a/src/replica_choice.h
+++ b/src/replica_choice.h
@@ -23,6 +23,10 @@
 // While no sound replica is followed, one more is dialled in this time: ten times what a link takes to come up.
 inline constexpr Duration CandidatePause = std::chrono::milliseconds(50);
 
+// A replica that took a connection and is slow to greet, as hundreds of balancers have just started, is waited for as long
+// before one more is dialled: otherwise each would get the handshakes of all balancers instead of its part of them.
+inline constexpr Duration HandshakePatience = std::chrono::milliseconds(250);
+
 // A balancer that knows no targets yet follows a replica that is not its first choice after this, twice what a link in
 // the same data centre takes to come up after a loss of all power. The first choice is known only once some replica has
 // told where the others are, and a whole directory taken twice would keep a link of 2 Mbit/s full for 0.3 s each at 3,000
@@ -47,7 +51,8 @@
     // Which replicas there are. Seeds that no replica named come last.
     void know(std::span<const ReplicaPlace> named, std::span<const ReplicaId> seeds);
 
-    // A link is up; is lost.
+    // A replica's machine took a connection; its link is up; is lost.
+    void answered(TimePoint now, ReplicaId replica);
     void linked(TimePoint now, ReplicaId replica);
     void lost(TimePoint now, ReplicaId replica);
 
@@ -81,6 +86,7 @@
     std::optional<ReplicaId> best(TimePoint now) const;
     std::optional<ReplicaId> firstLinked() const;
     std::optional<ReplicaId> patient(TimePoint now, std::optional<ReplicaId> replica) const;
+    bool greetingDue(TimePoint now) const;
     void extendReach(TimePoint now);
     void setWanted();
 
@@ -88,6 +94,7 @@
     std::uint64_t m_self;
     std::vector<ReplicaId> m_order; // Best first.
     std::map<ReplicaId, State> m_states;
+    std::map<ReplicaId, TimePoint> m_answered; // Replicas that took a connection, when first; not linked since.
     std::optional<ReplicaId> m_source;
     TimePoint m_sourceAwaited{}; // The source's link was lost, and it may be back before this.
     std::optional<ReplicaId> m_next; // To be the source.
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -40,7 +40,8 @@
     , m_self(ReplicaId{m_file.adminListen.address})
     , m_links(io,
               {NodeRole::Replica, m_self, m_file.dataCentreId(m_file.dataCentre)},
-              {[this](LinkHandle link, const NodeHello &peer) {
+              {[](ReplicaId) {},
+               [this](LinkHandle link, const NodeHello &peer) {
                    onEstablished(link, peer);
                },
                [this](LinkHandle link, const NodeHello &peer, const NodeMessage &message) {
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -14,7 +14,10 @@
     : m_file(std::move(file))
     , m_links(io,
               {NodeRole::Balancer, ReplicaId{0}, m_file.dataCentreId(m_file.dataCentre)},
-              {[this](LinkHandle link, const NodeHello &peer) {
+              {[this](ReplicaId replica) {
+                   m_choice.answered(monotonicNow(), replica);
+               },
+               [this](LinkHandle link, const NodeHello &peer) {
                    onEstablished(link, peer);
                },
                [this](LinkHandle link, const NodeHello &peer, const NodeMessage &message) {
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -515,6 +515,26 @@
     CHECK(chooser.choice.source() == Farther);
 }
 
+TEST_CASE("a replica that took the connection is waited for, and no longer if it does not greet")
+{
+    Chooser chooser;
+    const std::vector<ReplicaId> seeds = {Near, Far, Farther};
+    chooser.choice.know({}, seeds);
+    chooser.run(milliseconds(50));
+    REQUIRE(chooser.choice.wanted().size() == 1);
+    const ReplicaId first = *chooser.choice.wanted().begin();
+    // Each attempt is answered, as the machine runs and the process is busy or stands still.
+    const TimePoint answered = chooser.now;
+    while (chooser.now - answered < HandshakePatience) {
+        chooser.choice.answered(chooser.now, first);
+        chooser.run(milliseconds(50));
+    }
+    CHECK(chooser.choice.wanted().size() == 1);
+    chooser.choice.answered(chooser.now, first);
+    chooser.run(milliseconds(150));
+    CHECK(chooser.choice.wanted().size() == 3);
+}
+
 TEST_CASE("a balancer leaves a replica that lost its quorum, and keeps its view until another has told all")
 {
     Chooser chooser;
--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -155,7 +155,7 @@
         });
     };
     accept();
-    NodeLinks links(io, {NodeRole::Balancer, ReplicaId{0}, DataCentreId{1}}, {[](auto...) {}, [](auto...) {}, [](auto...) {}});
+    NodeLinks links(io, {NodeRole::Balancer, ReplicaId{0}, DataCentreId{1}}, {[](auto...) {}, [](auto...) {}, [](auto...) {}, [](auto...) {}});
     links.maintain({ReplicaId{Loopback}}, mute.local_endpoint().port());
     TimePoint now = monotonicNow();
     // The opening request on a connection shows that its dialler knows of the answer.
