--- a/src/replica_choice.cpp
+++ b/src/replica_choice.cpp
@@ -79,7 +79,7 @@
 
 void ReplicaChoice::turn(TimePoint now)
 {
-    watchSoundness(now);
+    watchHealth(now);
     m_next = best(now);
     if (!m_source) {
         m_next = patient(now, m_next ? m_next : firstLinked());
@@ -94,29 +94,29 @@
     setWanted();
 }
 
-bool ReplicaChoice::sound(TimePoint now, ReplicaId replica) const
+bool ReplicaChoice::healthy(TimePoint now, ReplicaId replica) const
 {
     const auto at = m_states.find(replica);
-    return at != m_states.end() && at->second.linked && now - at->second.confirmedAt < SoundFor;
+    return at != m_states.end() && at->second.linked && now - at->second.confirmedAt < HealthyFor;
 }
 
-void ReplicaChoice::watchSoundness(TimePoint now)
+void ReplicaChoice::watchHealth(TimePoint now)
 {
     for (auto &[replica, state] : m_states) {
-        const bool was = std::exchange(state.sound, sound(now, replica));
-        if (!was && state.sound) {
+        const bool was = std::exchange(state.healthy, healthy(now, replica));
+        if (!was && state.healthy) {
             const std::uint64_t lot = hashPair(m_self, static_cast<std::uint64_t>(now.time_since_epoch().count()));
             state.returnAt = now + Duration(static_cast<std::int64_t>(lot % static_cast<std::uint64_t>(LongestReturn.count())));
         }
     }
 }
 
-// The first sound one. While the source is sound, a better one must have been so for a while.
+// The first healthy one. While the source is healthy, a better one must have been so for a while.
 std::optional<ReplicaId> ReplicaChoice::best(TimePoint now) const
 {
-    const bool atEase = m_source && sound(now, *m_source);
+    const bool atEase = m_source && healthy(now, *m_source);
     const auto at = std::find_if(m_order.begin(), m_order.end(), [&](ReplicaId replica) {
-        return sound(now, replica) && (!atEase || replica == *m_source || now >= m_states.at(replica).returnAt);
+        return healthy(now, replica) && (!atEase || replica == *m_source || now >= m_states.at(replica).returnAt);
     });
     return at != m_order.end() ? std::optional(*at) : std::nullopt;
 }
@@ -146,11 +146,11 @@
     });
 }
 
-// Dials no further than to a sound source, and otherwise ever further.
+// Dials no further than to a healthy source, and otherwise ever further.
 void ReplicaChoice::extendReach(TimePoint now)
 {
     const auto source = m_source ? std::find(m_order.begin(), m_order.end(), *m_source) : m_order.end();
-    if (source != m_order.end() && sound(now, *source)) {
+    if (source != m_order.end() && healthy(now, *source)) {
         m_reach = static_cast<std::size_t>(source - m_order.begin()) + 1;
         m_reachDue = now + CandidatePause;
     } else if (now >= std::max(m_reachDue, m_sourceAwaited) && !greetingDue(now)) {
@@ -160,13 +160,18 @@
     }
 }
 
+bool ReplicaChoice::known(ReplicaId replica) const
+{
+    return std::find(m_order.begin(), m_order.end(), replica) != m_order.end();
+}
+
 void ReplicaChoice::setWanted()
 {
     m_wanted = {m_order.begin(), m_order.begin() + static_cast<std::ptrdiff_t>(std::min(m_reach, m_order.size()))};
     if (m_next) {
         m_wanted.insert(*m_next);
     }
-    if (m_source && std::find(m_order.begin(), m_order.end(), *m_source) != m_order.end()) {
+    if (m_source && known(*m_source)) {
         m_wanted.insert(*m_source);
     }
     if (m_source) {
@@ -174,7 +179,7 @@
     }
     // Links that are up are not given up as long as nothing better is.
     for (const auto &[replica, state] : m_states) {
-        if (state.linked && std::find(m_order.begin(), m_order.end(), replica) != m_order.end()) {
+        if (state.linked && known(replica)) {
             m_wanted.insert(replica);
         }
     }
--- a/src/replica_choice.h
+++ b/src/replica_choice.h
@@ -17,10 +17,10 @@
 
 namespace Robinrail {
 
-// A replica that said within this time that it is in contact with a quorum is sound; it says so each 500 ms.
-inline constexpr Duration SoundFor = std::chrono::milliseconds(1200);
+// A replica that said within this time that it is in contact with a quorum is healthy; it says so each 500 ms.
+inline constexpr Duration HealthyFor = std::chrono::milliseconds(1200);
 
-// While no sound replica is followed, one more is dialled in this time: ten times what a link takes to come up.
+// While no healthy replica is followed, one more is dialled in this time: ten times what a link takes to come up.
 inline constexpr Duration CandidatePause = std::chrono::milliseconds(50);
 
 // A replica that took a connection and is slow to greet, as hundreds of balancers have just started, is waited for as long
@@ -35,11 +35,11 @@
 
 // A source whose link is lost is waited for as long before another one is looked for: a killed process is back within it,
 // and moving away and back again costs two whole directories. Far below the time in which a drain must be known. One that
-// has been silent or without a quorum for SoundFor is not waited for any longer.
+// has been silent or without a quorum for HealthyFor is not waited for any longer.
 inline constexpr Duration SourceGrace = std::chrono::milliseconds(500);
 
-// A better replica that is sound again is gone back to after a time by lot up to this, so that it is not asked for its
-// whole directory by all balancers of a data centre at once: 60 lists of 80 KB take a second of a replica's processor.
+// A better replica that is healthy again is gone back to after a random time up to this, so that it is not asked for its
+// whole directory by all balancers of a data centre at once: 60 lists of 80 KB, or 250 of 340 KB at 12,630 targets.
 inline constexpr Duration LongestReturn = std::chrono::seconds(4);
 
 class ReplicaChoice
@@ -76,18 +76,19 @@
     struct State {
         bool linked = false;
         bool completed = false; // Since its link came up.
-        bool sound = false; // At the last turn.
+        bool healthy = false; // At the last turn.
         TimePoint confirmedAt{};
         TimePoint returnAt{}; // Not gone back to before this.
     };
 
-    bool sound(TimePoint now, ReplicaId replica) const;
-    void watchSoundness(TimePoint now);
+    bool healthy(TimePoint now, ReplicaId replica) const;
+    void watchHealth(TimePoint now);
     std::optional<ReplicaId> best(TimePoint now) const;
     std::optional<ReplicaId> firstLinked() const;
     std::optional<ReplicaId> patient(TimePoint now, std::optional<ReplicaId> replica) const;
     bool greetingDue(TimePoint now) const;
     void extendReach(TimePoint now);
+    bool known(ReplicaId replica) const;
     void setWanted();
 
     DataCentreId m_dataCentre;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -122,7 +122,7 @@
     'progress.listed.clear();' '*from the same life*,*ends alike*'
 mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MostBuffered' '' \
     '*leave room on its link*'
-mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < SoundFor' \
+mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < HealthyFor' \
     'at->second.confirmedAt <= now' '*lost its quorum*'
 mutate "replica choice: all return at once" src/replica_choice.cpp 'now >= m_states.at(replica).returnAt' 'now >= TimePoint{}' '*one after the other*'
 mutate "replica choice: the new view holds before it is whole" src/replica_choice.cpp 'if (m_next && m_states.at(*m_next).completed) {' \
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -146,7 +146,7 @@
     return {{Far, Elsewhere}, {Near, Home}, {Farther, Elsewhere}};
 }
 
-// A choice whose clock runs in steps of 50 ms and whose sound replicas say so each 500 ms.
+// A choice whose clock runs in steps of 50 ms and whose healthy replicas say so each 500 ms.
 struct Chooser {
     explicit Chooser(std::uint64_t self = 7)
         : choice(Home, self)
@@ -157,7 +157,7 @@
     {
         const TimePoint end = now + time;
         for (; now < end; now += milliseconds(50)) {
-            for (const ReplicaId replica : sound) {
+            for (const ReplicaId replica : healthy) {
                 choice.confirmed(now, replica);
             }
             choice.turn(now);
@@ -167,18 +167,18 @@
     void linkUp(ReplicaId replica)
     {
         choice.linked(now, replica);
-        sound.insert(replica);
+        healthy.insert(replica);
     }
 
     void lose(ReplicaId replica)
     {
-        sound.erase(replica);
+        healthy.erase(replica);
         choice.lost(now, replica);
     }
 
     ReplicaChoice choice;
     TimePoint now = Start;
-    std::set<ReplicaId> sound;
+    std::set<ReplicaId> healthy;
 };
 
 } // namespace
@@ -544,8 +544,8 @@
     chooser.run(milliseconds(500));
     REQUIRE(chooser.choice.source() == Near);
     // Cut off from the other replicas, it still speaks to this balancer.
-    chooser.sound.erase(Near);
-    chooser.run(SoundFor + milliseconds(200));
+    chooser.healthy.erase(Near);
+    chooser.run(HealthyFor + milliseconds(200));
     CHECK(chooser.choice.wanted().size() >= 2);
     chooser.linkUp(Far);
     chooser.run(milliseconds(100));
@@ -555,7 +555,7 @@
     chooser.run(milliseconds(100));
     CHECK(chooser.choice.source() == Far);
     // The whole takes less than the shortest time in which a drain must be in force, 3 s, with a list of 1 s.
-    CHECK(chooser.now - Start < milliseconds(1000) + SoundFor);
+    CHECK(chooser.now - Start < milliseconds(1000) + HealthyFor);
     CHECK(chooser.choice.wanted().contains(Near));
     CHECK(chooser.choice.wanted().contains(Far));
 }
@@ -574,7 +574,7 @@
     chooser.run(milliseconds(50));
     CHECK(chooser.choice.followed() == std::vector<ReplicaId>{Near});
     // No replica has a quorum any more.
-    chooser.sound.clear();
+    chooser.healthy.clear();
     chooser.run(seconds(5));
     for (const ReplicaId replica : {Far, Farther}) {
         chooser.choice.linked(chooser.now, replica);
