--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -3,6 +3,7 @@
 #include "announcement_choice.h"
 #include "directory_follower.h"
 #include "directory_publisher.h"
+#include "raft_core.h"
 #include "replica_choice.h"
 #include "version_watch.h"
 
@@ -668,3 +669,24 @@
     CHECK(watch.newest(true, 14));
     CHECK_FALSE(watch.newest(false, 14));
 }
+
+TEST_CASE("a follower that lost an entry hears its leader for as long as its refusals do not get through")
+{
+    constexpr ReplicaKey Leader{ReplicaId{2}, 1};
+    constexpr std::uint64_t Confirmed = 11;
+    RaftCore follower({ReplicaId{1}, 1}, {}, Start, 7);
+    VersionWatch watch;
+    for (TimePoint now = Start; now < Start + seconds(10); now += RaftHeartbeat) {
+        AppendRequest heartbeat;
+        heartbeat.term = Term{3};
+        heartbeat.previousIndex = LogIndex{5}; // The leader sent it, and it was lost with a link.
+        heartbeat.previousTerm = Term{3};
+        heartbeat.commit = LogIndex{5};
+        follower.handle(now, Leader, heartbeat);
+        follower.tick(now);
+        CHECK(follower.inContact(now));
+        CHECK(follower.commitIndex() == LogIndex{0});
+        watch.sawInForce(Confirmed);
+        CHECK_FALSE(watch.newest(follower.inContact(now), 5));
+    }
+}
