Tell a follower that hears its leader from one that holds what its leader committed

A replica vouched for its table as "the newest" while it heard its leader, and for 450 ms after each restart before it heard anybody, as it starts with an assumed heartbeat.

Ruled out: a bound on the commit index alone; it says nothing without the leader's word for how far it went. Change: RaftCore::caughtUp(): the own commit index reached the leader's, as a message of the last two election time-outs told it. Test: a restarted follower, and one that misses an entry (both fail with inContact()). Conclusion: which of the ways caused the finding is not known; none of them lets a replica vouch any more.

--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -29,6 +29,7 @@
     }
     m_role = m_configs.empty() ? RaftRole::Joining : RaftRole::Follower;
     m_leaderHeard = now - ElectionTimeout;
+    m_caughtUp = now - ElectionTimeout * 2;
     m_ticked = now;
     boost::random::uniform_int_distribution<std::int64_t> spread(FirstElectionTimeout.count() / 3, FirstElectionTimeout.count());
     m_electionDue = now + Duration(spread(m_random));
@@ -207,6 +208,11 @@
     return m_role == RaftRole::Leader ? heardFromQuorum(now) : now - m_leaderHeard < ElectionTimeout * 2;
 }
 
+bool RaftCore::caughtUp(TimePoint now) const
+{
+    return m_role == RaftRole::Leader ? heardFromQuorum(now) : now - m_caughtUp < ElectionTimeout * 2;
+}
+
 const LogEntry *RaftCore::entryAt(LogIndex index) const
 {
     if (index <= m_snapshot.index || index > lastIndex()) {
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -142,6 +142,11 @@
     // Whether the replica heard from a quorum (as leader) or from a leader (as follower) of late.
     bool inContact(TimePoint now) const;
 
+    // Whether this replica holds what was committed until a moment ago: it leads a quorum, or it had all that its leader had
+    // committed by a message of late. A follower whose refusals of appends get lost hears its leader for as long and
+    // learns nothing.
+    bool caughtUp(TimePoint now) const;
+
     // The entry at an index that is neither compacted nor beyond the end; null otherwise.
     const LogEntry *entryAt(LogIndex index) const;
 
@@ -220,6 +225,7 @@
     TimePoint m_electionDue;
     TimePoint m_heartbeatDue;
     TimePoint m_leaderHeard;
+    TimePoint m_caughtUp; // When the leader's commit index, as it last told it, was reached.
     std::set<ReplicaKey> m_votes;
     std::map<ReplicaKey, Progress> m_progress;
     std::map<ReplicaKey, TimePoint> m_joiners; // Asked to be taken in, and when last.
--- a/src/raft_replication.cpp
+++ b/src/raft_replication.cpp
@@ -41,6 +41,9 @@
     storeEntries(entries);
     const LogIndex agreed = request.entries.empty() ? previousIndex : std::max(previousIndex, request.entries.back().index);
     commitTo(std::min(request.commit, agreed));
+    if (m_commit >= request.commit) {
+        m_caughtUp = now;
+    }
     send(from, AppendReply{m_hard.term, true, agreed, request.round});
 }
 
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -690,3 +690,28 @@
         CHECK_FALSE(watch.newest(follower.inContact(now), 5));
     }
 }
+
+TEST_CASE("a replica that has just restarted does not vouch for its table before its leader has told what is committed")
+{
+    RaftDurable disk = RaftCore::bootstrap(std::vector<ReplicaKey>{{ReplicaId{1}, 1}, {ReplicaId{2}, 1}, {ReplicaId{3}, 1}});
+    constexpr ReplicaKey Leader{ReplicaId{2}, 1};
+    const LogIndex held = disk.log.back().index;
+    const Term term = disk.log.back().term;
+    RaftCore follower({ReplicaId{1}, 1}, std::move(disk), Start, 7);
+    CHECK_FALSE(follower.caughtUp(Start));
+    AppendRequest heartbeat;
+    heartbeat.term = Term{3};
+    heartbeat.previousIndex = held;
+    heartbeat.previousTerm = term;
+    heartbeat.commit = LogIndex{value(held) + 1}; // The entry itself is still on its way.
+    follower.handle(Start + milliseconds(50), Leader, heartbeat);
+    CHECK(follower.inContact(Start + milliseconds(50)));
+    CHECK_FALSE(follower.caughtUp(Start + milliseconds(50)));
+    LogEntry missing;
+    missing.term = Term{3};
+    missing.index = heartbeat.commit;
+    heartbeat.entries = {missing};
+    follower.handle(Start + milliseconds(100), Leader, heartbeat);
+    CHECK(follower.caughtUp(Start + milliseconds(100)));
+    CHECK_FALSE(follower.caughtUp(Start + milliseconds(100) + ElectionTimeout * 2));
+}
