Drain data centres by a replicated order, and take them back cold

Each offer of a replica carries the list in full, so a balancer needs no further message and a lost one is made up for after 500 ms; replicas compare revisions as they do versions, and a replica vouches only if it caught up. Balancers leave drained data centres out of new flows and of later copies; open flows stay; without a target the caller is reset at once. A late copy on an open flow whose target takes no new ones is dropped; before, it found the flow a second target and pinned it there. Targets of a data centre that is taken back count as warming up from the order on. Documents tell how targets warm up; where a rate is given a cold target gets no new flow at all, so that no number of balancers, clock or partition can exceed it. Refused calls are logged within a budget and counted.

--- a/src/codec.h
+++ b/src/codec.h
@@ -3,7 +3,8 @@
 //
 // A message is a plain struct with a member function fields() that returns std::tie of its members.
 // On the wire it is a CBOR array: the index of its type in the variant, then the members in order.
-// Positions instead of keys keep control traffic within a few KB/s.
+// Positions instead of keys keep control traffic within a few KB/s. A type that gets further members names how many it
+// had at first (`OldestFields`), so that what an earlier release wrote is still read.
 #pragma once
 
 #include "cbor_tokens.h"
@@ -226,16 +227,32 @@
     return read(tokens, maybe.emplace());
 }
 
+// How many of its members a type had at first; all of them, unless it tells.
+template<typename T>
+constexpr std::size_t oldestFields()
+{
+    if constexpr (requires { T::OldestFields; }) {
+        return T::OldestFields;
+    } else {
+        return std::tuple_size_v<decltype(std::declval<T &>().fields())>;
+    }
+}
+
+// Members that a type got later are the last ones; where the bytes are of an earlier release they keep their defaults.
 template<Composite T>
 bool read(CborTokens &tokens, T &object)
 {
     auto members = object.fields();
-    return readArray(tokens, std::tuple_size_v<decltype(members)>)
-        && std::apply(
-               [&tokens](auto &...member) {
-                   return (read(tokens, member) && ...);
-               },
-               members);
+    const CborToken *array = tokens.take(CborKind::Array);
+    if (array == nullptr || array->number < oldestFields<T>() || array->number > std::tuple_size_v<decltype(members)>) {
+        return false;
+    }
+    std::uint64_t left = array->number;
+    return std::apply(
+        [&tokens, &left](auto &...member) {
+            return ((left == 0 || (--left, read(tokens, member))) && ...);
+        },
+        members);
 }
 
 template<typename Variant, std::size_t Index = 0>
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -75,6 +75,27 @@
     return m_table.version;
 }
 
+template<SteeringChoice Choice>
+void BasicFlowSteering<Choice>::setDrained(TimePoint now, std::span<const DataCentreId> drained)
+{
+    const std::set<DataCentreId> before = std::exchange(m_drained, {drained.begin(), drained.end()});
+    for (const DataCentreId dataCentre : before) {
+        if (!m_drained.contains(dataCentre)) {
+            m_targets.warmUp(dataCentre, now + longestWarmup());
+        }
+    }
+}
+
+template<SteeringChoice Choice>
+Duration BasicFlowSteering<Choice>::longestWarmup() const
+{
+    Duration longest = DefaultWarmup;
+    for (const ServiceWarmup &warmup : m_table.warmups) {
+        longest = std::max(longest, warmup.duration);
+    }
+    return longest;
+}
+
 template<SteeringChoice Choice>
 void BasicFlowSteering<Choice>::setInformed()
 {
@@ -112,7 +133,11 @@
     if (late || (flow != nullptr && !flow->open && value(flow->target) != 0)) {
         SteeredTarget *first = m_targets.find(flow->target);
         const bool tooSoon = flow->sentAt.elapsed(now) < ShortestCopyPause;
-        if ((late || packet.copy <= flow->copy || tooSoon) && first != nullptr && first->record.phase == TargetPhase::Serving) {
+        const bool stays = first != nullptr && takesNewFlows(*first);
+        if (late && first != nullptr && !stays) {
+            return drop(SteeringReason::LateOpening);
+        }
+        if ((late || packet.copy <= flow->copy || tooSoon) && stays) {
             return forward(SteeringReason::RepeatedOpening, *first);
         }
         if (packet.copy > flow->copy && first != nullptr) {
@@ -208,11 +233,10 @@
 template<SteeringChoice Choice>
 SteeredTarget *BasicFlowSteering<Choice>::choose(const ChoiceContext &context, const Route &route, FlowToken avoid)
 {
-    const std::string &service = serviceOf(route, context.flowHash);
-    SteeredTarget *target = chooseOf(context, service, avoid);
+    SteeredTarget *target = chooseOf(context, serviceOf(route, context.flowHash), avoid);
     for (std::size_t i = 0; target == nullptr && i < route.services.size(); ++i) {
         if (route.services[i].weight > 0) {
-            target = chooseOf(context, m_table.services[route.services[i].service], avoid);
+            target = chooseOf(context, route.services[i].service, avoid);
         }
     }
     return target;
@@ -220,7 +244,7 @@
 
 // The best of the targets without a blemish; if there are none, of those that are only suspect or silent.
 template<SteeringChoice Choice>
-SteeredTarget *BasicFlowSteering<Choice>::chooseOf(const ChoiceContext &context, const std::string &service, FlowToken avoid)
+SteeredTarget *BasicFlowSteering<Choice>::chooseOf(const ChoiceContext &context, std::uint16_t service, FlowToken avoid)
 {
     enum class Blemish : std::uint8_t {
         None,
@@ -237,11 +261,15 @@
         }
         return target.suspect(context.now) ? Blemish::Suspect : Blemish::None;
     };
-    const std::span<SteeredTarget *const> targets = m_targets.ofService(service);
+    const bool spareCold = m_table.warmupOf(service).limited;
+    const auto takes = [&](const SteeredTarget &target) {
+        return takesNewFlows(target) && !(spareCold && context.now < target.warmAt);
+    };
+    const std::span<SteeredTarget *const> targets = m_targets.ofService(m_table.services[service]);
     for (const Blemish worst : {Blemish::None, Blemish::Suspect, Blemish::Silent, Blemish::Avoided}) {
         m_candidates.clear();
         std::copy_if(targets.begin(), targets.end(), std::back_inserter(m_candidates), [&](const SteeredTarget *target) {
-            return target->record.phase == TargetPhase::Serving && !target->ambiguous && blemishOf(*target) <= worst;
+            return takes(*target) && blemishOf(*target) <= worst;
         });
         if (!m_candidates.empty()) {
             return Choice::pick(m_candidates, context);
@@ -250,9 +278,16 @@
     return nullptr;
 }
 
+template<SteeringChoice Choice>
+bool BasicFlowSteering<Choice>::takesNewFlows(const SteeredTarget &target) const
+{
+    const bool drained = !m_drained.empty() && m_drained.contains(target.record.dataCentre);
+    return target.record.phase == TargetPhase::Serving && !target.ambiguous && !drained;
+}
+
 // The flow's hash divides flows by weight, so that all copies of an opening packet get the same service.
 template<SteeringChoice Choice>
-const std::string &BasicFlowSteering<Choice>::serviceOf(const Route &route, std::uint64_t flowHash) const
+std::uint16_t BasicFlowSteering<Choice>::serviceOf(const Route &route, std::uint64_t flowHash)
 {
     std::uint64_t total = 0;
     for (const WeightedService &service : route.services) {
@@ -261,11 +296,11 @@
     std::uint64_t point = total > 0 ? hashPair(flowHash, total) % total : 0;
     for (const WeightedService &service : route.services) {
         if (point < service.weight) {
-            return m_table.services[service.service];
+            return service.service;
         }
         point -= service.weight;
     }
-    return m_table.services[route.services.front().service];
+    return route.services.front().service;
 }
 
 // ---- Flows ----
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -23,6 +23,10 @@
 // Flows are forgotten after this without a packet, unless the routing table gives a time.
 inline constexpr Duration DefaultIdleTimeout = std::chrono::seconds(15);
 
+// How long targets of a data centre that is taken back are slow at least, unless the routing table gives more. Targets of
+// an interactive service that have rested have cold caches for about that long.
+inline constexpr Duration DefaultWarmup = std::chrono::seconds(2);
+
 // Most flows in the table; beyond it flows are steered by token alone. At 64 bytes each, 16 MiB.
 inline constexpr std::size_t MaxSteeredFlows = 200'000;
 
@@ -118,6 +122,10 @@
     SteeringTargets &targets();
     const SteeringTargets &targets() const;
 
+    // From now on these data centres get no new flows, and no others are left out; flows that are open stay. Targets of
+    // one that is taken back count as warming up, as they rested.
+    void setDrained(TimePoint now, std::span<const DataCentreId> drained);
+
     // From now on what is not known does not exist. Before, an opening packet without a route or a target, and
     // any other packet with an unknown token, is to be held.
     void setInformed();
@@ -155,8 +163,10 @@
     SteeringDecision drop(SteeringReason reason);
     SteeringDecision hold(SteeringReason reason);
     SteeredTarget *choose(const ChoiceContext &context, const Route &route, FlowToken avoid);
-    SteeredTarget *chooseOf(const ChoiceContext &context, const std::string &service, FlowToken avoid);
-    const std::string &serviceOf(const Route &route, std::uint64_t flowHash) const;
+    SteeredTarget *chooseOf(const ChoiceContext &context, std::uint16_t service, FlowToken avoid);
+    static std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
+    bool takesNewFlows(const SteeredTarget &target) const;
+    Duration longestWarmup() const;
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
     Flow *remember(TimePoint now, const FlowKey &key);
     void assign(Flow &flow, SteeredTarget &target);
@@ -170,6 +180,7 @@
     RoutingTable m_table;
     boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; into m_table.
     boost::unordered_flat_map<std::uint64_t, TimePoint> m_dropped; // Removed routes; when the next tick saw that.
+    std::set<DataCentreId> m_drained;
     SteeringTargets m_targets;
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -5,6 +5,7 @@
 #include "link_message.h"
 #include "routing_table.h"
 #include "target_record.h"
+#include "version_watch.h"
 
 #include <array>
 #include <string_view>
@@ -167,15 +168,17 @@
     }
 };
 
-// A replica's newest committed routing version, to balancers and to the other replicas. Confirmed: it heard from a quorum or its leader of late, so
-// no higher version was accepted before that.
+// A replica's newest committed routing, to balancers and to the other replicas: the number of its table, which is asked
+// for, and the drained data centres in full, as there are few. Confirmed: it held of late all that a quorum had, so
+// nothing newer was accepted before that.
 struct RoutingOffer {
-    std::uint64_t version = 0;
+    RoutingProgress progress;
     bool confirmed = false;
+    std::vector<DataCentreId> drained;
 
     auto fields()
     {
-        return std::tie(version, confirmed);
+        return std::tie(progress.version, confirmed, progress.drainRevision, drained);
     }
 };
 
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -217,21 +217,39 @@
 
 bool ReplicaNode::confirmed(TimePoint now) const
 {
-    return m_driver && m_versions.newest(raft().inContact(now), document().table.version);
+    return m_driver && m_versions.newest(raft().caughtUp(now), progress());
+}
+
+RoutingProgress ReplicaNode::progress() const
+{
+    return {document().table.version, drains().revision()};
+}
+
+RoutingOffer ReplicaNode::offer(TimePoint now) const
+{
+    RoutingOffer offer{progress(), confirmed(now), {}};
+    for (const std::string &name : drains().drained()) {
+        offer.drained.push_back(m_file.dataCentreId(name));
+    }
+    return offer;
 }
 
 void ReplicaNode::offerRouting()
 {
-    const RoutingOffer offer{document().table.version, confirmed(monotonicNow())};
-    const bool changed = offer.version != m_offered.version;
+    const RoutingOffer now = offer(monotonicNow());
+    const bool changed = now.progress != m_offered.progress;
     if (changed) {
-        LogLine(LogLevel::Info, "routing-in-force").with("version", offer.version).with("routes", document().table.routes.size());
+        LogLine(LogLevel::Info, "routing-in-force")
+            .with("version", now.progress.version)
+            .with("routes", document().table.routes.size())
+            .with("drain-revision", now.progress.drainRevision)
+            .with("drained", now.drained.size());
     }
     // Balancers that have just started wait for a confirmed version; those that lost a quorum need not know.
-    if (changed || (offer.confirmed && !m_offered.confirmed)) {
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), offer);
+    if (changed || (now.confirmed && !m_offered.confirmed)) {
+        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), now);
     }
-    m_offered = offer;
+    m_offered = now;
 }
 
 // Encodes a table once for all who ask: one of 490 routes takes 0.64 ms, and after a loss of power 64 balancers ask
@@ -263,9 +281,9 @@
     }
     m_nextBeat = now + ReplicaBeatInterval;
     writeNotes();
-    const RoutingOffer offer{document().table.version, confirmed(now)};
-    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), offer);
-    m_links.sendAll(m_links.dialled(), offer);
+    const RoutingOffer current = offer(now);
+    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), current);
+    m_links.sendAll(m_links.dialled(), current);
     m_targets.beat(now);
 }
 
@@ -287,7 +305,7 @@
         m_targets.greet(now, link);
     } else {
         m_links.send(link, replicaList());
-        m_links.send(link, RoutingOffer{document().table.version, confirmed(now)});
+        m_links.send(link, offer(now));
     }
 }
 
@@ -317,8 +335,8 @@
         m_targets.onNews(link, *news);
     } else if (const auto *heard = std::get_if<TargetsHeard>(&message)) {
         m_targets.onHeard(*heard);
-    } else if (const auto *offer = std::get_if<RoutingOffer>(&message)) {
-        m_versions.sawInForce(offer->version);
+    } else if (const auto *offered = std::get_if<RoutingOffer>(&message)) {
+        m_versions.sawInForce(offered->progress);
     } else if (const auto *receipt = std::get_if<TargetReceipt>(&message)) {
         m_targets.onReceipt(peer.replica, *receipt);
     } else if (std::holds_alternative<TargetsTold>(message)) {
@@ -355,6 +373,14 @@
     });
 }
 
+void ReplicaNode::countRefused(std::string_view call, std::string_view reason)
+{
+    ++m_refusedCalls;
+    if (const auto leftOut = m_refusedLog.take(monotonicNow())) {
+        LogLine(LogLevel::Warning, "call-refused").with("call", call).with("reason", reason).with("left-out", *leftOut);
+    }
+}
+
 std::optional<Endpoint> ReplicaNode::announceAt(const TargetRecord &record) const
 {
     std::vector<ReplicaPlace> reachable{{m_self, m_file.dataCentreId(m_file.dataCentre)}};
@@ -367,7 +393,7 @@
     return replica ? std::optional(Endpoint{value(*replica), m_file.adminListen.port}) : std::nullopt;
 }
 
-// ---- Calls: the routing document ----
+// ---- Calls: the routing document and drains ----
 
 void ReplicaNode::submit(const RoutingDocument &routing, Respond respond)
 {
@@ -378,6 +404,20 @@
         // What is held is committed, so this is true at any replica, however far it lags.
         return respond(ReplicaAnswer::Done);
     }
+    propose(routing, std::move(respond));
+}
+
+// Other than a version, an order that was in force may have been withdrawn since: only its own commit answers it.
+void ReplicaNode::submit(const DataCentreOrder &order, Respond respond)
+{
+    if (!m_driver) {
+        return respond(ReplicaAnswer::Unavailable);
+    }
+    propose(order, std::move(respond));
+}
+
+void ReplicaNode::propose(const RoutingChange &change, Respond respond)
+{
     ++m_changes;
     m_open[++m_lastTicket] = [this, began = monotonicNow(), respond = std::move(respond)](ReplicaAnswer answer) {
         if (answer == ReplicaAnswer::Done) {
@@ -385,7 +425,7 @@
         }
         respond(answer);
     };
-    m_driver->core().submit(monotonicNow(), m_lastTicket, routing);
+    m_driver->core().submit(monotonicNow(), m_lastTicket, change);
     scheduleFlush();
 }
 
@@ -407,6 +447,12 @@
     return m_driver ? m_driver->core().state().document() : None;
 }
 
+const DataCentreDrains &ReplicaNode::drains() const
+{
+    static const DataCentreDrains None;
+    return m_driver ? m_driver->core().state().drains() : None;
+}
+
 const RaftCore &ReplicaNode::raft() const
 {
     return m_driver->core().raft();
@@ -432,15 +478,17 @@
     text.gauge("robinrail_replica_term", "Term of consensus", m_driver ? static_cast<double>(value(raft().term())) : 0);
     text.gauge("robinrail_replica_commit", "Index of the last committed entry", m_driver ? static_cast<double>(value(raft().commitIndex())) : 0);
     text.gauge("robinrail_routing_version", "Version of the routing document in force", static_cast<double>(document().table.version));
+    text.gauge("robinrail_drained_data_centres", "Data centres that get no new flows", static_cast<double>(drains().drained().size()));
     text.gauge("robinrail_targets_known", "Targets in the directory", static_cast<double>(m_targets.size()));
     text.gauge("robinrail_followers", "Balancers that follow this replica's directory", static_cast<double>(m_targets.followers()));
     text.gauge("robinrail_balancer_links", "Balancers linked to this replica", static_cast<double>(m_links.acceptedFrom(NodeRole::Balancer).size()));
     text.counter("robinrail_announcements_total", "Announcements of targets", static_cast<double>(m_targets.announcements()));
-    text.counter("robinrail_changes_total", "Routing documents proposed here", static_cast<double>(m_changes));
+    text.counter("robinrail_refused_calls_total", "Calls that could not be read or ask for the impossible", static_cast<double>(m_refusedCalls));
+    text.counter("robinrail_changes_total", "Routing documents and drains of data centres proposed here", static_cast<double>(m_changes));
     text.counter("robinrail_storage_failures_total", "Times that the disk refused to work", static_cast<double>(m_storageFailures));
     text.counter("robinrail_target_probes_total", "Connections tried to targets that balancers reported", static_cast<double>(m_prober.probes()));
     text.counter("robinrail_drains_unanswered_total", "Drains that too few replicas confirmed", static_cast<double>(m_targets.drainsUnanswered()));
-    text.histogram("robinrail_commit_seconds", "From a proposed document to its commit", m_commitTimes);
+    text.histogram("robinrail_commit_seconds", "From a proposed document or drain to its commit", m_commitTimes);
     text.histogram("robinrail_drain_confirm_seconds", "From a drain to its confirmation", m_targets.drainTimes());
     if (m_driver) {
         text.histogram("robinrail_sync_seconds", "Writes of the log with their syncs", m_driver->syncTimes());
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "background_file.h"
+#include "log_budget.h"
 #include "node_links.h"
 #include "replica_driver.h"
 #include "routing_state.h"
@@ -65,14 +66,21 @@
     // A document that was checked. Done: it or a higher version is in force for good.
     void submit(const RoutingDocument &document, Respond respond);
 
+    // An order to drain a data centre or to take it back. Done: it is in force for good, or until the opposite order.
+    void submit(const DataCentreOrder &order, Respond respond);
+
     // A linearizable read: when it is Done, document() is the newest.
     void read(Respond respond);
 
+    // A call from outside was refused before it came here, for this reason.
+    void countRefused(std::string_view call, std::string_view reason);
+
     // Where this target should make its announcements from now on: one replica for each, so that it keeps one
     // connection, in its own data centre if one there can be reached. Empty: wherever it likes.
     std::optional<Endpoint> announceAt(const TargetRecord &record) const;
 
     const RoutingDocument &document() const;
+    const DataCentreDrains &drains() const;
     const SteeringFile &settings() const;
 
     // Where the leader takes calls; port 0 if it is not known.
@@ -97,6 +105,9 @@
     void rejoin(TimePoint now);
     void beat(TimePoint now);
     void followMembers();
+    void propose(const RoutingChange &change, Respond respond);
+    RoutingProgress progress() const;
+    RoutingOffer offer(TimePoint now) const;
     void offerRouting();
     ReplicaList replicaList() const;
     void onClosed(LinkHandle link, const NodeHello &peer);
@@ -135,6 +146,8 @@
     std::map<ReplicaId, DataCentreId> m_dataCentres;
     ClusterConfig m_followed;
     ReplicaKey m_loggedLeader;
+    std::uint64_t m_refusedCalls = 0;
+    LogBudget m_refusedLog;
     std::uint64_t m_changes = 0;
     LatencyHistogram m_commitTimes;
     std::uint64_t m_storageFailures = 0;
--- a/src/routing_state.h
+++ b/src/routing_state.h
@@ -1,9 +1,10 @@
 // SPDX-License-Identifier: MIT
-// Routing state: the replicated routing document of a cluster whose operators are trusted by their network.
-// The text is kept as it was sent, so that a read returns it unchanged.
+// Routing state: what a cluster whose operators are trusted by their network agrees on, that is the routing document and
+// the data centres that are drained. The document's text is kept as it was sent, so that a read returns it unchanged.
 #pragma once
 
 #include "codec.h"
+#include "data_centre_drains.h"
 #include "routing_table.h"
 #include "version_order.h"
 
@@ -22,53 +23,79 @@
     }
 };
 
+// A change as the log carries it. The order of the alternatives is the format on disk.
+using RoutingChange = std::variant<RoutingDocument, DataCentreOrder>;
+
 // The held version after a change, which is the proposed one or a higher one.
 struct RoutingResult {
     VersionVerdict verdict = VersionVerdict::Superseded;
     std::uint64_t held = 0;
 };
 
+namespace detail {
+
+// The whole state, as it goes into a snapshot.
+struct RoutingImage {
+    RoutingDocument document;
+    DataCentreDrains drains;
+
+    auto fields()
+    {
+        return std::tie(document, drains);
+    }
+};
+
+// Snapshots of earlier releases are a document alone.
+using RoutingSnapshot = std::variant<RoutingDocument, RoutingImage>;
+
+} // namespace detail
+
 template<VersionOrder Order>
 class BasicRoutingState
 {
 public:
-    using Change = RoutingDocument;
+    using Change = RoutingChange;
     using Result = RoutingResult;
 
     // Entries of this many bytes are replaced by a snapshot. A document has up to 100 KB and a disk 128 MB.
     static constexpr std::size_t CompactionBytes = std::size_t{1} << 20U;
 
-    static Bytes encodeChange(const RoutingDocument &document)
+    static Bytes encodeChange(const RoutingChange &change)
     {
-        return encodeMessage(std::variant<RoutingDocument>(document));
+        return encodeMessage(change);
     }
 
     RoutingResult applyCommand(BytesView command)
     {
-        std::optional<std::variant<RoutingDocument>> change = decodeMessage<std::variant<RoutingDocument>>(command);
+        std::optional<RoutingChange> change = decodeMessage<RoutingChange>(command);
         if (!change) {
             return {VersionVerdict::Conflict, m_document.table.version};
         }
-        RoutingDocument &document = std::get<0>(*change);
-        const VersionVerdict verdict = Order::judge(m_document.table.version, m_document.table.version, document.table.version);
-        if (verdict == VersionVerdict::Apply) {
-            m_document = std::move(document);
+        if (const auto *order = std::get_if<DataCentreOrder>(&*change)) {
+            const bool changed = m_drains.apply(*order);
+            return {changed ? VersionVerdict::Apply : VersionVerdict::Superseded, m_document.table.version};
         }
-        return {verdict, m_document.table.version};
+        return applyDocument(std::get<RoutingDocument>(std::move(*change)));
     }
 
     Bytes serialize() const
     {
-        return encodeChange(m_document);
+        return encodeMessage(detail::RoutingSnapshot(detail::RoutingImage{m_document, m_drains}));
     }
 
     bool restore(BytesView bytes)
     {
-        std::optional<std::variant<RoutingDocument>> document = decodeMessage<std::variant<RoutingDocument>>(bytes);
-        if (!document) {
+        std::optional<detail::RoutingSnapshot> snapshot = decodeMessage<detail::RoutingSnapshot>(bytes);
+        if (!snapshot) {
             return false;
         }
-        m_document = std::get<0>(std::move(*document));
+        if (auto *image = std::get_if<detail::RoutingImage>(&*snapshot)) {
+            m_document = std::move(image->document);
+            m_drains = std::move(image->drains);
+        } else {
+            m_document = std::get<RoutingDocument>(std::move(*snapshot));
+            m_drains = {};
+        }
         return true;
     }
 
@@ -78,8 +105,24 @@
         return m_document;
     }
 
+    const DataCentreDrains &drains() const
+    {
+        return m_drains;
+    }
+
 private:
+    RoutingResult applyDocument(RoutingDocument document)
+    {
+        const std::uint64_t held = m_document.table.version;
+        const VersionVerdict verdict = Order::judge(held, held, document.table.version);
+        if (verdict == VersionVerdict::Apply) {
+            m_document = std::move(document);
+        }
+        return {verdict, m_document.table.version};
+    }
+
     RoutingDocument m_document;
+    DataCentreDrains m_drains;
 };
 
 using RoutingState = BasicRoutingState<HighestVersion>;
--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -36,17 +36,38 @@
     }
 };
 
+// How the targets of a service behave after their start.
+struct ServiceWarmup {
+    Duration duration{}; // How long they are slow; 0: not told.
+    bool limited = false; // Meanwhile they bear only so many requests a second, from all balancers together.
+
+    bool operator==(const ServiceWarmup &) const = default;
+
+    auto fields()
+    {
+        return std::tie(duration, limited);
+    }
+};
+
 struct RoutingTable {
     std::uint64_t version = 0; // 0: none.
     Duration idleTimeout{}; // A flow that rested for so long may be forgotten.
     std::vector<std::string> services;
     std::vector<Route> routes;
+    std::vector<ServiceWarmup> warmups; // By service; shorter if the last ones told nothing.
+
+    static constexpr std::size_t OldestFields = 4;
 
     bool operator==(const RoutingTable &) const = default;
 
     auto fields()
     {
-        return std::tie(version, idleTimeout, services, routes);
+        return std::tie(version, idleTimeout, services, routes, warmups);
+    }
+
+    ServiceWarmup warmupOf(std::uint16_t service) const
+    {
+        return service < warmups.size() ? warmups[service] : ServiceWarmup{};
     }
 };
 
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -331,13 +331,25 @@
 
 void SteeringNode::onOffer(LinkHandle link, const RoutingOffer &offer)
 {
-    m_offers[link] = offer.version;
+    m_offers[link] = offer.progress.version;
     if (offer.confirmed) {
-        m_confirmedVersion = std::max(m_confirmedVersion, offer.version);
+        m_confirmedVersion = std::max(m_confirmedVersion, offer.progress.version);
     }
+    drain(offer);
     fetchIfBehind(monotonicNow());
 }
 
+// Each offer carries the drains in full, so one that got lost is made up for by the next, 500 ms later.
+void SteeringNode::drain(const RoutingOffer &offer)
+{
+    if (offer.progress.drainRevision <= m_drainRevision) {
+        return;
+    }
+    m_drainRevision = offer.progress.drainRevision;
+    m_steering.setDrained(monotonicNow(), offer.drained);
+    LogLine(LogLevel::Info, "data-centres-drained").with("revision", m_drainRevision).with("drained", offer.drained.size());
+}
+
 void SteeringNode::fetchIfBehind(TimePoint now)
 {
     if (now < m_fetchDue) {
@@ -397,6 +409,7 @@
     MetricsText text;
     text.gauge("robinrail_steering_ready", "1 if the fabric may send packets here", m_ready ? 1 : 0);
     text.gauge("robinrail_routing_version", "Version of the routing table in force", static_cast<double>(m_steering.version()));
+    text.gauge("robinrail_drain_revision", "Revision of the drained data centres in force", static_cast<double>(m_drainRevision));
     text.gauge("robinrail_targets_known", "Targets known", static_cast<double>(m_steering.targets().size()));
     text.gauge("robinrail_flows", "Flows in the table", static_cast<double>(m_steering.flowCount()));
     text.gauge("robinrail_replica_links", "Links to replicas", static_cast<double>(m_links.dialled().size()));
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -86,6 +86,7 @@
     void resetFlows();
     void logReset(TimePoint now, const FlowReset &reset);
     void onOffer(LinkHandle link, const RoutingOffer &offer);
+    void drain(const RoutingOffer &offer);
     void onUpdate(const RoutingUpdate &update);
     void fetchIfBehind(TimePoint now);
     void knowReplicas();
@@ -109,6 +110,7 @@
     LinkHandle m_fetchedFrom = 0;
     bool m_fetching = false;
     std::uint64_t m_confirmedVersion = 0; // The newest one at some moment, as a replica with a quorum said.
+    std::uint64_t m_drainRevision = 0; // Of the drained data centres in force here.
     bool m_confirmed = false; // The table was the newest one once.
     bool m_informed = false;
     std::function<void()> m_onLearnt;
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -37,10 +37,7 @@
     }
     target.record = news.record;
     target.token = tokenOf(news.record.key);
-    target.warmAt = now + news.record.warmupLeft;
-    if (added) {
-        target.alive = now;
-    }
+    target.warmAt = std::max(target.warmAt, now + news.record.warmupLeft);
     add(target);
 }
 
@@ -96,6 +93,15 @@
     return m_source ? target.vouchers.contains(*m_source) : !target.vouchers.empty();
 }
 
+void SteeringTargets::warmUp(DataCentreId dataCentre, TimePoint until)
+{
+    for (auto &[key, target] : m_targets) {
+        if (target.record.dataCentre == dataCentre) {
+            target.warmAt = std::max(target.warmAt, until);
+        }
+    }
+}
+
 void SteeringTargets::tick(TimePoint now)
 {
     for (auto at = m_targets.begin(); at != m_targets.end();) {
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -58,6 +58,9 @@
     // Whether a target is said to be alive: by the source, or by any replica as long as there is none.
     bool vouched(const SteeredTarget &target) const;
 
+    // All targets of a data centre are slow until this moment, whatever they announced.
+    void warmUp(DataCentreId dataCentre, TimePoint until);
+
     // Leaves out targets that left or were silent for longer than flows live.
     void tick(TimePoint now);
 
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -24,7 +24,6 @@
 
 std::vector<TargetStatus> TargetDirectory::announce(TimePoint now, const TargetRecord &record)
 {
-    m_heardHere.push_back(record.key);
     std::vector<TargetStatus> news;
     const TargetRecord *known = find(record.key);
     if (known == nullptr || known->phase != TargetPhase::Left) {
--- a/src/version_watch.h
+++ b/src/version_watch.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Version watch: whether a replica may say that no higher routing version than its own was accepted before now.
+// Version watch: whether a replica may say that no newer routing than its own was accepted before now.
 //
 // The pattern that it answers: a balancer follows one replica and believes its word. A replica that hears its leader may
 // still lag behind: while it catches up, or if its log can't be applied. What the other replicas have in force is the
@@ -11,23 +11,37 @@
 
 namespace Robinrail {
 
+// How new a replica's routing is. Both numbers only rise, each by itself.
+struct RoutingProgress {
+    std::uint64_t version = 0; // Of the routing table.
+    std::uint64_t drainRevision = 0; // Of the list of drained data centres.
+
+    bool operator==(const RoutingProgress &) const = default;
+
+    bool reaches(const RoutingProgress &other) const
+    {
+        return version >= other.version && drainRevision >= other.drainRevision;
+    }
+};
+
 class VersionWatch
 {
 public:
-    // Another replica has this version in force.
-    void sawInForce(std::uint64_t version)
+    // Another replica has this in force.
+    void sawInForce(const RoutingProgress &progress)
     {
-        m_highest = std::max(m_highest, version);
+        m_highest.version = std::max(m_highest.version, progress.version);
+        m_highest.drainRevision = std::max(m_highest.drainRevision, progress.drainRevision);
     }
 
-    // `inContact`: this replica heard from a quorum or its leader of late. `own`: the version that it has in force.
-    bool newest(bool inContact, std::uint64_t own) const
+    // `caughtUp`: this replica held all that its quorum or its leader had of late. `own`: what it has in force.
+    bool newest(bool caughtUp, const RoutingProgress &own) const
     {
-        return inContact && own >= m_highest;
+        return caughtUp && own.reaches(m_highest);
     }
 
 private:
-    std::uint64_t m_highest = 0; // In force at any other replica.
+    RoutingProgress m_highest; // In force at any other replica.
 };
 
 } // namespace Robinrail
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -660,14 +660,17 @@
 TEST_CASE("a replica that lags behind another one does not vouch for its version, although it hears its leader")
 {
     VersionWatch watch;
-    CHECK(watch.newest(true, 0));
-    watch.sawInForce(11);
-    CHECK_FALSE(watch.newest(true, 5));
-    CHECK(watch.newest(true, 11));
-    watch.sawInForce(5); // One that lags even more.
-    CHECK_FALSE(watch.newest(true, 5));
-    CHECK(watch.newest(true, 14));
-    CHECK_FALSE(watch.newest(false, 14));
+    CHECK(watch.newest(true, {}));
+    watch.sawInForce({11, 0});
+    CHECK_FALSE(watch.newest(true, {5, 0}));
+    CHECK(watch.newest(true, {11, 0}));
+    watch.sawInForce({5, 0}); // One that lags even more.
+    CHECK_FALSE(watch.newest(true, {5, 0}));
+    CHECK(watch.newest(true, {14, 0}));
+    CHECK_FALSE(watch.newest(false, {14, 0}));
+    watch.sawInForce({5, 2});
+    CHECK_FALSE(watch.newest(true, {14, 1}));
+    CHECK(watch.newest(true, {14, 2}));
 }
 
 TEST_CASE("a follower that lost an entry hears its leader for as long as its refusals do not get through")
@@ -686,8 +689,9 @@
         follower.tick(now);
         CHECK(follower.inContact(now));
         CHECK(follower.commitIndex() == LogIndex{0});
-        watch.sawInForce(Confirmed);
-        CHECK_FALSE(watch.newest(follower.inContact(now), 5));
+        CHECK_FALSE(follower.caughtUp(now));
+        watch.sawInForce({Confirmed, 0});
+        CHECK_FALSE(watch.newest(follower.inContact(now), {5, 0}));
     }
 }
 
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 using namespace Robinrail;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/tests/test_targets.cpp
+++ b/tests/test_targets.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 #include <limits>
 
 using namespace Robinrail;
