Let a target start again under its key

Change: a later birth supersedes all of an earlier one, its end too; what is held up of a former lifetime (announcement, drain, departure, receipt of a drain) changes nothing of the later one. Without a birth all is as before. Flows of the former lifetime are not reset by balancers: one that opened before this balancer heard of the restart is live, and the target itself resets those that it does not know. A target that warms up anew without a restart is told to balancers. Times in announcements are bounded, a birth of another type names no target. Tests fail first: restart under a key, late news of the former lifetime, departure, receipts, warm-up anew, foreign types.

--- a/src/directory_follower.cpp
+++ b/src/directory_follower.cpp
@@ -27,6 +27,7 @@
     status.record.phase = listed.phase;
     status.record.warmupLeft = std::chrono::milliseconds(listed.warmupMs);
     status.record.sequence = listed.sequence;
+    status.record.born = listed.born;
     status.silent = listed.silent;
     return status;
 }
--- a/src/directory_publisher.cpp
+++ b/src/directory_publisher.cpp
@@ -32,6 +32,7 @@
     listed.silent = status.silent;
     listed.warmupMs = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(record.warmupLeft).count());
     listed.sequence = record.sequence;
+    listed.born = record.born;
     return listed;
 }
 
--- a/src/drain_confirmations.cpp
+++ b/src/drain_confirmations.cpp
@@ -9,17 +9,17 @@
 {
 }
 
-void DrainConfirmations::await(TimePoint now, TargetKey key, TargetPhase phase, Respond respond)
+void DrainConfirmations::await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond)
 {
     if (m_needed == 0) {
         return respond(true);
     }
-    m_open.emplace(key, Open{phase, {}, now + DrainAnswerTimeout, std::move(respond)});
+    m_open.emplace(lifetime, Open{phase, {}, now + DrainAnswerTimeout, std::move(respond)});
 }
 
-void DrainConfirmations::receipt(ReplicaId from, TargetKey key, TargetPhase phase)
+void DrainConfirmations::receipt(ReplicaId from, TargetLifetime lifetime, TargetPhase phase)
 {
-    const auto [first, last] = m_open.equal_range(key);
+    const auto [first, last] = m_open.equal_range(lifetime);
     for (auto at = first; at != last;) {
         Open &open = at->second;
         if (phase >= open.phase) {
--- a/src/drain_confirmations.h
+++ b/src/drain_confirmations.h
@@ -26,10 +26,10 @@
     explicit DrainConfirmations(std::size_t needed);
 
     // Waits for receipts of this phase or a later one; responds at once if none are needed.
-    void await(TimePoint now, TargetKey key, TargetPhase phase, Respond respond);
+    void await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond);
 
     // Another replica knows that the target is in this phase.
-    void receipt(ReplicaId from, TargetKey key, TargetPhase phase);
+    void receipt(ReplicaId from, TargetLifetime lifetime, TargetPhase phase);
 
     // Gives up on those that waited too long; how many these were.
     std::size_t expire(TimePoint now);
@@ -43,7 +43,7 @@
     };
 
     std::size_t m_needed;
-    std::multimap<TargetKey, Open> m_open;
+    std::multimap<TargetLifetime, Open> m_open;
 };
 
 } // namespace Robinrail
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -93,10 +93,11 @@
     bool silent = false;
     std::uint32_t warmupMs = 0; // How long it stays slow, milliseconds.
     std::uint64_t sequence = 0;
+    std::uint64_t born = 0;
 
     auto fields()
     {
-        return std::tie(key, service, address, dataCentre, slots, phase, silent, warmupMs, sequence);
+        return std::tie(key, service, address, dataCentre, slots, phase, silent, warmupMs, sequence, born);
     }
 };
 
@@ -137,12 +138,12 @@
 
 // The sending replica knows that this target drains or left.
 struct TargetReceipt {
-    TargetKey key{};
+    TargetLifetime lifetime;
     TargetPhase phase = TargetPhase::Serving;
 
     auto fields()
     {
-        return std::tie(key, phase);
+        return std::tie(lifetime, phase);
     }
 };
 
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -366,9 +366,9 @@
     });
 }
 
-void ReplicaNode::leave(TargetKey key, Respond respond)
+void ReplicaNode::leave(TargetKey key, std::uint64_t born, Respond respond)
 {
-    m_targets.leave(key, [respond = std::move(respond)](bool taken) {
+    m_targets.leave(key, born, [respond = std::move(respond)](bool taken) {
         respond(taken ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
     });
 }
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -60,8 +60,8 @@
     // A target announced itself. Done: it is known, and if it drains, no borne loss can undo that.
     void announce(const TargetRecord &record, Respond respond);
 
-    // A target's lifetime ends. The same promise.
-    void leave(TargetKey key, Respond respond);
+    // A target's lifetime ends, whichever is held if `born` is 0. The same promise.
+    void leave(TargetKey key, std::uint64_t born, Respond respond);
 
     // A document that was checked. Done: it or a higher version is in force for good.
     void submit(const RoutingDocument &document, Respond respond);
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -35,6 +35,10 @@
     if (news.record.phase == TargetPhase::Left && (added || target.record.phase != TargetPhase::Left)) {
         target.leftAt = now;
     }
+    if (added || news.record.born != target.record.born) {
+        // Flows of a former lifetime are reset by the target itself, which does not know them.
+        sawAlive(now, target);
+    }
     target.record = news.record;
     target.token = tokenOf(news.record.key);
     target.warmAt = std::max(target.warmAt, now + news.record.warmupLeft);
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -26,7 +26,11 @@
 {
     std::vector<TargetStatus> news;
     const TargetRecord *known = find(record.key);
-    if (known == nullptr || known->phase != TargetPhase::Left) {
+    if (known != nullptr && record.born < known->born) {
+        return news; // Held up on its way: its lifetime was ended by the one that is held.
+    }
+    m_heardHere.push_back(record.key);
+    if (known == nullptr || known->phase != TargetPhase::Left || record.born > known->born) {
         news = endOlderAt(now, record);
     }
     if (std::optional<TargetStatus> own = take(now, {record, false, Duration{0}})) {
@@ -62,7 +66,7 @@
 TimePoint TargetDirectory::firstHeard(TimePoint now, const TargetRecord &record) const
 {
     const auto found = m_entries.find(record.key);
-    if (found != m_entries.end()) {
+    if (found != m_entries.end() && record.born <= found->second.record.born) {
         return found->second.firstHeard;
     }
     const std::uint64_t before = record.sequence > 0 ? record.sequence - 1 : 0;
@@ -82,17 +86,40 @@
         return newsOf(entry, now);
     }
     Entry &entry = found->second;
+    if (news.record.born != entry.record.born) {
+        return news.record.supersedes(entry.record) ? std::optional(beginLifetime(now, entry, news)) : std::nullopt;
+    }
+    const bool cooled = coolerThan(news, entry, now);
     entry.heard = std::max(entry.heard, now - news.age);
     entry.firstHeard = std::min(entry.firstHeard, now - news.known);
     const bool wasSilent = std::exchange(entry.silent, entry.silent && now - entry.heard >= m_silenceLimit);
     if (!news.record.supersedes(entry.record)) {
         return wasSilent && !entry.silent ? std::optional(newsOf(entry, now)) : std::nullopt;
     }
-    const bool changed = news.record.differs(entry.record) || wasSilent;
+    const bool changed = news.record.differs(entry.record) || wasSilent || cooled;
     setRecord(entry, news.record);
     return changed ? std::optional(newsOf(entry, now)) : std::nullopt;
 }
 
+// A target started again under its key. Nothing that was heard of its former lifetime holds for this one.
+TargetStatus TargetDirectory::beginLifetime(TimePoint now, Entry &entry, const TargetStatus &news)
+{
+    entry.firstHeard = std::min(firstHeard(now - news.age, news.record), now - news.known);
+    entry.heard = now - news.age;
+    entry.silent = news.silent;
+    setRecord(entry, news.record);
+    return newsOf(entry, now);
+}
+
+// Whether a target has begun to warm up anew without a restart, as after it rested: balancers, which count the time that
+// they were told down, must hear of it.
+bool TargetDirectory::coolerThan(const TargetStatus &news, const Entry &entry, TimePoint now)
+{
+    const TimePoint warm = now - news.age + news.record.warmupLeft;
+    const TimePoint known = entry.heard + entry.record.warmupLeft;
+    return news.record.warmupLeft > Duration{0} && warm - known >= WarmupSlack;
+}
+
 void TargetDirectory::setRecord(Entry &entry, const TargetRecord &record)
 {
     if (record.address != entry.record.address) {
@@ -112,10 +139,10 @@
     m_addresses.erase(found);
 }
 
-std::optional<TargetStatus> TargetDirectory::leave(TimePoint now, TargetKey key)
+std::optional<TargetStatus> TargetDirectory::leave(TimePoint now, TargetKey key, std::uint64_t born)
 {
     const auto found = m_entries.find(key);
-    if (found == m_entries.end()) {
+    if (found == m_entries.end() || (born != 0 && born < found->second.record.born)) {
         return std::nullopt;
     }
     found->second.record.phase = TargetPhase::Left;
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -19,6 +19,10 @@
 // A target that nobody heard for this long is forgotten.
 inline constexpr Duration ForgetSilent = std::chrono::seconds(120);
 
+// A warm-up that ends later than the known one by less is the same one, heard of with another delay. A quarter of the
+// shortest warm-up that targets have, 2 s.
+inline constexpr Duration WarmupSlack = std::chrono::milliseconds(500);
+
 // Most targets that are kept; an announcement beyond that is refused.
 inline constexpr std::size_t MaxDirectoryTargets = 100'000;
 
@@ -36,8 +40,8 @@
     // Takes another replica's news. Returns the news to pass on to balancers, if any.
     std::optional<TargetStatus> take(TimePoint now, const TargetStatus &news);
 
-    // Ends a lifetime; the news to pass on, if the target is known.
-    std::optional<TargetStatus> leave(TimePoint now, TargetKey key);
+    // Ends a lifetime, or whichever is held if `born` is 0; the news to pass on, if it is known and not over by a later one.
+    std::optional<TargetStatus> leave(TimePoint now, TargetKey key, std::uint64_t born = 0);
 
     // Another replica heard these targets just now. Returns targets that are silent no longer.
     std::vector<TargetStatus> heard(TimePoint now, std::span<const TargetKey> keys);
@@ -65,6 +69,8 @@
     };
     std::vector<TargetStatus> endOlderAt(TimePoint now, const TargetRecord &record);
     TimePoint firstHeard(TimePoint now, const TargetRecord &record) const;
+    TargetStatus beginLifetime(TimePoint now, Entry &entry, const TargetStatus &news);
+    static bool coolerThan(const TargetStatus &news, const Entry &entry, TimePoint now);
     void setRecord(Entry &entry, const TargetRecord &record);
     void unindex(const TargetRecord &record);
     TargetStatus newsOf(const Entry &entry, TimePoint now) const;
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -51,11 +51,11 @@
     confirm(*known, std::move(respond));
 }
 
-void TargetExchange::leave(TargetKey key, Respond respond)
+void TargetExchange::leave(TargetKey key, std::uint64_t born, Respond respond)
 {
-    const std::optional<TargetStatus> news = m_directory.leave(monotonicNow(), key);
+    const std::optional<TargetStatus> news = m_directory.leave(monotonicNow(), key, born);
     if (!news) {
-        // Nobody here knows it, so nobody sends it anything either.
+        // Nobody here knows that lifetime, so nobody sends it anything either.
         return respond(true);
     }
     spread(*news);
@@ -67,7 +67,7 @@
 {
     m_links.sendAll(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}, Duration{0}}}});
     const TimePoint began = monotonicNow();
-    m_drains.await(began, record.key, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
+    m_drains.await(began, {record.key, record.born}, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
         if (confirmed) {
             m_drainTimes.record(monotonicNow() - began);
         }
@@ -109,7 +109,7 @@
             changed.push_back(std::move(*taken));
         }
         if (news.record.phase != TargetPhase::Serving) {
-            m_links.send(link, TargetReceipt{news.record.key, news.record.phase});
+            m_links.send(link, TargetReceipt{{news.record.key, news.record.born}, news.record.phase});
         }
     }
     m_changed = m_changed || !changed.empty();
@@ -123,7 +123,7 @@
 
 void TargetExchange::onReceipt(ReplicaId from, const TargetReceipt &receipt)
 {
-    m_drains.receipt(from, receipt.key, receipt.phase);
+    m_drains.receipt(from, receipt.lifetime, receipt.phase);
 }
 
 void TargetExchange::onTold()
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -31,7 +31,7 @@
 
     // Calls of the targets.
     void announce(const TargetRecord &record, Respond respond);
-    void leave(TargetKey key, Respond respond);
+    void leave(TargetKey key, std::uint64_t born, Respond respond);
 
     // A balancer's targets that do not answer; the address of each that may still be there is passed on.
     template<typename Probe>
--- a/src/target_record.h
+++ b/src/target_record.h
@@ -9,9 +9,22 @@
 
 namespace Robinrail {
 
-// One lifetime of a target: a restart has another key. Never 0.
+// A target. A restart has another key, or the same one and a later birth. Never 0.
 enum class TargetKey : std::uint64_t {};
 
+// One lifetime of a target.
+struct TargetLifetime {
+    TargetKey key{};
+    std::uint64_t born = 0; // As in TargetRecord.
+
+    auto operator<=>(const TargetLifetime &) const = default;
+
+    auto fields()
+    {
+        return std::tie(key, born);
+    }
+};
+
 enum class TargetPhase : std::uint8_t {
     Serving,
     Draining, // Finishes its flows and gets no new ones.
@@ -27,15 +40,21 @@
     TargetPhase phase = TargetPhase::Serving;
     Duration warmupLeft{}; // How long it stays slow, from when this was announced.
     std::uint64_t sequence = 0; // Rises with every announcement of a lifetime.
+    std::uint64_t born = 0; // When the lifetime began by the target's own clock, Unix milliseconds; 0: not told.
+
+    static constexpr std::size_t OldestFields = 8;
 
     auto fields()
     {
-        return std::tie(key, service, address, dataCentre, slots, phase, warmupLeft, sequence);
+        return std::tie(key, service, address, dataCentre, slots, phase, warmupLeft, sequence, born);
     }
 
-    // Whether this is news to somebody who holds `other`. Nothing follows the end of a lifetime.
+    // Whether this is news to somebody who holds `other`. Nothing follows the end of a lifetime but a later one.
     bool supersedes(const TargetRecord &other) const
     {
+        if (born != other.born) {
+            return born > other.born;
+        }
         if (other.phase == TargetPhase::Left) {
             return false;
         }
@@ -45,7 +64,7 @@
     // Whether balancers must hear of the difference.
     bool differs(const TargetRecord &other) const
     {
-        return service != other.service || address != other.address || slots != other.slots || phase != other.phase;
+        return service != other.service || address != other.address || slots != other.slots || phase != other.phase || born != other.born;
     }
 };
 
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -148,3 +148,44 @@
     CHECK_FALSE(readTargetId("i-xyz"));
     CHECK_FALSE(readTargetId("i-0"));
 }
+
+TEST_CASE("how targets warm up is read; a rate of 0 gives no limit")
+{
+    const auto warmupOf = [](const std::string &members) {
+        std::string reason;
+        const auto document = readDocument(R"({"version": 7, "routes": [], "services": [{"name": "a")" + members + "}]}", reason);
+        return document ? std::optional(document->table.warmupOf(0)) : std::nullopt;
+    };
+    CHECK(warmupOf("") == ServiceWarmup{});
+    CHECK(warmupOf(R"(, "warmup_s": 2.0, "warmup_per_s": 0.0)") == ServiceWarmup{std::chrono::seconds(2), false});
+    CHECK(warmupOf(R"(, "warmup_s": 1.5, "warmup_per_s": 6)") == ServiceWarmup{std::chrono::milliseconds(1500), true});
+    CHECK(warmupOf(R"(, "warmup_s": 1e300)") == ServiceWarmup{std::chrono::hours(24), false});
+    CHECK_FALSE(warmupOf(R"(, "warmup_s": "2")"));
+    CHECK_FALSE(warmupOf(R"(, "warmup_per_s": -1)"));
+}
+
+TEST_CASE("an announcement tells the birth of its lifetime, and one from another writer names no target")
+{
+    const auto bornOf = [](const std::string &member) {
+        std::string reason;
+        const auto record = readAnnouncement(
+            TargetKey{5},
+            R"({"service":"a","address":"10.0.0.9:80","zone":"thamel","capacity":2,"state":"ready","warmup_left_ms":99999999999999,"sequence":4)" + member
+                + "}",
+            settingsOf(),
+            reason);
+        CHECK(record.has_value() == reason.empty());
+        return record ? std::optional(record->born) : std::nullopt;
+    };
+    CHECK(bornOf("") == 0);
+    CHECK(bornOf(R"(,"born":1764720000000)") == 1'764'720'000'000);
+    for (const char *foreign : {R"(,"born":"1764720000000")", R"(,"born":1.5)", R"(,"born":-1)", R"(,"born":null)", R"(,"state":"resting")"}) {
+        CHECK_FALSE(bornOf(foreign));
+    }
+    std::string reason;
+    CHECK(readDeparture("", reason) == 0);
+    CHECK(readDeparture(R"({"born":7})", reason) == 7);
+    CHECK(readDeparture("{}", reason) == 0);
+    CHECK_FALSE(readDeparture(R"({"born":"7"})", reason));
+    CHECK_FALSE(readDeparture("\xff{", reason));
+}
--- a/tests/test_targets.cpp
+++ b/tests/test_targets.cpp
@@ -196,25 +196,26 @@
 
 TEST_CASE("a drain is confirmed by enough different replicas, or given up in time")
 {
+    constexpr TargetLifetime Fifth{TargetKey{5}};
     DrainConfirmations drains(2);
     std::vector<bool> answers;
     const auto note = [&answers](bool confirmed) {
         answers.push_back(confirmed);
     };
-    drains.await(Start, TargetKey{5}, TargetPhase::Draining, note);
-    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
-    drains.receipt(FirstReplica, TargetKey{5}, TargetPhase::Draining);
-    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Serving);
-    drains.receipt(SecondReplica, TargetKey{6}, TargetPhase::Draining);
+    drains.await(Start, Fifth, TargetPhase::Draining, note);
+    drains.receipt(FirstReplica, Fifth, TargetPhase::Draining);
+    drains.receipt(FirstReplica, Fifth, TargetPhase::Draining);
+    drains.receipt(SecondReplica, Fifth, TargetPhase::Serving);
+    drains.receipt(SecondReplica, TargetLifetime{TargetKey{6}}, TargetPhase::Draining);
     CHECK(answers.empty());
-    drains.receipt(SecondReplica, TargetKey{5}, TargetPhase::Left);
+    drains.receipt(SecondReplica, Fifth, TargetPhase::Left);
     CHECK(answers == std::vector<bool>{true});
-    drains.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    drains.await(Start, Fifth, TargetPhase::Left, note);
     CHECK(drains.expire(Start + DrainAnswerTimeout - milliseconds(1)) == 0);
     CHECK(drains.expire(Start + DrainAnswerTimeout) == 1);
     CHECK(answers == std::vector<bool>{true, false});
     DrainConfirmations alone(0);
-    alone.await(Start, TargetKey{5}, TargetPhase::Left, note);
+    alone.await(Start, Fifth, TargetPhase::Left, note);
     CHECK(answers.size() == 3);
 }
 
@@ -236,3 +237,118 @@
     CHECK(restored.restore(state.serialize()));
     CHECK(restored.document().table == state.document().table);
 }
+
+TEST_CASE("orders to drain a data centre are applied in the order of the log, and survive a snapshot")
+{
+    RoutingState state;
+    const DataCentreOrder drain{"lalit", true};
+    const DataCentreOrder takeBack{"lalit", false};
+    state.applyCommand(RoutingState::encodeChange(drain));
+    state.applyCommand(RoutingState::encodeChange(DataCentreOrder{"bhakta", true}));
+    CHECK(state.drains().drained() == std::vector<std::string>{"bhakta", "lalit"});
+    CHECK(state.drains().revision() == 2);
+    // The same order again changes nothing; a document in between neither.
+    CHECK(state.applyCommand(RoutingState::encodeChange(drain)).verdict == VersionVerdict::Superseded);
+    state.applyCommand(RoutingState::encodeChange(RoutingDocument{"text", tableOf(9)}));
+    CHECK(state.drains().revision() == 2);
+    RoutingState restored;
+    CHECK(restored.restore(state.serialize()));
+    CHECK(restored.drains() == state.drains());
+    CHECK(restored.document().table == state.document().table);
+    state.applyCommand(RoutingState::encodeChange(takeBack));
+    CHECK(state.drains().drained() == std::vector<std::string>{"bhakta"});
+    CHECK(state.drains().revision() == 3);
+    CHECK(state.applyCommand(RoutingState::encodeChange(takeBack)).verdict == VersionVerdict::Superseded);
+}
+
+TEST_CASE("snapshots and log entries of the release before drains are read")
+{
+    // A document "t" of version 9, idle time 15 s, one service "a" and its route 198.18.0.1:443, as that release wrote it,
+    // in its snapshots and in its log alike.
+    constexpr std::array<std::uint8_t, 30> Earlier{0x82, 0x00, 0x82, 0x61, 0x74, 0x84, 0x09, 0x1a, 0x00, 0xe4, 0xe1, 0xc0, 0x81, 0x61, 0x61,
+                                                   0x81, 0x82, 0x82, 0x1a, 0xc6, 0x12, 0x00, 0x01, 0x19, 0x01, 0xbb, 0x81, 0x82, 0x00, 0x01};
+    const BytesView bytes(Earlier);
+    RoutingState restored;
+    REQUIRE(restored.restore(bytes));
+    RoutingState applied;
+    CHECK(applied.applyCommand(bytes).verdict == VersionVerdict::Apply);
+    for (const RoutingState *state : {&restored, &applied}) {
+        CHECK(state->document().text == "t");
+        CHECK(state->document().table.version == 9);
+        CHECK(state->document().table.idleTimeout == seconds(15));
+        REQUIRE(state->document().table.routes.size() == 1);
+        CHECK(state->document().table.routes[0].address == Endpoint{0xc6120001, 443});
+        CHECK(state->drains().revision() == 0);
+    }
+}
+
+TEST_CASE("a target that starts again under its key begins a lifetime, its counts anew")
+{
+    TargetDirectory directory(seconds(1), seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    record.born = 1'000;
+    record.sequence = 40;
+    directory.announce(Start, record);
+    TargetRecord again = record;
+    again.born = 2'000;
+    again.sequence = 1;
+    CHECK(directory.announce(Start + seconds(1), again).size() == 1);
+    CHECK(directory.find(TargetKey{5})->born == 2'000);
+    // What was held up of the former lifetime changes nothing: neither its drain nor its end.
+    record.sequence = 41;
+    record.phase = TargetPhase::Draining;
+    CHECK(directory.announce(Start + seconds(2), record).empty());
+    CHECK_FALSE(directory.take(Start + seconds(2), {record, false, Duration{0}, seconds(2)}));
+    CHECK_FALSE(directory.leave(Start + seconds(2), TargetKey{5}, 1'000));
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+    // It was not heard through that: it falls silent in its time.
+    CHECK(directory.tick(Start + seconds(4)).size() == 1);
+    REQUIRE(directory.leave(Start + seconds(4), TargetKey{5}, 2'000));
+    // After its end a third lifetime begins.
+    again.born = 3'000;
+    CHECK(directory.announce(Start + seconds(5), again).size() == 1);
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Serving);
+}
+
+TEST_CASE("a departure that names no lifetime ends the one that is held")
+{
+    TargetDirectory directory(seconds(1), seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    record.born = 1'000;
+    directory.announce(Start, record);
+    REQUIRE(directory.leave(Start, TargetKey{5}));
+    CHECK(directory.find(TargetKey{5})->phase == TargetPhase::Left);
+}
+
+TEST_CASE("receipts of a former lifetime's drain do not confirm that of a later one")
+{
+    DrainConfirmations drains(1);
+    bool confirmed = false;
+    drains.await(Start, {TargetKey{5}, 2'000}, TargetPhase::Draining, [&confirmed](bool taken) {
+        confirmed = taken;
+    });
+    drains.receipt(FirstReplica, {TargetKey{5}, 1'000}, TargetPhase::Left);
+    CHECK_FALSE(confirmed);
+    drains.receipt(FirstReplica, {TargetKey{5}, 2'000}, TargetPhase::Draining);
+    CHECK(confirmed);
+}
+
+TEST_CASE("balancers hear of a target that warms up anew without a restart")
+{
+    TargetDirectory directory(seconds(1), seconds(3));
+    TargetRecord record = targetOf(5, "quotes");
+    record.warmupLeft = seconds(2);
+    directory.announce(Start, record);
+    // The same warm-up, announced again with its time run down, is no news.
+    record.sequence = 2;
+    record.warmupLeft = milliseconds(1'050);
+    CHECK(directory.announce(Start + seconds(1), record).empty());
+    record.sequence = 3;
+    record.warmupLeft = {};
+    CHECK(directory.announce(Start + seconds(2), record).empty());
+    record.sequence = 4;
+    record.warmupLeft = milliseconds(1'800);
+    const std::vector<TargetStatus> news = directory.announce(Start + seconds(3), record);
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].record.warmupLeft == milliseconds(1'800));
+}
