Reset data of a flow that is new to a balancer while its target counts as gone

Cause: a data centre loses power; its balancers are back after 1.5 s with no flows in their tables, its targets under other ids. The replicas' word that a target is gone reset the flows in the table of that moment only, so each later one waited for its own repetition and its own word, or its deadline. And the first packet of a flow that opened elsewhere counted as a sign of its target's life, also if it was data repeated in vain, which put the word off by 400 ms. Change: a target counts as gone for 2 s, or until it shows life here or a replica hears it. Data of a flow whose opening did not come here says nothing about its target's life; an acknowledgement still does.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -32,6 +32,7 @@
                                                                            "no-target",
                                                                            "route-dropped",
                                                                            "target-left",
+                                                                           "target-gone",
                                                                            "unknown-token",
                                                                            "not-informed",
                                                                            "late-opening"};
@@ -184,6 +185,9 @@
     if (target->record.phase == TargetPhase::Left && now - target->leftAt >= LeftGrace) {
         return packet.reset ? drop(SteeringReason::TargetLeft) : reset(SteeringReason::TargetLeft, packet);
     }
+    if (target->gone(now) && packet.dataBytes > 0) {
+        return reset(SteeringReason::TargetGone, packet);
+    }
     if (flow != nullptr) {
         assign(*flow, *target);
         observe(now, packet, *flow);
@@ -197,6 +201,8 @@
 {
     SteeredTarget &target = *m_targets.find(flow.target);
     const bool answered = !flow.open || behind(flow.acknowledged, packet.acknowledged);
+    // Data of a flow that opened through another balancer may have been sent and repeated there for long.
+    const bool unheard = !flow.open && !flow.opensHere && packet.dataBytes > 0;
     if (std::exchange(flow.opensHere, false)) {
         m_openTimes.record(flow.sentAt.elapsed(now));
     }
@@ -207,6 +213,8 @@
     if (answered) {
         flow.acknowledged = packet.acknowledged;
         setBusy(flow, false);
+    }
+    if (answered && !unheard) {
         m_targets.sawAlive(now, target);
     }
     if (packet.dataBytes > 0) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -54,12 +54,13 @@
     NoTarget,
     RouteDropped,
     TargetLeft,
+    TargetGone, // It was taken for gone a moment ago; this flow is new here.
     UnknownToken,
     NotInformed, // This balancer was just started and may not know the route or its targets yet.
     LateOpening, // Waited through a standstill of this balancer: a copy of it has opened the flow elsewhere by now.
 };
 
-inline constexpr std::size_t SteeringReasonCount = 12;
+inline constexpr std::size_t SteeringReasonCount = 13;
 
 std::string_view nameOf(SteeringReason reason);
 
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -25,6 +25,7 @@
         target.vouchers.erase(replica);
     } else {
         target.vouchers.insert(replica);
+        target.goneUntil = {};
     }
     if (!added && !news.record.supersedes(target.record)) {
         return;
@@ -134,6 +135,7 @@
 {
     target.alive = now;
     target.flowsOver = false;
+    target.goneUntil = {};
     target.suspicion = {};
     target.suspectUntil = {};
 }
@@ -145,6 +147,7 @@
         return false;
     }
     at->second.flowsOver = true;
+    at->second.goneUntil = now + GoneMemory;
     m_flowsOver.push_back(key);
     suspect(now, at->second);
     return true;
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -20,6 +20,10 @@
 inline constexpr Duration FirstSuspicion = std::chrono::seconds(1);
 inline constexpr Duration LongestSuspicion = std::chrono::seconds(8);
 
+// How long a target counts as gone after enough replicas tried in vain to connect to it, unless it shows life. Its flows
+// come here from balancers that went down with it, each with its data's next repetition, 0.2 to 1.6 s apart.
+inline constexpr Duration GoneMemory = std::chrono::seconds(2);
+
 struct SteeredTarget {
     TargetRecord record;
     FlowToken token{};
@@ -29,6 +33,7 @@
     Duration suspicion{}; // The last one's length; 0 after a sign of life.
     TimePoint alive; // Last sign of life that passed through here.
     TimePoint leftAt; // When its end was learnt.
+    TimePoint goneUntil; // Data of its flows is answered with resets before this.
     bool flowsOver = false; // Its flows are to be reset now.
     bool ambiguous = false; // An older target has the same token: it gets no flows.
     std::uint32_t flows = 0; // Open flows that pass through here.
@@ -38,6 +43,11 @@
     {
         return now < suspectUntil;
     }
+
+    bool gone(TimePoint now) const
+    {
+        return now < goneUntil;
+    }
 };
 
 class SteeringTargets
