Play drains of data centres and restarts under a key in the fault soak

Cause: both are new, and the soak is where troubles overlap as they come. Change: seeds from 1000 on drain a data centre and take it back again and again, each order sent until it is taken, and let targets start again under their keys with their counts anew. Lower seeds draw what they drew before, as regressions must. A stand-in operator's call has a file of its own, as two use it.

--- a/soak/operator_desk.cpp
+++ b/soak/operator_desk.cpp
@@ -2,29 +2,21 @@
 // Operator desk: implementation.
 #include "operator_desk.h"
 
-#include "log.h"
-#include "settings.h"
+#include "operator_call.h"
 #include "standin_wire.h"
 
+#include <nlohmann/json.hpp>
+
 namespace Robinrail::Soak {
 
 namespace {
 
-constexpr milliseconds CallTimeout{1000};
-constexpr unsigned Ok = 200;
-constexpr unsigned TemporaryRedirect = 307;
-constexpr int MostRedirects = 2;
-
 // Statuses that end a call at once, as the platform's operators take them.
 bool refuses(unsigned status)
 {
     return status == 400 || status == 409 || status == 412 || status == 413 || status == 422;
 }
 
-// A call without a clear answer is made again after a pause that grows up to this.
-constexpr Duration FirstPause = milliseconds(50);
-constexpr Duration LongestPause = milliseconds(800);
-
 // Between two changes drawn by lot, and between two reads.
 constexpr milliseconds LongestChangePause{900};
 constexpr Duration ReadInterval = milliseconds(300);
@@ -67,7 +59,7 @@
     order->valid = valid;
     order->replica = pick(m_random, m_plan.replicas);
     order->due = now;
-    order->pause = FirstPause;
+    order->pause = FirstCallPause;
     m_open.push_back(order);
 }
 
@@ -128,7 +120,7 @@
         if (!order->calling && now >= order->due) {
             order->calling = true;
             const HttpRequest request{"PUT", Platform::documentPath(), {}, {}, order->text};
-            call({m_plan.replica(order->replica), Plan::ControlPort}, request, 0, [this, order](const std::optional<HttpReply> &reply) {
+            callReplica(m_io, {m_plan.replica(order->replica), Plan::ControlPort}, request, [this, order](const std::optional<HttpReply> &reply) {
                 answered(order, reply);
             });
         }
@@ -139,21 +131,6 @@
     }
 }
 
-// Calls a replica, and the one that it redirects to.
-void OperatorDesk::call(Endpoint replica, const HttpRequest &request, int redirects, const HttpDone &done)
-{
-    startHttpCall(m_io, replica, request, CallTimeout, [this, request, redirects, done](const std::optional<HttpReply> &reply) {
-        constexpr std::string_view Scheme = "http://";
-        if (reply && reply->status == TemporaryRedirect && redirects < MostRedirects && reply->location.starts_with(Scheme)) {
-            const std::string place = reply->location.substr(Scheme.size());
-            if (const std::optional<Endpoint> leader = parseEndpoint(place.substr(0, place.find('/')))) {
-                return call(*leader, request, redirects + 1, done);
-            }
-        }
-        done(reply);
-    });
-}
-
 void OperatorDesk::answered(const std::shared_ptr<Order> &order, const std::optional<HttpReply> &reply)
 {
     const TimePoint now = monotonicNow();
@@ -173,7 +150,7 @@
     order->calling = false;
     order->replica = (order->replica + 1) % m_plan.replicas;
     order->due = now + order->pause;
-    order->pause = std::min(order->pause * 2, LongestPause);
+    order->pause = std::min(order->pause * 2, LongestCallPause);
 }
 
 // ---- Reading back ----
@@ -183,7 +160,7 @@
     const std::uint64_t floor = std::max(m_acknowledged, m_seen);
     const bool last = m_finishing && m_open.empty();
     const Endpoint replica{m_plan.replica(pick(m_random, m_plan.replicas)), Plan::ControlPort};
-    call(replica, {"GET", Platform::documentPath(), {}, {}, {}}, 0, [this, floor, last](const std::optional<HttpReply> &reply) {
+    callReplica(m_io, replica, {"GET", Platform::documentPath(), {}, {}, {}}, [this, floor, last](const std::optional<HttpReply> &reply) {
         if (reply && reply->status == Ok) {
             readBack(floor, last, *reply);
         }
--- a/soak/operator_desk.h
+++ b/soak/operator_desk.h
@@ -51,7 +51,6 @@
     void drawChange(TimePoint now);
     void drawBad(TimePoint now);
     void add(TimePoint now, std::uint64_t version, std::string text, bool valid);
-    void call(Endpoint replica, const HttpRequest &request, int redirects, const HttpDone &done);
     void answered(const std::shared_ptr<Order> &order, const std::optional<HttpReply> &reply);
     void read(TimePoint now);
     void followRoute(TimePoint now);
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 #include "soak_run.h"
 
 #include "caller_crowd.h"
+#include "drain_orders.h"
 #include "fault_schedule.h"
 #include "log.h"
 #include "node_herd.h"
@@ -40,6 +41,8 @@
         , m_targets(m_io, options.plan, m_trouble, m_promises, streamOf(options.seed, 1))
         , m_callers(m_io, options.plan, m_targets, m_promises, streamOf(options.seed, 2))
         , m_desk(m_io, options.plan, m_promises, streamOf(options.seed, 4))
+        , m_drains(m_io, options.plan, m_promises, streamOf(options.seed, 6))
+        , m_restarts(streamOf(options.seed, 7))
         , m_schedule(options.plan, m_nodes, m_targets, m_desk, m_trouble, streamOf(options.seed, 5))
         , m_timer(m_io)
     {
@@ -59,6 +62,7 @@
             .with("troubles", m_schedule.drawn())
             .with("version", m_desk.acknowledged())
             .with("reads", m_desk.reads())
+            .with("drain-orders", m_drains.taken())
             .with("broken", m_promises.count());
         return m_promises.count() == 0;
     }
@@ -86,6 +90,10 @@
         m_targets.tick(now);
         m_desk.tick(now);
         m_targets.setRouteGone(m_desk.routeGoneSince());
+        if (withDrains() && m_phase != Phase::Starting) {
+            m_drains.tick(now);
+            m_targets.setDrained(m_drains.drainedSince());
+        }
         if (m_phase != Phase::Starting || m_callers.fabric().readyCount() == m_options.plan.balancers) {
             m_callers.tick(now);
         } else {
@@ -103,6 +111,22 @@
         });
     }
 
+    bool withDrains() const
+    {
+        return m_options.seed >= FirstSeedWithDrains;
+    }
+
+    void restartTargets(TimePoint now)
+    {
+        constexpr milliseconds ShortestPause{400};
+        constexpr milliseconds LongestPause{4000};
+        constexpr milliseconds RestartTime{300};
+        if (withDrains() && now >= m_restartDue) {
+            m_restartDue = now + between(m_restarts, ShortestPause, LongestPause);
+            m_targets.restart(now, RestartTime);
+        }
+    }
+
     void follow(TimePoint now)
     {
         const bool late = now >= m_phaseEnd;
@@ -114,8 +138,10 @@
             break;
         case Phase::Troubled:
             m_schedule.tick(now);
+            restartTargets(now);
             if (late) {
                 m_nodes.settleAll(now);
+                m_drains.finish();
                 enter(Phase::Recovering, RecoveryTime);
             }
             return;
@@ -128,7 +154,7 @@
             }
             break;
         case Phase::Settling:
-            if (m_desk.settled() && m_callers.servedOnChangingRoute() > m_servedBefore) {
+            if (m_desk.settled() && m_drains.settled() && m_callers.servedOnChangingRoute() > m_servedBefore) {
                 return enter(Phase::Ended, Duration{0});
             }
             break;
@@ -150,6 +176,9 @@
     TargetFleet m_targets;
     CallerCrowd m_callers;
     OperatorDesk m_desk;
+    DrainOrders m_drains;
+    Random m_restarts; // Of targets, under their keys.
+    TimePoint m_restartDue;
     FaultSchedule m_schedule;
     boost::asio::steady_timer m_timer;
     Phase m_phase = Phase::Starting;
--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -89,6 +89,13 @@
 
 inline const std::vector<std::string> DataCentres = {"here", "there"};
 
+// The one that operators empty and take back.
+inline const std::string &DrainedDataCentre = DataCentres.back();
+
+// Seeds from here on also drain a data centre and let targets start again under their keys. What a lower one plays stays as
+// it was when it failed.
+inline constexpr std::uint64_t FirstSeedWithDrains = 1000;
+
 // The routes that never change, one for each service, and one that comes and goes.
 inline const std::vector<std::string> Services = {"quotes", "decks"};
 inline constexpr Endpoint FirstRoute{0xc6120001, 443};
--- a/soak/target_fleet.cpp
+++ b/soak/target_fleet.cpp
@@ -80,6 +80,10 @@
     Target target;
     target.place = place;
     target.record.key = TargetKey{(std::uint64_t{m_random()} >> 16U) | 1U};
+    if (const auto former = std::exchange(m_places[place].former, std::nullopt)) {
+        target.record.key = former->key;
+        target.record.born = former->born + 1;
+    }
     // Half of the places belong to each service.
     target.record.service = Services[place < m_places.size() / 2 ? 0 : 1];
     target.record.address = {m_plan.target(place), Plan::TargetPort};
@@ -114,6 +118,18 @@
     }
 }
 
+void TargetFleet::restart(TimePoint now, milliseconds pause)
+{
+    Place &place = m_places[pick(m_random, m_places.size())];
+    if (place.target) {
+        const TargetRecord &record = place.target->record;
+        LogLine(LogLevel::Info, "target-restarts").with("target", value(record.key)).with("born", record.born);
+        place.former = TargetLifetime{record.key, record.born};
+        end(place);
+        place.nextDue = now + pause;
+    }
+}
+
 void TargetFleet::drain(TimePoint now)
 {
     Place &place = m_places[pick(m_random, m_places.size())];
@@ -147,17 +163,21 @@
     const std::string &dataCentre = DataCentres[value(target.record.dataCentre) - 1];
     const HttpRequest request{"PUT", Platform::targetPath(target.record.key), {}, {}, Platform::writeAnnouncement(target.record, dataCentre)};
     const TargetPhase phase = target.record.phase;
-    startHttpCall(m_io, replica, request, CallTimeout, [this, key = target.record.key, index = target.place, phase](const std::optional<HttpReply> &reply) {
-        constexpr unsigned Ok = 200;
-        announced(key, index, phase, reply && reply->status == Ok);
-    });
+    startHttpCall(m_io,
+                  replica,
+                  request,
+                  CallTimeout,
+                  [this, lifetime = TargetLifetime{target.record.key, target.record.born}, index = target.place, phase](const std::optional<HttpReply> &reply) {
+                      constexpr unsigned Ok = 200;
+                      announced(lifetime, index, phase, reply && reply->status == Ok);
+                  });
 }
 
-void TargetFleet::announced(TargetKey key, std::size_t place, TargetPhase phase, bool taken)
+void TargetFleet::announced(TargetLifetime lifetime, std::size_t place, TargetPhase phase, bool taken)
 {
     const TimePoint now = monotonicNow();
     std::optional<Target> &target = m_places[place].target;
-    if (!target || target->record.key != key) {
+    if (!target || TargetLifetime{target->record.key, target->record.born} != lifetime) {
         return;
     }
     target->calling = false;
@@ -222,6 +242,10 @@
     if (target.drainConfirmed && now - *target.drainConfirmed > DrainTime && inTouch(now, balancer)) {
         m_promises.broken("a draining target gets no new flow", where);
     }
+    const bool drained = DataCentres[value(target.record.dataCentre) - 1] == DrainedDataCentre;
+    if (drained && m_drained && now - *m_drained > ApplyTime && inTouch(now, balancer)) {
+        m_promises.broken("a drained data centre gets no new flow", where);
+    }
     if (packet.to == ChangingRoute && m_routeGone && now - *m_routeGone > ApplyTime && inTouch(now, balancer)) {
         m_promises.broken("a removed route takes no new flow", where);
     }
@@ -349,6 +373,11 @@
     m_routeGone = since;
 }
 
+void TargetFleet::setDrained(std::optional<TimePoint> since)
+{
+    m_drained = since;
+}
+
 std::size_t TargetFleet::runs() const
 {
     return m_runs;
--- a/soak/target_fleet.h
+++ b/soak/target_fleet.h
@@ -35,13 +35,18 @@
     void crash(TimePoint now, milliseconds pause);
     void drain(TimePoint now);
 
+    // The same as a crash, but the next lifetime has the key of the former one, and its counts begin anew.
+    void restart(TimePoint now, milliseconds pause);
+
     // The lifetime at which a flow opened, if that one still runs.
     bool openAtLiveTarget(const FlowKey &flow) const;
 
     bool isTarget(Endpoint sender) const;
 
-    // From this time on the changing route must not be there, as far as nodes out of trouble are concerned.
+    // From this time on the changing route must not be there, and the drained data centre get no new flow, as far as nodes
+    // out of trouble are concerned.
     void setRouteGone(std::optional<TimePoint> since);
+    void setDrained(std::optional<TimePoint> since);
 
     std::size_t runs() const;
 
@@ -74,12 +79,13 @@
         std::optional<Target> target;
         std::unique_ptr<HttpServer> health; // Takes connections as long as a lifetime runs here, as on the platform.
         TimePoint nextDue; // When the next lifetime begins.
+        std::optional<TargetLifetime> former; // Of which the next one takes the key.
     };
 
     void begin(TimePoint now, std::size_t place);
     static void end(Place &place);
     void announce(TimePoint now, Place &place);
-    void announced(TargetKey key, std::size_t place, TargetPhase phase, bool taken);
+    void announced(TargetLifetime lifetime, std::size_t place, TargetPhase phase, bool taken);
     void leave(TimePoint now, Place &place);
     void receive(std::size_t place, Endpoint from, BytesView datagram);
     void opening(TimePoint now, Place &place, const Platform::WirePacket &packet, Endpoint balancer);
@@ -99,6 +105,7 @@
     std::vector<Place> m_places;
     std::set<std::uint64_t> m_ranOnce; // Requests that must not run again.
     std::optional<TimePoint> m_routeGone;
+    std::optional<TimePoint> m_drained;
     std::size_t m_runs = 0;
 };
 
