Give routes, calls of a replica and three groups of tests files of their own

Change: SteeringRoutes (table in force, removed routes, drained data centres), replica_calls.cpp (what targets and operators ask), test_steering_choice, test_replica_choice, test_version_watch with what was there before, word for word. Mutations for the mechanisms of drains, warm-up, births, gone targets and the choice; two old ones follow the lines that they change.

--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -90,7 +90,7 @@
 inline const std::vector<std::string> DataCentres = {"here", "there"};
 
 // The one that operators empty and take back.
-inline const std::string &DrainedDataCentre = DataCentres.back();
+inline const std::string DrainedDataCentre = "there";
 
 // Seeds from here on also drain a data centre and let targets start again under their keys. What a lower one plays stays as
 // it was when it failed.
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-std::uint64_t packed(Endpoint endpoint)
-{
-    return std::uint64_t{endpoint.address} << 16U | endpoint.port;
-}
-
 // Whether one sequence number lies behind another on their circle.
 bool behind(std::uint32_t one, std::uint32_t other)
 {
@@ -55,46 +50,21 @@
 template<SteeringChoice Choice>
 bool BasicFlowSteering<Choice>::apply(const RoutingTable &table)
 {
-    if (table.version <= m_table.version) {
-        return false;
-    }
-    for (const auto &[address, route] : m_routes) {
-        m_dropped.try_emplace(address);
-    }
-    m_table = table;
-    m_routes.clear();
-    for (const Route &route : m_table.routes) {
-        m_routes[packed(route.address)] = &route;
-        m_dropped.erase(packed(route.address));
-    }
-    return true;
+    return m_routes.apply(table);
 }
 
 template<SteeringChoice Choice>
 std::uint64_t BasicFlowSteering<Choice>::version() const
 {
-    return m_table.version;
+    return m_routes.table().version;
 }
 
 template<SteeringChoice Choice>
 void BasicFlowSteering<Choice>::setDrained(TimePoint now, std::span<const DataCentreId> drained)
 {
-    const std::set<DataCentreId> before = std::exchange(m_drained, {drained.begin(), drained.end()});
-    for (const DataCentreId dataCentre : before) {
-        if (!m_drained.contains(dataCentre)) {
-            m_targets.warmUp(dataCentre, now + longestWarmup());
-        }
-    }
-}
-
-template<SteeringChoice Choice>
-Duration BasicFlowSteering<Choice>::longestWarmup() const
-{
-    Duration longest = DefaultWarmup;
-    for (const ServiceWarmup &warmup : m_table.warmups) {
-        longest = std::max(longest, warmup.duration);
+    for (const DataCentreId dataCentre : m_routes.setDrained(drained)) {
+        m_targets.warmUp(dataCentre, now + m_routes.longestWarmup());
     }
-    return longest;
 }
 
 template<SteeringChoice Choice>
@@ -121,8 +91,8 @@
     if (packet.waited >= timeUntilNextCopy(packet.copy)) {
         return drop(SteeringReason::LateOpening);
     }
-    const auto found = m_routes.find(packed(packet.route));
-    if (found == m_routes.end()) {
+    const Route *route = m_routes.find(packet.route);
+    if (route == nullptr) {
         return m_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed);
     }
     const FlowKey key{packet.caller, packet.route};
@@ -148,7 +118,7 @@
         }
     }
     const ChoiceContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
-    SteeredTarget *target = choose(context, *found->second, avoid);
+    SteeredTarget *target = choose(context, *route, avoid);
     if (target == nullptr) {
         return m_informed ? reset(SteeringReason::NoTarget, packet) : hold(SteeringReason::NotInformed);
     }
@@ -166,7 +136,7 @@
 template<SteeringChoice Choice>
 SteeringDecision BasicFlowSteering<Choice>::follow(TimePoint now, const FlowPacket &packet)
 {
-    if (m_dropped.contains(packed(packet.route))) {
+    if (m_routes.wasRemoved(packet.route)) {
         return packet.reset ? drop(SteeringReason::RouteDropped) : reset(SteeringReason::RouteDropped, packet);
     }
     FlowToken token = packet.token;
@@ -269,11 +239,11 @@
         }
         return target.suspect(context.now) ? Blemish::Suspect : Blemish::None;
     };
-    const bool spareCold = m_table.warmupOf(service).limited;
+    const bool spareCold = m_routes.table().warmupOf(service).limited;
     const auto takes = [&](const SteeredTarget &target) {
         return takesNewFlows(target) && !(spareCold && context.now < target.warmAt);
     };
-    const std::span<SteeredTarget *const> targets = m_targets.ofService(m_table.services[service]);
+    const std::span<SteeredTarget *const> targets = m_targets.ofService(m_routes.table().services[service]);
     for (const Blemish worst : {Blemish::None, Blemish::Suspect, Blemish::Silent, Blemish::Avoided}) {
         m_candidates.clear();
         std::copy_if(targets.begin(), targets.end(), std::back_inserter(m_candidates), [&](const SteeredTarget *target) {
@@ -289,8 +259,7 @@
 template<SteeringChoice Choice>
 bool BasicFlowSteering<Choice>::takesNewFlows(const SteeredTarget &target) const
 {
-    const bool drained = !m_drained.empty() && m_drained.contains(target.record.dataCentre);
-    return target.record.phase == TargetPhase::Serving && !target.ambiguous && !drained;
+    return target.record.phase == TargetPhase::Serving && !target.ambiguous && !m_routes.isDrained(target.record.dataCentre);
 }
 
 // The flow's hash divides flows by weight, so that all copies of an opening packet get the same service.
@@ -407,7 +376,8 @@
         return;
     }
     m_sweepDue = now + FlowSweepInterval;
-    const Duration idle = m_table.idleTimeout > Duration{0} ? m_table.idleTimeout : DefaultIdleTimeout;
+    const Duration tableIdle = m_routes.table().idleTimeout;
+    const Duration idle = tableIdle > Duration{0} ? tableIdle : DefaultIdleTimeout;
     boost::unordered::erase_if(m_flows, [&](auto &each) {
         Flow &flow = each.second;
         if (flow.busy && flow.sentAt.elapsed(now) >= LongestBusy) {
@@ -420,20 +390,7 @@
         return true;
     });
     m_targets.tick(now);
-    forgetDropped(now);
-}
-
-// A removed route resets the flows that it had; those live no longer than targets that left are remembered.
-template<SteeringChoice Choice>
-void BasicFlowSteering<Choice>::forgetDropped(TimePoint now)
-{
-    boost::unordered::erase_if(m_dropped, [now](auto &each) {
-        TimePoint &seen = each.second;
-        if (seen == TimePoint{}) {
-            seen = now;
-        }
-        return now - seen >= RememberLeft;
-    });
+    m_routes.tick(now);
 }
 
 // ---- Decisions ----
@@ -514,7 +471,7 @@
 template<SteeringChoice Choice>
 std::size_t BasicFlowSteering<Choice>::droppedRoutes() const
 {
-    return m_dropped.size();
+    return m_routes.removedRoutes();
 }
 
 template class BasicFlowSteering<HashChoice>;
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -7,6 +7,7 @@
 
 #include "metrics.h"
 #include "steering_choice.h"
+#include "steering_routes.h"
 
 #include <array>
 #include <vector>
@@ -23,10 +24,6 @@
 // Flows are forgotten after this without a packet, unless the routing table gives a time.
 inline constexpr Duration DefaultIdleTimeout = std::chrono::seconds(15);
 
-// How long targets of a data centre that is taken back are slow at least, unless the routing table gives more. Targets of
-// an interactive service that have rested have cold caches for about that long.
-inline constexpr Duration DefaultWarmup = std::chrono::seconds(2);
-
 // Most flows in the table; beyond it flows are steered by token alone. At 64 bytes each, 16 MiB.
 inline constexpr std::size_t MaxSteeredFlows = 200'000;
 
@@ -167,21 +164,16 @@
     SteeredTarget *chooseOf(const ChoiceContext &context, std::uint16_t service, FlowToken avoid);
     static std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
     bool takesNewFlows(const SteeredTarget &target) const;
-    Duration longestWarmup() const;
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
     Flow *remember(TimePoint now, const FlowKey &key);
     void assign(Flow &flow, SteeredTarget &target);
     void release(Flow &flow);
     void setBusy(Flow &flow, bool busy);
     void suspect(TimePoint now, SteeredTarget &target);
-    void forgetDropped(TimePoint now);
 
     DataCentreId m_dataCentre;
     bool m_informed = false;
-    RoutingTable m_table;
-    boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; into m_table.
-    boost::unordered_flat_map<std::uint64_t, TimePoint> m_dropped; // Removed routes; when the next tick saw that.
-    std::set<DataCentreId> m_drained;
+    SteeringRoutes m_routes;
     SteeringTargets m_targets;
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -2,7 +2,6 @@
 // Replica node: the disk, members, links and calls.
 #include "replica_node.h"
 
-#include "announcement_choice.h"
 #include "log.h"
 #include "metrics.h"
 #include "net.h"
@@ -357,88 +356,6 @@
     });
 }
 
-// ---- Calls: targets ----
-
-void ReplicaNode::announce(const TargetRecord &record, Respond respond)
-{
-    m_targets.announce(record, [respond = std::move(respond)](bool taken) {
-        respond(taken ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
-    });
-}
-
-void ReplicaNode::leave(TargetKey key, std::uint64_t born, Respond respond)
-{
-    m_targets.leave(key, born, [respond = std::move(respond)](bool taken) {
-        respond(taken ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
-    });
-}
-
-void ReplicaNode::countRefused(std::string_view call, std::string_view reason)
-{
-    ++m_refusedCalls;
-    if (const auto leftOut = m_refusedLog.take(monotonicNow())) {
-        LogLine(LogLevel::Warning, "call-refused").with("call", call).with("reason", reason).with("left-out", *leftOut);
-    }
-}
-
-std::optional<Endpoint> ReplicaNode::announceAt(const TargetRecord &record) const
-{
-    std::vector<ReplicaPlace> reachable{{m_self, m_file.dataCentreId(m_file.dataCentre)}};
-    for (const auto &[replica, dataCentre] : m_dataCentres) {
-        if (m_links.linkTo(replica) != 0) {
-            reachable.push_back({replica, dataCentre});
-        }
-    }
-    const std::optional<ReplicaId> replica = announcementReplica(record, reachable);
-    return replica ? std::optional(Endpoint{value(*replica), m_file.adminListen.port}) : std::nullopt;
-}
-
-// ---- Calls: the routing document and drains ----
-
-void ReplicaNode::submit(const RoutingDocument &routing, Respond respond)
-{
-    if (!m_driver) {
-        return respond(ReplicaAnswer::Unavailable);
-    }
-    if (document().table.version >= routing.table.version) {
-        // What is held is committed, so this is true at any replica, however far it lags.
-        return respond(ReplicaAnswer::Done);
-    }
-    propose(routing, std::move(respond));
-}
-
-// Other than a version, an order that was in force may have been withdrawn since: only its own commit answers it.
-void ReplicaNode::submit(const DataCentreOrder &order, Respond respond)
-{
-    if (!m_driver) {
-        return respond(ReplicaAnswer::Unavailable);
-    }
-    propose(order, std::move(respond));
-}
-
-void ReplicaNode::propose(const RoutingChange &change, Respond respond)
-{
-    ++m_changes;
-    m_open[++m_lastTicket] = [this, began = monotonicNow(), respond = std::move(respond)](ReplicaAnswer answer) {
-        if (answer == ReplicaAnswer::Done) {
-            m_commitTimes.record(monotonicNow() - began);
-        }
-        respond(answer);
-    };
-    m_driver->core().submit(monotonicNow(), m_lastTicket, change);
-    scheduleFlush();
-}
-
-void ReplicaNode::read(Respond respond)
-{
-    if (!m_driver) {
-        return respond(ReplicaAnswer::Unavailable);
-    }
-    m_open[++m_lastTicket] = std::move(respond);
-    m_driver->core().read(monotonicNow(), m_lastTicket);
-    scheduleFlush();
-}
-
 // ---- Small questions ----
 
 const RoutingDocument &ReplicaNode::document() const
--- /dev/null
+++ b/src/steering_routes.cpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+// Steering routes: implementation.
+#include "steering_routes.h"
+
+#include "target_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Robinrail {
+
+namespace {
+
+std::uint64_t packed(Endpoint endpoint)
+{
+    return std::uint64_t{endpoint.address} << 16U | endpoint.port;
+}
+
+} // namespace
+
+bool SteeringRoutes::apply(const RoutingTable &table)
+{
+    if (table.version <= m_table.version) {
+        return false;
+    }
+    for (const auto &[address, route] : m_routes) {
+        m_removed.try_emplace(address);
+    }
+    m_table = table;
+    m_routes.clear();
+    for (const Route &route : m_table.routes) {
+        m_routes[packed(route.address)] = &route;
+        m_removed.erase(packed(route.address));
+    }
+    return true;
+}
+
+const RoutingTable &SteeringRoutes::table() const
+{
+    return m_table;
+}
+
+const Route *SteeringRoutes::find(Endpoint address) const
+{
+    const auto found = m_routes.find(packed(address));
+    return found != m_routes.end() ? found->second : nullptr;
+}
+
+bool SteeringRoutes::wasRemoved(Endpoint address) const
+{
+    return m_removed.contains(packed(address));
+}
+
+std::size_t SteeringRoutes::removedRoutes() const
+{
+    return m_removed.size();
+}
+
+std::vector<DataCentreId> SteeringRoutes::setDrained(std::span<const DataCentreId> drained)
+{
+    std::vector<DataCentreId> takenBack;
+    const std::set<DataCentreId> before = std::exchange(m_drained, {drained.begin(), drained.end()});
+    std::set_difference(before.begin(), before.end(), m_drained.begin(), m_drained.end(), std::back_inserter(takenBack));
+    return takenBack;
+}
+
+bool SteeringRoutes::isDrained(DataCentreId dataCentre) const
+{
+    return !m_drained.empty() && m_drained.contains(dataCentre);
+}
+
+Duration SteeringRoutes::longestWarmup() const
+{
+    Duration longest = DefaultWarmup;
+    for (const ServiceWarmup &warmup : m_table.warmups) {
+        longest = std::max(longest, warmup.duration);
+    }
+    return longest;
+}
+
+// A removed route resets the flows that it had; those live no longer than targets that left are remembered.
+void SteeringRoutes::tick(TimePoint now)
+{
+    boost::unordered::erase_if(m_removed, [now](auto &each) {
+        TimePoint &seen = each.second;
+        if (seen == TimePoint{}) {
+            seen = now;
+        }
+        return now - seen >= RememberLeft;
+    });
+}
+
+} // namespace Robinrail
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -80,7 +80,7 @@
     'm_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed)' \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed)' '*holds what it does not know*'
 mutate "steering: former lifetimes end at the first announcement only" src/target_directory.cpp \
-    'if (known == nullptr || known->phase != TargetPhase::Left) {' 'if (known == nullptr) {' '*restarts at once*'
+    'known == nullptr || known->phase != TargetPhase::Left ||' 'known == nullptr ||' '*restarts at once*'
 mutate "steering: any lifetime ends the others at its address" src/target_directory.cpp 'entry.firstHeard < since' '(entry.firstHeard < since || entry.firstHeard >= since)' '*held up ends no successor*'
 mutate "steering: an unknown lifetime is the youngest" src/target_directory.cpp 'std::min(before, MostCountedIntervals)' \
     'std::min(before, MostCountedIntervals / 100'"'"'000)' '*held up ends no successor*'
@@ -127,7 +127,7 @@
 mutate "replica choice: all return at once" src/replica_choice.cpp 'now >= m_states.at(replica).returnAt' 'now >= TimePoint{}' '*one after the other*'
 mutate "replica choice: the new view holds before it is whole" src/replica_choice.cpp 'if (m_next && m_states.at(*m_next).completed) {' \
     'if (m_next) {' '*until another has told all*'
-mutate "version watch: a lagging replica vouches" src/version_watch.h 'inContact && own >= m_highest' 'inContact' '*lags behind another*'
+mutate "version watch: a lagging replica vouches" src/version_watch.h 'caughtUp && own.reaches(m_highest)' 'caughtUp' '*lags behind another*'
 mutate "no compare-and-set on versions" src/control_state.cpp 'if (propose.baseVersion != latestVersion()) {' \
     'if (propose.baseVersion > latestVersion()) {' '*equal numbers*'
 mutate "no memory of changes" src/control_state.cpp 'if (const ChangeResult *known = resultOf(change.change)) {' \
@@ -135,5 +135,24 @@
 mutate "bundles go back" src/rollout.cpp 'if (offer.version <= m_version) {' 'if (offer.version == m_version) {' '*only upward*'
 mutate "a torn record is taken" src/raft_storage.cpp 'if (loadInteger<std::uint64_t>(bytes, at + 8) != checksum(length, payload)) {' \
     'if (length > MaxRecord) {' '*damaged record*,*torn record*'
+mutate "raft: hearing the leader is enough" src/raft_replication.cpp 'if (m_commit >= request.commit) {' 'if (m_commit <= request.commit) {' \
+    '*does not vouch for its table before*'
+mutate "drains: a drained data centre gets new flows" src/flow_steering.cpp '&& !m_routes.isDrained(target.record.dataCentre)' '' '*drained data centre gets no new flows*'
+mutate "drains: a taken back data centre is warm" src/flow_steering.cpp 'now + m_routes.longestWarmup()' 'now' '*taken back warm up*'
+mutate "drains: an announcement ends the warm-up" src/steering_targets.cpp 'std::max(target.warmAt, now + news.record.warmupLeft)' \
+    'now + news.record.warmupLeft' '*taken back warm up*'
+mutate "drains: a late copy finds an open flow a second target" src/flow_steering.cpp 'if (late && first != nullptr && !stays) {' \
+    'if (late && first == nullptr && !stays) {' '*does not take an open flow away*'
+mutate "warm-up: a limited cold target is used" src/flow_steering.cpp '&& !(spareCold && context.now < target.warmAt)' '&& (spareCold || !spareCold)' \
+    '*whose warm-up is limited*'
+mutate "births: a later lifetime is late news" src/target_record.h 'return born > other.born;' 'return born < other.born;' '*starts again under its key*'
+mutate "births: receipts of any lifetime confirm" src/target_record.h 'auto operator<=>(const TargetLifetime &) const = default;' \
+    'auto operator<=>(const TargetLifetime &other) const { return key <=> other.key; } bool operator==(const TargetLifetime &other) const { return key == other.key; }' \
+    '*former lifetime*'
+mutate "gone: flows that are new here go on to a gone target" src/flow_steering.cpp 'if (target->gone(now) && packet.dataBytes > 0) {' \
+    'if (target->gone(now) && packet.dataBytes > 5000) {' '*new here is reset*'
+mutate "gone: data that began elsewhere is a sign of life" src/flow_steering.cpp 'if (answered && !unheard) {' 'if (answered || unheard) {' '*its data began elsewhere*'
+mutate "choice: the least used by own counts" src/flow_steering.h 'using FlowSteering = BasicFlowSteering<TwoChoices>;' \
+    'using FlowSteering = BasicFlowSteering<LeastUsedChoice>;' '*draws at most twice*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
--- /dev/null
+++ b/tests/steering_balancer.h
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+// Steering balancer: a balancer's steering with a few targets, and packets for it.
+#pragma once
+
+#include "flow_steering.h"
+
+namespace Robinrail {
+
+inline constexpr DataCentreId Here{1};
+inline constexpr DataCentreId There{2};
+inline constexpr ReplicaId FirstReplica{11};
+inline constexpr ReplicaId SecondReplica{12};
+inline constexpr Endpoint QuoteRoute{0xc6120001, 443};
+inline constexpr Endpoint DeckRoute{0xc6120002, 443};
+inline const TimePoint Start(std::chrono::hours(1));
+
+inline TargetRecord targetOf(std::uint64_t key, const std::string &service, DataCentreId dataCentre = Here)
+{
+    TargetRecord record;
+    record.key = TargetKey{key};
+    record.service = service;
+    record.address = {static_cast<std::uint32_t>(key), 8080};
+    record.dataCentre = dataCentre;
+    record.slots = 2;
+    record.sequence = 1;
+    return record;
+}
+
+inline RoutingTable tableOf(std::uint64_t version, bool withDecks = true)
+{
+    RoutingTable table;
+    table.version = version;
+    table.services = {"quotes", "decks"};
+    table.routes = {{QuoteRoute, {{0, 1}}}};
+    if (withDecks) {
+        table.routes.push_back({DeckRoute, {{1, 1}}});
+    }
+    return table;
+}
+
+// A balancer with two local targets for quotes, one elsewhere, and one for decks.
+struct SteeringBalancer {
+    FlowSteering steering{Here};
+    TimePoint now = Start;
+
+    SteeringBalancer()
+    {
+        steering.apply(tableOf(1));
+        steering.setInformed();
+        take(targetOf(101, "quotes"));
+        take(targetOf(102, "quotes"));
+        take(targetOf(103, "quotes", There));
+        take(targetOf(201, "decks"));
+    }
+
+    void take(const TargetRecord &record, bool silent = false, ReplicaId replica = FirstReplica)
+    {
+        steering.targets().take(now, replica, {record, silent, Duration{0}, Duration{0}});
+    }
+
+    static FlowPacket packet(std::uint32_t caller, Endpoint route = QuoteRoute)
+    {
+        FlowPacket made;
+        made.caller = {0x64400000 + caller, 40000};
+        made.route = route;
+        return made;
+    }
+
+    SteeringDecision open(std::uint32_t caller, std::uint8_t copy = 0, Endpoint route = QuoteRoute)
+    {
+        FlowPacket opening = packet(caller, route);
+        opening.opening = true;
+        opening.copy = copy;
+        return steering.steer(now, opening);
+    }
+
+    // A later packet of a flow, with data unless it has none.
+    SteeringDecision follow(std::uint32_t caller, FlowToken token, std::uint32_t sequence, std::uint32_t acknowledged, std::uint16_t bytes = 100)
+    {
+        FlowPacket later = packet(caller);
+        later.token = token;
+        later.sequence = sequence;
+        later.acknowledged = acknowledged;
+        later.dataBytes = bytes;
+        return steering.steer(now, later);
+    }
+};
+
+} // namespace Robinrail
