Let runs of the soak claim their loopback network instead of hoping that no other has it

A run derives its network from its process number modulo 239; beside a build that starts thousands of processes, two of four runs side by side met. Change: a run looks from that network on for one whose own address nobody listens at, and listens there. A given network that is in use is an error with a text. Test: two claims that begin at the same network, and a third that finds none (fails to compile without the claim; the old way had no place for one).

--- a/soak/main_soak.cpp
+++ b/soak/main_soak.cpp
@@ -3,6 +3,7 @@
 // operators see.
 #include "arguments.h"
 #include "log.h"
+#include "network_claim.h"
 #include "soak_run.h"
 
 #include <iostream>
@@ -41,8 +42,8 @@
 constexpr int ExitBadArguments = 2;
 
 // Loopback networks that runs may take; those below are used by the other tests.
-constexpr int FirstNetwork = 16;
-constexpr int LastNetwork = 254;
+constexpr std::uint8_t FirstNetwork = 16;
+constexpr std::uint8_t LastNetwork = 254;
 
 std::uint8_t networkOfProcess()
 {
@@ -81,7 +82,13 @@
     options.programs = arguments["--programs"].asString();
     options.troubleTime = Soak::seconds(numberOf(arguments, "--seconds", {1, Many}));
     const auto network = static_cast<std::uint8_t>(numberOf(arguments, "--network", {0, LastNetwork}));
-    options.plan.network = network != 0 ? network : networkOfProcess();
+    boost::asio::io_context io;
+    const Soak::NetworkClaim claim(io, FirstNetwork, LastNetwork, network != 0 ? network : networkOfProcess());
+    if (claim.network() == 0 || (network != 0 && claim.network() != network)) {
+        std::cerr << "the loopback network is in use by another run\n";
+        return ExitBadArguments;
+    }
+    options.plan.network = claim.network();
     options.plan.replicas = numberOf(arguments, "--replicas", {3, 9});
     options.plan.balancers = numberOf(arguments, "--balancers", {1, 200});
     options.plan.targets = numberOf(arguments, "--targets", {2, 200});
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -2,6 +2,7 @@
 // Soak: what the fault soak judges by, and the stand-ins' packets and documents.
 #include "document_codec.h"
 #include "fault_proxy.h"
+#include "network_claim.h"
 #include "packet_codec.h"
 #include "soak_types.h"
 #include "standin_wire.h"
@@ -170,3 +171,18 @@
     }
     CHECK(broken);
 }
+
+TEST_CASE("runs side by side take different loopback networks, wherever they begin to look")
+{
+    constexpr std::uint8_t First = 12; // Below those that runs of the soak take.
+    constexpr std::uint8_t Last = 13;
+    boost::asio::io_context io;
+    const NetworkClaim one(io, First, Last, Last);
+    CHECK(one.network() == Last);
+    {
+        const NetworkClaim other(io, First, Last, Last);
+        CHECK(other.network() == First);
+        CHECK(NetworkClaim(io, First, Last, First).network() == 0);
+    }
+    CHECK(NetworkClaim(io, First, Last, Last).network() == First);
+}
