Model drains of data centres: orders, revisions, who may vouch

Cause: which answer to an order is true, and which list of two is newer, was argued in prose only. Three properties; four mutations, each of which breaks one: an order answered from what a follower holds, any list taken, taking back without a revision, vouching by hearing the leader. Conclusion: an order must be answered by its own commit; documents, whose versions only rise, need not.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -55,5 +55,9 @@
 for mutation in SKIP_NUMBER OLD_LIFE FORGET_QUIETLY KEEP_UNLISTED REVIVE; do
     expect 1 directory.pml "directory-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 drains.pml drains
+for mutation in ANSWER_HELD TAKE_ANY SAME_REVISION VOUCH_BY_HEARING; do
+    expect 1 drains.pml "drains-$mutation" "-DMUTATE_$mutation"
+done
 echo "model searches that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
