Test that a replica with an empty disk learns from a leader that is no seed (fails)

Symptom, as logged where it was seen: after its leader was replaced, a replica with an empty disk was taken in as a learner, logged joined-cluster and leader-changed commit=0, then neither members-changed nor routing-in-force for 20.0 s, until the leader dropped it and took it in again. Balancers that followed it served a dropped route.

Suspected cause: it is dialled by a leader that is no seed, knows no members before it has a log, and sends its refusals of appends only on links that it dialled.

--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -181,6 +181,35 @@
     CHECK(accepted.size() > MostHandshakes);
 }
 
+TEST_CASE("a replica that dials nobody reaches the one that dialled it, on that one's link")
+{
+    constexpr ReplicaId Dialled{Loopback};
+    constexpr ReplicaId Dialler{Loopback + 1};
+    boost::asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    NodeLinks dialled(io, {NodeRole::Replica, Dialled, DataCentreId{1}}, {[](auto...) {}, [](auto...) {}, [](auto...) {}, [](auto...) {}});
+    bool answered = false;
+    NodeLinks dialler(io,
+                      {NodeRole::Replica, Dialler, DataCentreId{1}},
+                      {[](auto...) {},
+                       [](auto...) {},
+                       [&answered](LinkHandle, const NodeHello &peer, const NodeMessage &message) {
+                           answered = peer.replica == Dialled && std::holds_alternative<RoutingRequest>(message);
+                       },
+                       [](auto...) {}});
+    REQUIRE(dialled.listen({Loopback, port}));
+    dialler.maintain({Dialled}, port);
+    dialler.tick(monotonicNow());
+    while (dialler.linkTo(Dialled) == 0 || dialled.acceptedFrom(NodeRole::Replica).empty()) {
+        io.run_one();
+    }
+    REQUIRE(dialled.linkTo(Dialler) != 0);
+    dialled.send(dialled.linkTo(Dialler), RoutingRequest{});
+    while (!answered) {
+        io.run_one();
+    }
+}
+
 TEST_CASE("a peer that comes back at any moment of the first half second is dialled within 50 ms")
 {
     DialSchedule schedule;
--- /dev/null
+++ b/tests/test_replica_node.cpp
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: MIT
+// Replica node: whole replicas with disks and links, over loopback.
+//
+// A replica that lost its disk joined, and stood empty for 20 s although it heard its leader all the while. It knows the
+// seeds alone until it has a log, so it dialled those, and the leader, which was no seed, dialled it. The leader's first
+// append, which names the members, was lost, as it was sent before that link was up. The replica refused each later one, but
+// sent its refusals only on links that it had dialled itself, and it had none to the leader; they were dropped without a
+// line. The leader took the silence for a dead learner and dropped it after DropLearnerAfter. The log lines that showed it:
+// the leader's members-changed with the learner at 8.911 s, a single replica-link-up between the two, joined-cluster and
+// leader-changed commit=0 at the learner at 9.040 s, then no members-changed and no routing-in-force until the leader
+// dropped it at 28.910 s. Balancers that followed it served a dropped route 5.2 s after the change.
+#include "replica_node.h"
+#include "test_disk.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+using namespace Robinrail;
+using Tcp = boost::asio::ip::tcp;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t FirstAddress = 0x7f060001; // 127.6.0.1
+constexpr std::uint16_t AdminPort = 70; // Names the seeds; nobody listens there.
+
+// The wait in real time for what is due at once; half of the time after which a leader that hears nothing drops a learner.
+constexpr Duration LongestWait = DropLearnerAfter / 2;
+
+// A loopback port that is free at all of the addresses.
+std::uint16_t freePort(boost::asio::io_context &io, std::size_t addresses)
+{
+    while (true) {
+        const std::uint16_t port = Tcp::acceptor(io, {boost::asio::ip::address_v4(FirstAddress), 0}).local_endpoint().port();
+        std::vector<Tcp::acceptor> held;
+        boost::system::error_code error;
+        for (std::size_t i = 0; i < addresses && !error; ++i) {
+            held.emplace_back(io, Tcp::v4());
+            held.back().bind({boost::asio::ip::address_v4(FirstAddress + static_cast<std::uint32_t>(i)), port}, error);
+        }
+        if (!error) {
+            return port;
+        }
+    }
+}
+
+// Replicas of one cluster on one event loop, each with an address and a folder of its own.
+class Replicas
+{
+public:
+    explicit Replicas(std::size_t most)
+        : m_port(freePort(m_io, most))
+    {
+    }
+
+    static Endpoint addressOf(std::size_t number)
+    {
+        return {FirstAddress + static_cast<std::uint32_t>(number), AdminPort};
+    }
+
+    ReplicaNode &start(std::size_t number, std::vector<Endpoint> seeds, bool firstStart)
+    {
+        SteeringFile file;
+        file.node = "replica-" + std::to_string(number);
+        file.dataCentres = {"here"};
+        file.dataCentre = "here";
+        file.adminListen = addressOf(number);
+        file.seeds = std::move(seeds);
+        file.linkPort = m_port;
+        file.linkListenPort = m_port;
+        file.firstStart = firstStart;
+        file.announceInterval = seconds(1);
+        file.borneLosses = 1;
+        file.dataFolder = m_folder.path() / file.node;
+        ReplicaNode &node = *m_nodes.emplace_back(std::make_unique<ReplicaNode>(m_io, file));
+        REQUIRE(node.start());
+        return node;
+    }
+
+    // Runs the event loop until the condition holds, at most for LongestWait; whether it does.
+    template<typename Condition>
+    bool waitFor(Condition condition)
+    {
+        const TimePoint end = monotonicNow() + LongestWait;
+        while (!condition()) {
+            if (monotonicNow() >= end) {
+                return false;
+            }
+            m_io.run_one();
+        }
+        return true;
+    }
+
+private:
+    Folder m_folder;
+    boost::asio::io_context m_io;
+    std::uint16_t m_port;
+    std::vector<std::unique_ptr<ReplicaNode>> m_nodes;
+};
+
+bool leads(const ReplicaNode &node)
+{
+    return node.metricsText().find("\nrobinrail_replica_leader 1") != std::string::npos;
+}
+
+RoutingDocument documentOf(std::uint64_t version)
+{
+    RoutingDocument document;
+    document.text = "version " + std::to_string(version);
+    document.table.version = version;
+    return document;
+}
+
+} // namespace
+
+TEST_CASE("a replica with an empty disk learns from a leader that is no seed, although the leader's first append is lost")
+{
+    constexpr std::size_t Voters = 3;
+    Replicas replicas(Voters + 1);
+    std::vector<Endpoint> seeds;
+    for (std::size_t i = 0; i < Voters; ++i) {
+        seeds.push_back(Replicas::addressOf(i));
+    }
+    std::vector<ReplicaNode *> voters;
+    for (std::size_t i = 0; i < Voters; ++i) {
+        voters.push_back(&replicas.start(i, seeds, true));
+    }
+    std::size_t leader = Voters;
+    REQUIRE(replicas.waitFor([&] {
+        for (std::size_t i = 0; i < Voters; ++i) {
+            leader = leads(*voters[i]) ? i : leader;
+        }
+        return leader < Voters;
+    }));
+    bool submitted = false;
+    voters[leader]->submit(documentOf(7), [&submitted](ReplicaAnswer answer) {
+        submitted = answer == ReplicaAnswer::Done;
+    });
+    REQUIRE(replicas.waitFor([&] {
+        return submitted;
+    }));
+
+    // The joiner is told of all but the leader.
+    seeds.erase(seeds.begin() + static_cast<std::ptrdiff_t>(leader));
+    const ReplicaNode &joiner = replicas.start(Voters, seeds, false);
+    bool reading = false;
+    CHECK(replicas.waitFor([&] {
+        // Each read makes the leader speak to all members at once, so the first append goes before its link to the joiner is up.
+        if (!std::exchange(reading, true)) {
+            voters[leader]->read([&reading](ReplicaAnswer) {
+                reading = false;
+            });
+        }
+        return joiner.document().table.version == 7;
+    }));
+}
