Answer a replica on the link that it dialled where none was dialled to it

Symptom: a replacement with an empty disk heard its leader and learned nothing for 20 s (the play in the test's story). The leader had moved its next index on with the first append. Ruled out: a refused join (joined-cluster is logged), a stuck promotion (no members-changed ever came), and the leader's side (it sent heartbeats throughout, as leader-changed commit=0 and no further request to join show). Change: an accepted link of that replica serves where none was dialled.

--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -206,12 +206,16 @@
 
 LinkHandle NodeLinks::linkTo(ReplicaId replica) const
 {
+    LinkHandle accepted = 0;
     for (const auto &[handle, link] : m_links) {
         if (link.dialledTo == replica && link.peer) {
             return handle;
         }
+        if (link.cameFrom(replica)) {
+            accepted = handle;
+        }
     }
-    return 0;
+    return accepted;
 }
 
 std::vector<LinkHandle> NodeLinks::acceptedFrom(NodeRole role) const
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -56,7 +56,9 @@
     // Bytes that wait to be written on a link.
     std::size_t buffered(LinkHandle link) const;
 
-    // The link that was dialled to a replica; 0 without one.
+    // An established link to a replica: the one that was dialled from here, else one that the replica dialled; 0 without
+    // any. A replica with an empty disk knows the seeds alone and has no other way to answer a leader that is none of them;
+    // without an answer it was seen to stand empty for 20 s, as long as a leader waits for a learner that says nothing.
     LinkHandle linkTo(ReplicaId replica) const;
 
     // Established links that peers of this role dialled.
@@ -76,6 +78,12 @@
         ReplicaId dialledTo{}; // 0: accepted.
         TimePoint heard;
         TimePoint said;
+
+        // Whether this replica dialled the link.
+        bool cameFrom(ReplicaId replica) const
+        {
+            return value(dialledTo) == 0 && peer && peer->role == NodeRole::Replica && peer->replica == replica;
+        }
     };
     struct Dial {
         LinkHandle up = 0; // The link, once its connection is open.
