Take of two links to a replica the one that was heard last

Cause, the same fault elsewhere: messages of consensus had one link each, the dialled one. A connection that falls silent without a reset kept them back until LinkSilenceLimit although the connection dialled by the other side worked: longer than a leader keeps its office without a majority (0.9 s) and than a voter may be silent (1.5 s). Change: links are kept by replica, and the one heard last is taken; of equals the dialled one, so that the order stays. It also spares the search through all links (352 balancers' among them) for each message. Ruled out: answering on the link of the request alone, which leaves the leader's own silent link for 2 s.

--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -5,6 +5,8 @@
 #include "net.h"
 #include "settings.h"
 
+#include <algorithm>
+
 namespace Robinrail {
 
 NodeLinks::NodeLinks(boost::asio::io_context &io, NodeHello self, NodeLinkCallbacks callbacks)
@@ -136,12 +138,7 @@
         return;
     }
     if (const auto *hello = std::get_if<NodeHello>(&*message)) {
-        at->second.peer = *hello;
-        if (const auto dial = m_dials.find(at->second.dialledTo); dial != m_dials.end()) {
-            dial->second.schedule.linked();
-        }
-        m_callbacks.established(handle, *hello);
-        return;
+        return greeted(handle, at->second, *hello);
     }
     if (at->second.peer && !std::holds_alternative<NodePing>(*message)) {
         const NodeHello peer = *at->second.peer;
@@ -149,6 +146,21 @@
     }
 }
 
+void NodeLinks::greeted(LinkHandle handle, Link &link, const NodeHello &hello)
+{
+    if (link.peer) {
+        return; // Who is at the other end stays the same as long as the connection does.
+    }
+    link.peer = hello;
+    if (const ReplicaId replica = link.replica(); value(replica) != 0) {
+        m_replicaLinks[replica].push_back(handle);
+    }
+    if (const auto dial = m_dials.find(link.dialledTo); dial != m_dials.end()) {
+        dial->second.schedule.linked();
+    }
+    m_callbacks.established(handle, hello);
+}
+
 void NodeLinks::closed(LinkHandle handle, std::uint64_t tag)
 {
     const auto at = m_links.find(handle);
@@ -160,12 +172,26 @@
         dial->second.up = 0;
     }
     const std::optional<NodeHello> peer = at->second.peer;
+    forget(at->second.replica(), handle);
     m_links.erase(at);
     if (peer) {
         m_callbacks.closed(handle, *peer);
     }
 }
 
+// Takes a link off those to its replica.
+void NodeLinks::forget(ReplicaId replica, LinkHandle handle)
+{
+    const auto at = m_replicaLinks.find(replica);
+    if (at == m_replicaLinks.end()) {
+        return;
+    }
+    std::erase(at->second, handle);
+    if (at->second.empty()) {
+        m_replicaLinks.erase(at);
+    }
+}
+
 // Forgets a link at once; its connection may take long to close when the peer is gone.
 void NodeLinks::drop(LinkHandle handle)
 {
@@ -206,16 +232,18 @@
 
 LinkHandle NodeLinks::linkTo(ReplicaId replica) const
 {
-    LinkHandle accepted = 0;
-    for (const auto &[handle, link] : m_links) {
-        if (link.dialledTo == replica && link.peer) {
-            return handle;
-        }
-        if (link.cameFrom(replica)) {
-            accepted = handle;
-        }
+    const auto at = m_replicaLinks.find(replica);
+    if (at == m_replicaLinks.end()) {
+        return 0;
     }
-    return accepted;
+    // Times of hearing are as coarse as ticks. Of equals all messages take the dialled link, so that they stay in order.
+    const auto rank = [this](LinkHandle handle) {
+        const Link &link = m_links.at(handle);
+        return std::pair(link.heard, value(link.dialledTo));
+    };
+    return *std::max_element(at->second.begin(), at->second.end(), [&rank](LinkHandle one, LinkHandle other) {
+        return rank(one) < rank(other);
+    });
 }
 
 std::vector<LinkHandle> NodeLinks::acceptedFrom(NodeRole role) const
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -56,9 +56,12 @@
     // Bytes that wait to be written on a link.
     std::size_t buffered(LinkHandle link) const;
 
-    // An established link to a replica: the one that was dialled from here, else one that the replica dialled; 0 without
-    // any. A replica with an empty disk knows the seeds alone and has no other way to answer a leader that is none of them;
-    // without an answer it was seen to stand empty for 20 s, as long as a leader waits for a learner that says nothing.
+    // An established link to a replica, whoever of the two dialled it; 0 without any. A replica with an empty disk knows the
+    // seeds alone and has no other way to answer a leader that is none of them; without an answer it was seen to stand empty
+    // for 20 s, as long as a leader waits for a learner that says nothing.
+    //
+    // Of several it is the one on which something was heard last, so that a connection that falls silent keeps messages back
+    // for LinkPingInterval instead of LinkSilenceLimit: 0.5 s instead of 2 s, where a leader steps down after 0.9 s.
     LinkHandle linkTo(ReplicaId replica) const;
 
     // Established links that peers of this role dialled.
@@ -79,10 +82,11 @@
         TimePoint heard;
         TimePoint said;
 
-        // Whether this replica dialled the link.
-        bool cameFrom(ReplicaId replica) const
+        // The replica at the other end; 0 if that is a balancer, or has not said hello.
+        ReplicaId replica() const
         {
-            return value(dialledTo) == 0 && peer && peer->role == NodeRole::Replica && peer->replica == replica;
+            const bool accepted = value(dialledTo) == 0;
+            return !peer ? ReplicaId{} : accepted ? peer->replica : dialledTo;
         }
     };
     struct Dial {
@@ -90,8 +94,10 @@
         DialSchedule schedule;
     };
     void opened(LinkHandle handle, std::uint64_t tag);
+    void greeted(LinkHandle handle, Link &link, const NodeHello &hello);
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
     void closed(LinkHandle handle, std::uint64_t tag);
+    void forget(ReplicaId replica, LinkHandle handle);
     void drop(LinkHandle handle);
     void dial(ReplicaId replica, Dial &dial);
     void connected(std::uint64_t tag);
@@ -100,6 +106,7 @@
     NodeHello m_self;
     NodeLinkCallbacks m_callbacks;
     std::map<LinkHandle, Link> m_links;
+    std::map<ReplicaId, std::vector<LinkHandle>> m_replicaLinks; // Established ones, by who is at the other end.
     std::map<ReplicaId, Dial> m_dials;
     std::uint16_t m_port = 0;
     TimePoint m_now;
--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Links: connections of the HTTP server and of the links between nodes, over loopback.
+#include "fault_proxy.h"
 #include "http.h"
 #include "net.h"
 #include "node_links.h"
+#include "raft_core.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -210,6 +212,54 @@
     }
 }
 
+// A connection can fall silent for good while others work. The bound is the time after which a leader that heard nothing from
+// a majority steps down: consensus must be back on a working link before.
+TEST_CASE("of two links to a replica the one that fell silent is left before a leader would give up")
+{
+    constexpr ReplicaId Near{Loopback};
+    constexpr ReplicaId Far{Loopback + 1};
+    constexpr Duration Tick = milliseconds(25);
+    boost::asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    const std::uint16_t farListens = freePort(io);
+    Soak::FaultProxy proxy(io, {value(Far), port}, {value(Far), farListens});
+    bool asked = false;
+    NodeLinks near(io, {NodeRole::Replica, Near, DataCentreId{1}}, {[](auto...) {}, [](auto...) {}, [](auto...) {}, [](auto...) {}});
+    const auto received = [&asked](LinkHandle, const NodeHello &, const NodeMessage &message) {
+        asked = std::holds_alternative<RoutingRequest>(message);
+    };
+    NodeLinks far(io, {NodeRole::Replica, Far, DataCentreId{1}}, {[](auto...) {}, [](auto...) {}, received, [](auto...) {}});
+    REQUIRE(near.listen({value(Near), port}));
+    REQUIRE(far.listen({value(Far), farListens}));
+    near.maintain({Far}, port);
+    far.maintain({Near}, port);
+    TimePoint now = monotonicNow();
+    const auto pass = [&](Duration duration) {
+        for (const TimePoint end = now + duration; now < end;) {
+            now += Tick;
+            near.tick(now);
+            far.tick(now);
+            while (io.poll() > 0) { }
+        }
+    };
+    while (near.dialled().empty() || far.dialled().empty() || near.acceptedFrom(NodeRole::Replica).empty()) {
+        pass(Tick);
+    }
+    pass(LinkPingInterval);
+    const LinkHandle silent = near.dialled().front();
+    proxy.setFault(Soak::LinkFault::OpenSilent, {});
+    const TimePoint fell = now;
+    while (near.linkTo(Far) == silent && now - fell < LinkSilenceLimit * 2) {
+        pass(Tick);
+    }
+    CHECK(now - fell < ElectionTimeout * 2);
+    near.send(near.linkTo(Far), RoutingRequest{});
+    for (int i = 0; i < 1000 && !asked; ++i) {
+        io.poll();
+    }
+    CHECK(asked);
+}
+
 TEST_CASE("a peer that comes back at any moment of the first half second is dialled within 50 ms")
 {
     DialSchedule schedule;
