Test that a control replica comes back on a VM with another address (fails)

The same fault elsewhere: a control replica answers on dialled links alone, and dials the addresses of its settings. One that comes back with an empty disk under another address is heard and never answered: tests/daemons.sh, 'a replica that moved to another address learns and votes again', is given up after 30 s; the other checks pass.

--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -196,6 +196,17 @@
 caught_up() { status_has control "$cut" "\"version\":$version[,}]"; }
 check "and takes the new version when it is joined again" wait_for 20 caught_up
 
+# A replica comes back with an empty disk on a VM whose address the settings of the others do not have: it dials them, and
+# they must answer it there. Without that it asks to be taken in for ever and two replicas remain for what three promise.
+moved=3
+kill -9 "${control_pid[$moved]}"
+wait_gone "${control_pid[$moved]}"
+rm -rf "$work/control-$moved"
+sed -i "s/\"listen\": {\"links\": \"127.5.0.$moved:7000\"/\"listen\": {\"links\": \"127.5.0.1$moved:7000\"/" "$work/control-$moved.json"
+start_control "$moved"
+moved_votes() { three_voters && status_has control "$moved" "\"version\":$version[,}]" && status_has control "$moved" '"role":"follower"\|"role":"leader"'; }
+check "a replica that moved to another address learns and votes again" wait_for 30 moved_votes
+
 check "the audit trail is whole" robinrail audit verify
 bad_settings_refused() {
     sed 's/"dataCentre": "ktm-bhakta"/"dataCentre": "nowhere"/' "$work/balancer-2.json" > "$work/bad.json"
