Answer a control replica on the links that it dialled where none was dialled to it

Symptom: a control replica that came back with an empty disk under an address that no settings name asked to be taken in for ever. Change: SecureLinks::linksTo gives the accepted links of a peer where there is none that was dialled. Links are authenticated, so the id behind an accepted one is as sure as behind a dialled one.

--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -131,7 +131,7 @@
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
     const RaftEnvelope envelope = m_driver.envelopeOf(send);
-    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)), true)) {
+    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)))) {
         m_links.send(link, envelope);
     }
 }
@@ -199,7 +199,7 @@
     }
     m_seenVersion = applied;
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
-        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
+        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id))) {
             offerTo(link, subscriber.balancer.id);
         }
     }
@@ -228,7 +228,7 @@
     for (const RolloutTracker::Subscriber &subscriber : m_tracker.subscribers()) {
         const BundleVersion *version = m_driver.core().state().versionFor(subscriber.balancer.id);
         const ControlBeat message{version != nullptr ? version->version : 0, m_driver.core().raft().inContact(now)};
-        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id), false)) {
+        for (const LinkHandle link : m_links.linksTo(PeerRole::Balancer, value(subscriber.balancer.id))) {
             m_links.send(link, message);
         }
     }
--- a/src/secure_links.cpp
+++ b/src/secure_links.cpp
@@ -117,16 +117,17 @@
     m_hub.send(link, at->second.session.seal(encodeMessage(message)));
 }
 
-std::vector<LinkHandle> SecureLinks::linksTo(PeerRole role, std::uint16_t id, bool dialled) const
+std::vector<LinkHandle> SecureLinks::linksTo(PeerRole role, std::uint16_t id) const
 {
-    std::vector<LinkHandle> handles;
+    std::vector<LinkHandle> dialled;
+    std::vector<LinkHandle> accepted;
     for (const auto &[handle, link] : m_links) {
         const Hello &peer = link.session.peer();
-        if (link.session.established() && link.dialled == dialled && peer.role == role && peer.id == id) {
-            handles.push_back(handle);
+        if (link.session.established() && peer.role == role && peer.id == id) {
+            (link.dialled ? dialled : accepted).push_back(handle);
         }
     }
-    return handles;
+    return dialled.empty() ? accepted : dialled;
 }
 
 std::vector<LinkHandle> SecureLinks::links(PeerRole role) const
--- a/src/secure_links.h
+++ b/src/secure_links.h
@@ -38,8 +38,9 @@
 
     void send(LinkHandle link, const LinkMessage &message);
 
-    // Links to peers of this role and id that were dialled from here (or accepted, if `dialled` is false).
-    std::vector<LinkHandle> linksTo(PeerRole role, std::uint16_t id, bool dialled) const;
+    // Links on which a peer is reached: those that were dialled from here, else those that it dialled. A replica that moved
+    // to another address is dialled by nobody until all settings name that, and could else never be taken in.
+    std::vector<LinkHandle> linksTo(PeerRole role, std::uint16_t id) const;
     std::vector<LinkHandle> links(PeerRole role) const;
 
     // For tests of failures: messages from and to these peers of a role are dropped.
