Say which replica gets no link, which member lags, and which message is refused

What was missing to tell the hypotheses apart: a message of consensus without a link was dropped without a line, nothing said that a replica hears its leader and lags, nor what the leader holds each member for. Change: replica-unreached and replica-reached (once each, with a counter of lost messages), replica-lags and replica-caught-up, the index each member is known to hold and is sent next as gauges, and a counter and a bounded line for messages that are refused. A message without a link is no longer encoded. The test's story gets a fixture, and a second case: the leader that took the replica in freezes before the replica holds anything.

--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -130,8 +130,16 @@
 
 void ControlDaemon::sendRaft(const RaftSend &send)
 {
+    const std::vector<LinkHandle> links = m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)));
+    const bool reached = !links.empty();
+    if (m_reach.note(send.to.id, reached)) {
+        LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "replica-reached" : "replica-unreached").with("replica", value(send.to.id));
+    }
+    if (!reached) {
+        return;
+    }
     const RaftEnvelope envelope = m_driver.envelopeOf(send);
-    for (const LinkHandle link : m_links.linksTo(PeerRole::Control, static_cast<std::uint16_t>(value(send.to.id)))) {
+    for (const LinkHandle link : links) {
         m_links.send(link, envelope);
     }
 }
@@ -174,6 +182,7 @@
 {
     const std::optional<RaftMessage> message = decodeMessage<RaftMessage>(envelope.message);
     if (!message) {
+        LogLine(LogLevel::Error, "raft-message-unreadable").with("replica", value(envelope.from.id));
         return;
     }
     if (!std::holds_alternative<JoinRequest>(*message)) {
@@ -411,6 +420,7 @@
     text.gauge("robinrail_control_commit_index", "Committed log index.", static_cast<double>(value(raft.commitIndex())));
     text.gauge("robinrail_control_bundle_version", "Newest accepted bundle version.", static_cast<double>(m_driver.core().state().latestVersion()));
     text.counter("robinrail_control_link_bytes_sent_total", "Bytes sent on links.", static_cast<double>(m_links.bytesSent()));
+    text.counter("robinrail_control_unsent_total", "Messages of consensus for which there was no link.", static_cast<double>(m_reach.unsent()));
     text.counter("robinrail_control_links_rejected_total", "Links closed for a failed proof.", static_cast<double>(m_links.rejected()));
     return {200, "text/plain; version=0.0.4", text.text()};
 }
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -4,6 +4,7 @@
 
 #include "control_core.h"
 #include "http.h"
+#include "reach_watch.h"
 #include "replica_driver.h"
 #include "rollout.h"
 #include "secure_links.h"
@@ -72,6 +73,7 @@
     std::map<std::uint64_t, OpenRequest> m_open;
     std::uint64_t m_lastTicket = 0;
     std::uint64_t m_seenVersion = 0;
+    ReachWatch m_reach;
     bool m_flushScheduled = false;
     TimePoint m_nextJoin;
     TimePoint m_nextBeat;
--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -203,6 +203,15 @@
     });
 }
 
+std::vector<MemberProgress> RaftCore::memberProgress() const
+{
+    std::vector<MemberProgress> members;
+    for (const auto &[key, progress] : m_progress) {
+        members.push_back({key, progress.match, progress.next, progress.lastHeard});
+    }
+    return members;
+}
+
 bool RaftCore::inContact(TimePoint now) const
 {
     return m_role == RaftRole::Leader ? heardFromQuorum(now) : now - m_leaderHeard < ElectionTimeout * 2;
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -94,6 +94,14 @@
     }
 };
 
+// A leader's view of another member, for figures and logs.
+struct MemberProgress {
+    ReplicaKey key;
+    LogIndex match{}; // What it is known to hold.
+    LogIndex next{}; // What it is sent next; entries between the two are on their way, or lost.
+    TimePoint lastHeard;
+};
+
 class RaftCore
 {
 public:
@@ -139,6 +147,9 @@
     std::span<const LogEntry> log() const; // After the snapshot.
     bool isVoter(ReplicaKey key) const;
 
+    // Where the other members are; empty unless this replica leads.
+    std::vector<MemberProgress> memberProgress() const;
+
     // Whether the replica heard from a quorum (as leader) or from a leader (as follower) of late.
     bool inContact(TimePoint now) const;
 
--- a/src/replica_members.cpp
+++ b/src/replica_members.cpp
@@ -62,20 +62,34 @@
 
 void ReplicaNode::sendRaft(const RaftSend &send)
 {
-    sendEnvelope(m_driver->envelopeOf(send));
+    if (const LinkHandle link = linkFor(send.to.id); link != 0) {
+        m_links.send(link, m_driver->envelopeOf(send));
+    }
 }
 
-void ReplicaNode::sendEnvelope(const RaftEnvelope &envelope)
+// The link for a message to a replica; 0 if it is lost for want of one, which is counted and said once.
+LinkHandle ReplicaNode::linkFor(ReplicaId replica)
 {
-    if (const LinkHandle link = m_links.linkTo(envelope.to.id); link != 0) {
-        m_links.send(link, envelope);
+    const LinkHandle link = m_links.linkTo(replica);
+    const bool reached = link != 0;
+    if (m_reach.note(replica, reached)) {
+        LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "replica-reached" : "replica-unreached").with("replica", toText(replica));
     }
+    return link;
 }
 
 void ReplicaNode::onRaft(const RaftEnvelope &envelope)
 {
     const std::optional<RaftMessage> message = decodeMessage<RaftMessage>(envelope.message);
-    if (!message || !m_driver) {
+    if (!message) {
+        ++m_refusedMessages;
+        if (const auto leftOut = m_unreadableLog.take(monotonicNow())) {
+            LogLine(LogLevel::Error, "raft-message-unreadable").with("replica", toText(envelope.from.id)).with("left-out", *leftOut);
+        }
+        return;
+    }
+    if (!m_driver) {
+        ++m_refusedMessages; // The disk refused, which was said then.
         return;
     }
     if (const auto *join = std::get_if<JoinRequest>(&*message)) {
@@ -85,6 +99,9 @@
     if (admission == Admission::DiskRefused) {
         return loseStorage(monotonicNow());
     }
+    if (admission == Admission::Rejected) {
+        ++m_refusedMessages; // For the disk that was here before, or of another cluster, which is said there.
+    }
     if (admission == Admission::Admitted) {
         m_driver->core().handle(monotonicNow(), envelope.from, *message);
         scheduleFlush();
@@ -97,13 +114,51 @@
     const ReplicaKey leader = raft().leader();
     const bool firstHop = envelope.from == join.joiner;
     if (raft().role() != RaftRole::Leader && firstHop && value(leader.id) != 0) {
-        const RaftEnvelope onward = m_driver->envelopeOf({{leader.id, 0}, join});
-        return sendEnvelope(onward);
+        return sendRaft({{leader.id, 0}, join});
     }
     m_driver->core().handle(monotonicNow(), envelope.from, join);
     scheduleFlush();
 }
 
+// A replica that hears its leader and does not get what is committed looks well by its links and by its leader.
+void ReplicaNode::watchLag(TimePoint now)
+{
+    const bool hearsLeader = m_driver && value(raft().leader().id) != 0 && raft().inContact(now);
+    const bool caughtUp = m_driver && raft().caughtUp(now);
+    const bool lags = (m_lags || hearsLeader) && !caughtUp;
+    if (lags == m_lags) {
+        return;
+    }
+    m_lags = lags;
+    LogLine line(lags ? LogLevel::Warning : LogLevel::Info, lags ? "replica-lags" : "replica-caught-up");
+    if (m_driver) {
+        line.with("leader", toText(raft().leader().id)).with("commit", value(raft().commitIndex())).with("last", value(raft().lastIndex()));
+    }
+}
+
+// What tells a member that lags from one that is not reached.
+void ReplicaNode::describeConsensus(MetricsText &text) const
+{
+    const bool leads = m_driver && raft().role() == RaftRole::Leader;
+    text.gauge("robinrail_replica_leader", "1 if this replica leads", leads ? 1 : 0);
+    text.gauge("robinrail_replica_term", "Term of consensus", m_driver ? static_cast<double>(value(raft().term())) : 0);
+    text.gauge("robinrail_replica_commit", "Index of the last committed entry", m_driver ? static_cast<double>(value(raft().commitIndex())) : 0);
+    text.gauge("robinrail_replica_last", "Index of the last entry in the log", m_driver ? static_cast<double>(value(raft().lastIndex())) : 0);
+    text.gauge("robinrail_replica_lags", "1 if it hears its leader and lacks what is committed", m_lags ? 1 : 0);
+    text.counter("robinrail_replica_unsent_total", "Messages of consensus for which there was no link", static_cast<double>(m_reach.unsent()));
+    text.counter("robinrail_replica_refused_total",
+                 "Messages of consensus that could not be read or were for another disk or cluster",
+                 static_cast<double>(m_refusedMessages));
+    const std::vector<MemberProgress> members = m_driver ? raft().memberProgress() : std::vector<MemberProgress>();
+    const auto describe = [&](const char *name, const char *help, LogIndex MemberProgress::*index) {
+        for (const MemberProgress &member : members) {
+            text.gauge(name, help, static_cast<double>(value(member.*index)), "replica=\"" + toText(member.key.id) + "\"");
+        }
+    };
+    describe("robinrail_member_match", "Index that a member is known to hold, at the leader", &MemberProgress::match);
+    describe("robinrail_member_next", "Index that a member is sent next, at the leader", &MemberProgress::next);
+}
+
 void ReplicaNode::logLeader()
 {
     const ReplicaKey leader = raft().leader();
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -280,6 +280,7 @@
     }
     m_nextBeat = now + ReplicaBeatInterval;
     writeNotes();
+    watchLag(now);
     const RoutingOffer current = offer(now);
     m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), current);
     m_links.sendAll(m_links.dialled(), current);
@@ -390,10 +391,7 @@
 std::string ReplicaNode::metricsText() const
 {
     MetricsText text;
-    const bool leads = m_driver && raft().role() == RaftRole::Leader;
-    text.gauge("robinrail_replica_leader", "1 if this replica leads", leads ? 1 : 0);
-    text.gauge("robinrail_replica_term", "Term of consensus", m_driver ? static_cast<double>(value(raft().term())) : 0);
-    text.gauge("robinrail_replica_commit", "Index of the last committed entry", m_driver ? static_cast<double>(value(raft().commitIndex())) : 0);
+    describeConsensus(text);
     text.gauge("robinrail_routing_version", "Version of the routing document in force", static_cast<double>(document().table.version));
     text.gauge("robinrail_drained_data_centres", "Data centres that get no new flows", static_cast<double>(drains().drained().size()));
     text.gauge("robinrail_targets_known", "Targets in the directory", static_cast<double>(m_targets.size()));
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -6,6 +6,7 @@
 #include "background_file.h"
 #include "log_budget.h"
 #include "node_links.h"
+#include "reach_watch.h"
 #include "replica_driver.h"
 #include "routing_state.h"
 #include "settings.h"
@@ -100,7 +101,9 @@
     void loseStorage(TimePoint now);
     const RaftCore &raft() const;
     void sendRaft(const RaftSend &send);
-    void sendEnvelope(const RaftEnvelope &envelope);
+    LinkHandle linkFor(ReplicaId replica);
+    void watchLag(TimePoint now);
+    void describeConsensus(MetricsText &text) const;
     void answer(const Driver::Core::Reply &reply);
     void rejoin(TimePoint now);
     void beat(TimePoint now);
@@ -146,6 +149,10 @@
     std::map<ReplicaId, DataCentreId> m_dataCentres;
     ClusterConfig m_followed;
     ReplicaKey m_loggedLeader;
+    ReachWatch m_reach;
+    bool m_lags = false; // It hears its leader and lacks what is committed, as of the last beat.
+    std::uint64_t m_refusedMessages = 0; // Of consensus.
+    LogBudget m_unreadableLog;
     std::uint64_t m_refusedCalls = 0;
     LogBudget m_refusedLog;
     std::uint64_t m_changes = 0;
--- a/tests/test_replica_node.cpp
+++ b/tests/test_replica_node.cpp
@@ -16,6 +16,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Robinrail;
 using Tcp = boost::asio::ip::tcp;
 using std::chrono::seconds;
@@ -45,13 +47,14 @@
     }
 }
 
-// Replicas of one cluster on one event loop, each with an address and a folder of its own.
+// Replicas of one cluster, each with an event loop, an address and a folder of its own.
 class Replicas
 {
 public:
     explicit Replicas(std::size_t most)
-        : m_port(freePort(m_io, most))
     {
+        boost::asio::io_context io;
+        m_port = freePort(io, most);
     }
 
     static Endpoint addressOf(std::size_t number)
@@ -73,9 +76,15 @@
         file.announceInterval = seconds(1);
         file.borneLosses = 1;
         file.dataFolder = m_folder.path() / file.node;
-        ReplicaNode &node = *m_nodes.emplace_back(std::make_unique<ReplicaNode>(m_io, file));
-        REQUIRE(node.start());
-        return node;
+        Process &process = *m_processes.emplace_back(std::make_unique<Process>(file));
+        REQUIRE(process.node.start());
+        return process.node;
+    }
+
+    // From now on a replica does nothing, and its connections stay open.
+    void freeze(std::size_t number)
+    {
+        m_processes[number]->frozen = true;
     }
 
     // Runs the event loop until the condition holds, at most for LongestWait; whether it does.
@@ -87,21 +96,46 @@
             if (monotonicNow() >= end) {
                 return false;
             }
-            m_io.run_one();
+            pass();
         }
         return true;
     }
 
 private:
+    struct Process {
+        explicit Process(const SteeringFile &file)
+            : node(io, file)
+        {
+        }
+
+        boost::asio::io_context io;
+        ReplicaNode node;
+        bool frozen = false;
+    };
+
+    void pass()
+    {
+        constexpr std::chrono::milliseconds Rest{1};
+        std::size_t events = 0;
+        for (const auto &process : m_processes) {
+            events += process->frozen ? 0 : process->io.poll_one();
+        }
+        const auto live = std::find_if(m_processes.begin(), m_processes.end(), [](const auto &process) {
+            return !process->frozen;
+        });
+        if (events == 0 && live != m_processes.end()) {
+            (*live)->io.run_one_for(Rest);
+        }
+    }
+
     Folder m_folder;
-    boost::asio::io_context m_io;
-    std::uint16_t m_port;
-    std::vector<std::unique_ptr<ReplicaNode>> m_nodes;
+    std::uint16_t m_port = 0;
+    std::vector<std::unique_ptr<Process>> m_processes;
 };
 
-bool leads(const ReplicaNode &node)
+bool leads(const ReplicaNode *node)
 {
-    return node.metricsText().find("\nrobinrail_replica_leader 1") != std::string::npos;
+    return node->metricsText().find("\nrobinrail_replica_leader 1") != std::string::npos;
 }
 
 RoutingDocument documentOf(std::uint64_t version)
@@ -112,46 +146,83 @@
     return document;
 }
 
-} // namespace
+constexpr std::size_t Voters = 3;
+constexpr std::uint64_t Version = 7;
 
-TEST_CASE("a replica with an empty disk learns from a leader that is no seed, although the leader's first append is lost")
-{
-    constexpr std::size_t Voters = 3;
-    Replicas replicas(Voters + 1);
-    std::vector<Endpoint> seeds;
-    for (std::size_t i = 0; i < Voters; ++i) {
-        seeds.push_back(Replicas::addressOf(i));
-    }
-    std::vector<ReplicaNode *> voters;
-    for (std::size_t i = 0; i < Voters; ++i) {
-        voters.push_back(&replicas.start(i, seeds, true));
-    }
-    std::size_t leader = Voters;
-    REQUIRE(replicas.waitFor([&] {
+// Three voters that hold a document, and a replica with an empty disk that is told of all seeds but the leader.
+struct JoiningReplica {
+    JoiningReplica()
+    {
+        std::vector<Endpoint> seeds;
         for (std::size_t i = 0; i < Voters; ++i) {
-            leader = leads(*voters[i]) ? i : leader;
+            seeds.push_back(Replicas::addressOf(i));
         }
-        return leader < Voters;
-    }));
-    bool submitted = false;
-    voters[leader]->submit(documentOf(7), [&submitted](ReplicaAnswer answer) {
-        submitted = answer == ReplicaAnswer::Done;
-    });
-    REQUIRE(replicas.waitFor([&] {
-        return submitted;
-    }));
+        for (std::size_t i = 0; i < Voters; ++i) {
+            voters.push_back(&replicas.start(i, seeds, true));
+        }
+        REQUIRE(replicas.waitFor([this] {
+            leader = static_cast<std::size_t>(std::find_if(voters.begin(), voters.end(), leads) - voters.begin());
+            return leader < Voters;
+        }));
+        bool submitted = false;
+        voters[leader]->submit(documentOf(Version), [&submitted](ReplicaAnswer answer) {
+            submitted = answer == ReplicaAnswer::Done;
+        });
+        REQUIRE(replicas.waitFor([&submitted] {
+            return submitted;
+        }));
+        seeds.erase(seeds.begin() + static_cast<std::ptrdiff_t>(leader));
+        joiner = &replicas.start(Voters, seeds, false);
+    }
 
-    // The joiner is told of all but the leader.
-    seeds.erase(seeds.begin() + static_cast<std::ptrdiff_t>(leader));
-    const ReplicaNode &joiner = replicas.start(Voters, seeds, false);
-    bool reading = false;
-    CHECK(replicas.waitFor([&] {
-        // Each read makes the leader speak to all members at once, so the first append goes before its link to the joiner is up.
+    // Each read makes the leader speak to all members at once, so its first append goes before its link to the joiner is up.
+    void keepReading()
+    {
         if (!std::exchange(reading, true)) {
-            voters[leader]->read([&reading](ReplicaAnswer) {
+            voters[leader]->read([this](ReplicaAnswer) {
                 reading = false;
             });
         }
-        return joiner.document().table.version == 7;
+    }
+
+    bool takenIn() const
+    {
+        const std::string line = "robinrail_member_match{replica=\"" + addressText(Replicas::addressOf(Voters)) + "\"}";
+        return voters[leader]->metricsText().find(line) != std::string::npos;
+    }
+
+    bool informed() const
+    {
+        return joiner->document().table.version == Version;
+    }
+
+    bool reading = false;
+    std::vector<ReplicaNode *> voters;
+    std::size_t leader = 0;
+    ReplicaNode *joiner = nullptr;
+    Replicas replicas{Voters + 1};
+};
+
+} // namespace
+
+TEST_CASE("a replica with an empty disk learns from a leader that is no seed, although the leader's first append is lost")
+{
+    JoiningReplica cluster;
+    CHECK(cluster.replicas.waitFor([&cluster] {
+        cluster.keepReading();
+        return cluster.informed();
+    }));
+}
+
+TEST_CASE("a replica with an empty disk learns from the next leader when the one that took it in freezes")
+{
+    JoiningReplica cluster;
+    REQUIRE(cluster.replicas.waitFor([&cluster] {
+        cluster.keepReading();
+        return cluster.takenIn();
+    }));
+    cluster.replicas.freeze(cluster.leader);
+    CHECK(cluster.replicas.waitFor([&cluster] {
+        return cluster.informed();
     }));
 }
