Close secure links that fall silent, and say why links are refused

The same fault elsewhere: a connection between control replicas, or from a balancer to one, that falls silent without a reset was kept for as long as the kernel retransmits, and all that was said on it was lost. Change: pings and a silence limit as node links have them, from one header (link_silence.h). A peer that never pinged is an earlier release; its silence says nothing. Links refused as too many, and messages that can't be read, leave a line and a count. Before: the test's link is not closed within 60 s (its own bound). After: closed 2.0 to 2.5 s after it fell silent and dialled anew.

--- a/src/balancer_daemon.cpp
+++ b/src/balancer_daemon.cpp
@@ -275,6 +275,7 @@
 void BalancerDaemon::tick()
 {
     const TimePoint now = monotonicNow();
+    m_links.tick(now);
     m_core.tick(now);
     flush();
     if (m_core.finished(now)) {
--- a/src/control_daemon.cpp
+++ b/src/control_daemon.cpp
@@ -87,6 +87,7 @@
 void ControlDaemon::tick()
 {
     const TimePoint now = monotonicNow();
+    m_links.tick(now);
     m_driver.core().tick(now);
     join(now);
     beat(now);
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -74,6 +74,14 @@
     }
 };
 
-using LinkMessage = std::variant<RaftEnvelope, Subscribe, BundleOffer, VersionReport, ControlBeat>;
+// Keeps a link alive that has nothing else to say.
+struct LinkPing {
+    auto fields()
+    {
+        return std::tie();
+    }
+};
+
+using LinkMessage = std::variant<RaftEnvelope, Subscribe, BundleOffer, VersionReport, ControlBeat, LinkPing>;
 
 } // namespace Robinrail
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -2,6 +2,7 @@
 // Node links: hello, pings and dialling over the websocket hub.
 #include "node_links.h"
 
+#include "log.h"
 #include "net.h"
 #include "settings.h"
 
@@ -12,7 +13,7 @@
 NodeLinks::NodeLinks(boost::asio::io_context &io, NodeHello self, NodeLinkCallbacks callbacks)
     : m_self(self)
     , m_callbacks(std::move(callbacks))
-    , m_now(monotonicNow())
+    , m_clock(monotonicNow())
     , m_hub(io,
             MaxLinkMessage,
             {[this](LinkHandle handle, std::uint64_t tag) {
@@ -60,17 +61,15 @@
 
 void NodeLinks::tick(TimePoint now)
 {
-    // After a standstill of this process nothing can be said about the others.
-    const bool stoodStill = now - m_now >= LinkSilenceLimit / 2;
-    m_now = now;
+    const bool stoodStill = m_clock.turn(now);
     std::vector<LinkHandle> silent;
     for (auto &[handle, link] : m_links) {
         if (stoodStill) {
-            link.heard = now;
+            link.times.heard = now;
         }
-        if (now - link.heard >= LinkSilenceLimit) {
+        if (link.times.silent(now)) {
             silent.push_back(handle);
-        } else if (now - link.said >= LinkPingInterval) {
+        } else if (link.times.pingDue(now)) {
             send(handle, NodePing{});
         }
     }
@@ -86,14 +85,14 @@
 
 void NodeLinks::dial(ReplicaId replica, Dial &dial)
 {
-    dial.schedule.began(m_now);
+    dial.schedule.began(m_clock.now());
     m_hub.connect(addressText({value(replica), m_port}), m_port, value(replica));
 }
 
 void NodeLinks::connected(std::uint64_t tag)
 {
     if (const auto dial = m_dials.find(ReplicaId{static_cast<std::uint32_t>(tag)}); dial != m_dials.end()) {
-        dial->second.schedule.connected(m_now);
+        dial->second.schedule.connected(m_clock.now());
         m_callbacks.answered(dial->first);
     }
 }
@@ -113,15 +112,16 @@
     if (dial != m_dials.end()) {
         dial->second.schedule.handshakeEnded();
     }
-    const bool unwanted = tag != 0 && (dial == m_dials.end() || dial->second.up != 0);
-    if (unwanted || m_links.size() >= MaxNodeLinks) {
-        m_hub.close(handle);
-        return;
+    if (tag != 0 && (dial == m_dials.end() || dial->second.up != 0)) {
+        return m_hub.close(handle); // Not wanted any more, or the second one.
+    }
+    if (m_links.size() >= MaxNodeLinks) {
+        return refuse(handle, "too-many");
     }
     if (tag != 0) {
         dial->second.up = handle;
     }
-    m_links[handle] = {std::nullopt, replica, m_now, m_now};
+    m_links[handle] = {std::nullopt, replica, {m_clock.now(), m_clock.now()}};
     send(handle, m_self);
 }
 
@@ -131,11 +131,10 @@
     if (at == m_links.end()) {
         return;
     }
-    at->second.heard = m_now;
+    at->second.times.heard = m_clock.now();
     const std::optional<NodeMessage> message = decodeMessage<NodeMessage>(bytes);
     if (!message) {
-        drop(handle);
-        return;
+        return refuse(handle, "unreadable");
     }
     if (const auto *hello = std::get_if<NodeHello>(&*message)) {
         return greeted(handle, at->second, *hello);
@@ -192,15 +191,21 @@
     }
 }
 
+void NodeLinks::refuse(LinkHandle handle, std::string_view reason)
+{
+    ++m_refused;
+    if (const auto leftOut = m_refusedLog.take(monotonicNow())) {
+        LogLine(LogLevel::Warning, "link-refused").with("reason", reason).with("links", m_links.size()).with("left-out", *leftOut);
+    }
+    drop(handle);
+}
+
 // Forgets a link at once; its connection may take long to close when the peer is gone.
 void NodeLinks::drop(LinkHandle handle)
 {
-    const auto at = m_links.find(handle);
-    if (at == m_links.end()) {
-        return;
+    if (const auto at = m_links.find(handle); at != m_links.end()) {
+        closed(handle, value(at->second.dialledTo));
     }
-    const std::uint64_t tag = value(at->second.dialledTo);
-    closed(handle, tag);
     m_hub.close(handle);
 }
 
@@ -222,7 +227,7 @@
 void NodeLinks::sendEncoded(LinkHandle link, const Bytes &message)
 {
     if (const auto at = m_links.find(link); at != m_links.end()) {
-        at->second.said = m_now;
+        at->second.times.said = m_clock.now();
         m_hub.send(link, message);
         if (const std::optional<std::size_t> kind = messageKind(message); kind && *kind < m_bytesByKind.size()) {
             m_bytesByKind[*kind] += message.size();
@@ -239,7 +244,7 @@
     // Times of hearing are as coarse as ticks. Of equals all messages take the dialled link, so that they stay in order.
     const auto rank = [this](LinkHandle handle) {
         const Link &link = m_links.at(handle);
-        return std::pair(link.heard, value(link.dialledTo));
+        return std::pair(link.times.heard, value(link.dialledTo));
     };
     return *std::max_element(at->second.begin(), at->second.end(), [&rank](LinkHandle one, LinkHandle other) {
         return rank(one) < rank(other);
@@ -281,6 +286,7 @@
 void NodeLinks::describe(MetricsText &text) const
 {
     text.gauge("robinrail_links", "Links to other nodes", static_cast<double>(m_links.size()));
+    text.counter("robinrail_links_refused_total", "Links closed as one too many, or for a message that can't be read", static_cast<double>(m_refused));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(bytesSent()));
     for (std::size_t i = 0; i < m_bytesByKind.size(); ++i) {
         const std::string label = "message=\"" + std::string(NodeMessageNames[i]) + "\"";
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "dial_schedule.h"
+#include "link_silence.h"
+#include "log_budget.h"
 #include "metrics.h"
 #include "node_message.h"
 #include "websocket_hub.h"
@@ -15,12 +17,6 @@
 
 namespace Robinrail {
 
-// A link that said nothing for this long gets a ping.
-inline constexpr Duration LinkPingInterval = std::chrono::milliseconds(500);
-
-// A link on which nothing was heard for this long is closed: four lost pings.
-inline constexpr Duration LinkSilenceLimit = std::chrono::milliseconds(2000);
-
 // Most links that are open at once; one more is closed, and its dialler tries again. 1,258 balancers that find no quorum
 // may all dial the same replica.
 inline constexpr std::size_t MaxNodeLinks = 1280;
@@ -79,8 +75,7 @@
     struct Link {
         std::optional<NodeHello> peer; // Once it said hello.
         ReplicaId dialledTo{}; // 0: accepted.
-        TimePoint heard;
-        TimePoint said;
+        LinkTimes times;
 
         // The replica at the other end; 0 if that is a balancer, or has not said hello.
         ReplicaId replica() const
@@ -98,6 +93,7 @@
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
     void closed(LinkHandle handle, std::uint64_t tag);
     void forget(ReplicaId replica, LinkHandle handle);
+    void refuse(LinkHandle handle, std::string_view reason);
     void drop(LinkHandle handle);
     void dial(ReplicaId replica, Dial &dial);
     void connected(std::uint64_t tag);
@@ -109,8 +105,10 @@
     std::map<ReplicaId, std::vector<LinkHandle>> m_replicaLinks; // Established ones, by who is at the other end.
     std::map<ReplicaId, Dial> m_dials;
     std::uint16_t m_port = 0;
-    TimePoint m_now;
+    LinkClock m_clock;
     std::array<std::uint64_t, std::variant_size_v<NodeMessage>> m_bytesByKind{};
+    std::uint64_t m_refused = 0; // Links closed from here: one too many, or a message that can't be read.
+    LogBudget m_refusedLog;
     WebsocketHub m_hub;
 };
 
--- a/src/secure_links.cpp
+++ b/src/secure_links.cpp
@@ -2,6 +2,8 @@
 // Secure links: sessions over the websocket hub.
 #include "secure_links.h"
 
+#include "log.h"
+#include "net.h"
 #include "settings.h"
 
 namespace Robinrail {
@@ -12,6 +14,7 @@
     , m_role(role)
     , m_id(id)
     , m_callbacks(std::move(callbacks))
+    , m_clock(monotonicNow())
     , m_hub(io,
             MaxLinkMessage,
             {[this](LinkHandle handle, std::uint64_t tag) {
@@ -46,10 +49,13 @@
 {
     if (m_links.size() >= MaxLinks) {
         m_hub.close(handle);
+        if (tag != 0) {
+            redial(tag);
+        }
         return;
     }
-    const bool dialled = tag != 0;
-    const auto [at, added] = m_links.emplace(handle, Link{SecureSession(m_key, m_role, m_id, dialled), dialled});
+    const LinkTimes times{m_clock.now(), m_clock.now()};
+    const auto [at, added] = m_links.emplace(handle, Link{SecureSession(m_key, m_role, m_id, tag != 0), tag, times});
     m_hub.send(handle, at->second.session.hello());
 }
 
@@ -59,6 +65,7 @@
     if (at == m_links.end()) {
         return;
     }
+    at->second.times.heard = m_clock.now();
     SecureSession &session = at->second.session;
     switch (session.receive(bytes)) {
     case SecureSession::Event::SendProof:
@@ -68,10 +75,7 @@
         m_callbacks.established(handle, session.peer());
         break;
     case SecureSession::Event::Payload:
-        if (const auto message = decodeMessage<LinkMessage>(session.payload()); message && !dropped(session.peer())) {
-            const Hello peer = session.peer();
-            m_callbacks.received(handle, peer, *message);
-        }
+        deliver(handle, session);
         break;
     case SecureSession::Event::Failed:
         ++m_rejected;
@@ -80,22 +84,64 @@
     }
 }
 
+void SecureLinks::deliver(LinkHandle handle, const SecureSession &session)
+{
+    const Hello peer = session.peer();
+    const std::optional<LinkMessage> message = decodeMessage<LinkMessage>(session.payload());
+    if (!message) {
+        LogLine(LogLevel::Error, "link-message-unreadable").with("role", static_cast<int>(peer.role)).with("id", peer.id);
+    } else if (dropped(peer)) {
+        return;
+    } else if (std::holds_alternative<LinkPing>(*message)) {
+        m_links.at(handle).pinged = true;
+    } else {
+        m_callbacks.received(handle, peer, *message);
+    }
+}
+
 void SecureLinks::closed(LinkHandle handle, std::uint64_t tag)
 {
     const auto at = m_links.find(handle);
-    if (at != m_links.end()) {
-        const Hello peer = at->second.session.peer();
-        const bool established = at->second.session.established();
-        m_links.erase(at);
-        if (established) {
-            m_callbacks.closed(handle, peer);
-        }
+    if (at == m_links.end()) {
+        return; // A link that was dropped or refused before.
+    }
+    const Hello peer = at->second.session.peer();
+    const bool established = at->second.session.established();
+    m_links.erase(at);
+    if (established) {
+        m_callbacks.closed(handle, peer);
     }
     if (tag != 0) {
         redial(tag);
     }
 }
 
+// Forgets a link at once; its connection may take long to close when the peer is gone.
+void SecureLinks::drop(LinkHandle handle)
+{
+    closed(handle, m_links.at(handle).tag);
+    m_hub.close(handle);
+}
+
+void SecureLinks::tick(TimePoint now)
+{
+    const bool stoodStill = m_clock.turn(now);
+    std::vector<LinkHandle> silent;
+    for (auto &[handle, link] : m_links) {
+        if (stoodStill) {
+            link.times.heard = now;
+        }
+        if (link.times.silent(now) && (link.pinged || !link.session.established())) {
+            silent.push_back(handle);
+        } else if (link.session.established() && link.times.pingDue(now)) {
+            send(handle, LinkPing{});
+        }
+    }
+    for (const LinkHandle handle : silent) {
+        drop(handle);
+    }
+}
+
 void SecureLinks::redial(std::uint64_t tag)
 {
     boost::asio::steady_timer &timer = *m_timers[tag - 1];
@@ -114,6 +160,7 @@
     if (at == m_links.end() || !at->second.session.established() || dropped(at->second.session.peer())) {
         return;
     }
+    at->second.times.said = m_clock.now();
     m_hub.send(link, at->second.session.seal(encodeMessage(message)));
 }
 
@@ -124,7 +171,7 @@
     for (const auto &[handle, link] : m_links) {
         const Hello &peer = link.session.peer();
         if (link.session.established() && peer.role == role && peer.id == id) {
-            (link.dialled ? dialled : accepted).push_back(handle);
+            (link.tag != 0 ? dialled : accepted).push_back(handle);
         }
     }
     return dialled.empty() ? accepted : dialled;
--- a/src/secure_links.h
+++ b/src/secure_links.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "link_message.h"
+#include "link_silence.h"
 #include "secure_session.h"
 #include "websocket_hub.h"
 
@@ -36,6 +37,9 @@
     // Keeps a link to an address up from now on.
     void maintain(Endpoint endpoint);
 
+    // Pings and closes silent links. Call it every 100 ms or so.
+    void tick(TimePoint now);
+
     void send(LinkHandle link, const LinkMessage &message);
 
     // Links on which a peer is reached: those that were dialled from here, else those that it dialled. A replica that moved
@@ -52,11 +56,15 @@
 private:
     struct Link {
         SecureSession session;
-        bool dialled = false;
+        std::uint64_t tag = 0; // Of the maintained address that was dialled; 0: accepted.
+        LinkTimes times;
+        bool pinged = false; // By the peer: earlier releases do not ping, so that their silence says nothing.
     };
     void opened(LinkHandle handle, std::uint64_t tag);
     void received(LinkHandle handle, const std::vector<std::uint8_t> &bytes);
+    void deliver(LinkHandle handle, const SecureSession &session);
     void closed(LinkHandle handle, std::uint64_t tag);
+    void drop(LinkHandle handle);
     void redial(std::uint64_t tag);
     bool dropped(const Hello &peer) const;
 
@@ -70,6 +78,7 @@
     std::map<LinkHandle, Link> m_links;
     std::map<PeerRole, std::set<std::uint16_t>> m_dropped;
     std::uint64_t m_rejected = 0;
+    LinkClock m_clock;
     WebsocketHub m_hub;
 };
 
--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -5,6 +5,8 @@
 #include "net.h"
 #include "node_links.h"
 #include "raft_core.h"
+#include "reach_watch.h"
+#include "secure_links.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -260,6 +262,82 @@
     CHECK(asked);
 }
 
+// Without a reset nothing ever ends such a connection, and a replica dials an address once: what is said to it is lost, for
+// as long as the kernel tries to deliver it.
+TEST_CASE("a secure link that falls silent for good is closed and dialled anew")
+{
+    constexpr std::uint16_t Dialler = 1;
+    constexpr std::uint16_t Dialled = 2;
+    constexpr Duration Tick = milliseconds(25);
+    boost::asio::io_context io;
+    const std::uint16_t port = freePort(io);
+    const std::uint16_t listens = freePort(io);
+    Soak::FaultProxy proxy(io, {Loopback, port}, {Loopback, listens});
+    int established = 0;
+    int closed = 0;
+    bool reported = false;
+    SecureLinkCallbacks atDialler;
+    atDialler.established = [&established](auto...) {
+        ++established;
+    };
+    atDialler.received = [](auto...) {};
+    atDialler.closed = [&closed](auto...) {
+        ++closed;
+    };
+    SecureLinkCallbacks atDialled{[](auto...) {}, {}, [](auto...) {}};
+    atDialled.received = [&reported](LinkHandle, const Hello &peer, const LinkMessage &message) {
+        reported = peer.id == Dialler && std::holds_alternative<VersionReport>(message);
+    };
+    SecureLinks dialler(io, ClusterKey{}, PeerRole::Balancer, Dialler, atDialler);
+    SecureLinks dialled(io, ClusterKey{}, PeerRole::Control, Dialled, atDialled);
+    REQUIRE(dialled.listen({Loopback, listens}));
+    dialler.maintain({Loopback, port});
+    TimePoint now = monotonicNow();
+    const auto passUntil = [&](const auto &condition) {
+        for (const TimePoint end = now + seconds(60); now < end && !condition();) {
+            now += Tick;
+            dialler.tick(now);
+            dialled.tick(now);
+            io.run_one_for(milliseconds(1));
+            while (io.poll() > 0) { }
+        }
+        return condition();
+    };
+    REQUIRE(passUntil([&] {
+        return established == 1 && !dialled.linksTo(PeerRole::Balancer, Dialler).empty();
+    }));
+    const TimePoint up = now;
+    passUntil([&] {
+        return now - up >= LinkPingInterval * 2;
+    });
+    proxy.setFault(Soak::LinkFault::OpenSilent, {});
+    const TimePoint fell = now;
+    REQUIRE(passUntil([&] {
+        return closed == 1;
+    }));
+    CHECK(now - fell <= LinkSilenceLimit + LinkPingInterval);
+    REQUIRE(passUntil([&] {
+        return established == 2;
+    }));
+    dialler.send(dialler.linksTo(PeerRole::Control, Dialled).front(), VersionReport{});
+    CHECK(passUntil([&reported] {
+        return reported;
+    }));
+}
+
+TEST_CASE("a replica that is not reached is news once, and so is that it is reached again, while each lost message counts")
+{
+    constexpr ReplicaId Peer{7};
+    ReachWatch watch;
+    CHECK_FALSE(watch.note(Peer, true));
+    CHECK(watch.note(Peer, false));
+    CHECK_FALSE(watch.note(Peer, false));
+    CHECK(watch.note(ReplicaId{8}, false));
+    CHECK(watch.note(Peer, true));
+    CHECK_FALSE(watch.note(Peer, true));
+    CHECK(watch.unsent() == 3);
+}
+
 TEST_CASE("a peer that comes back at any moment of the first half second is dialled within 50 ms")
 {
     DialSchedule schedule;
