Soak: hold each replica to what was acknowledged, and name only some replicas as seeds

The soak could not have met the fault of the empty replica: every settings file named every replica, and nothing asked a replica itself what it holds, as balancers leave one that lags. Change: each replica that is out of trouble must show in its metrics, 3 s after an acknowledgement, at least the version acknowledged; a node that starts again is told of a majority of the replicas only (seeds from 2000 on; lower ones play as before, with the check).

--- a/soak/node_herd.cpp
+++ b/soak/node_herd.cpp
@@ -77,7 +77,8 @@
 void NodeHerd::writeSettings(const Node &node, bool firstStart) const
 {
     nlohmann::json seeds = nlohmann::json::array();
-    for (std::size_t i = 0; i < m_plan.replicas; ++i) {
+    const std::size_t named = firstStart ? m_plan.replicas : m_plan.namedSeeds;
+    for (std::size_t i = 0; i < named; ++i) {
         seeds.push_back(toText({m_plan.replica((node.firstSeed + i) % m_plan.replicas), Plan::ControlPort}));
     }
     const bool replica = !node.data.empty();
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -8,6 +8,7 @@
 #include "log.h"
 #include "node_herd.h"
 #include "operator_desk.h"
+#include "replica_watch.h"
 #include "target_fleet.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -32,16 +33,25 @@
     return seed * Streams + part;
 }
 
+// Later seeds tell a node that starts again of a majority of the replicas only.
+RunOptions withSeeds(RunOptions options)
+{
+    const std::size_t all = options.plan.replicas;
+    options.plan.namedSeeds = options.seed >= FirstSeedWithFewSeeds ? all / 2 + 1 : all;
+    return options;
+}
+
 class SoakRun
 {
 public:
     explicit SoakRun(const RunOptions &options)
-        : m_options(options)
-        , m_nodes(m_io, options.plan, m_trouble, m_promises, options.programs, options.work)
+        : m_options(withSeeds(options))
+        , m_nodes(m_io, m_options.plan, m_trouble, m_promises, options.programs, options.work)
         , m_targets(m_io, options.plan, m_trouble, m_promises, streamOf(options.seed, 1))
         , m_callers(m_io, options.plan, m_targets, m_promises, streamOf(options.seed, 2))
         , m_desk(m_io, options.plan, m_promises, streamOf(options.seed, 4))
         , m_drains(m_io, options.plan, m_promises, streamOf(options.seed, 6))
+        , m_replicas(m_io, options.plan, m_trouble, m_promises)
         , m_restarts(streamOf(options.seed, 7))
         , m_schedule(options.plan, m_nodes, m_targets, m_desk, m_trouble, streamOf(options.seed, 5))
         , m_timer(m_io)
@@ -63,6 +73,7 @@
             .with("version", m_desk.acknowledged())
             .with("reads", m_desk.reads())
             .with("drain-orders", m_drains.taken())
+            .with("versions-judged", m_replicas.judged())
             .with("broken", m_promises.count());
         return m_promises.count() == 0;
     }
@@ -89,6 +100,7 @@
         m_nodes.tick(now);
         m_targets.tick(now);
         m_desk.tick(now);
+        m_replicas.tick(now, m_desk.acknowledged());
         m_targets.setRouteGone(m_desk.routeGoneSince());
         if (withDrains() && m_phase != Phase::Starting) {
             m_drains.tick(now);
@@ -177,6 +189,7 @@
     CallerCrowd m_callers;
     OperatorDesk m_desk;
     DrainOrders m_drains;
+    ReplicaWatch m_replicas;
     Random m_restarts; // Of targets, under their keys.
     TimePoint m_restartDue;
     FaultSchedule m_schedule;
--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -57,6 +57,7 @@
     std::size_t balancers = 4;
     std::size_t targets = 10;
     std::size_t callers = 30;
+    std::size_t namedSeeds = 3; // Replicas that the settings of a node name, after the first start.
 
     static constexpr std::uint16_t ControlPort = 8166;
     static constexpr std::uint16_t ReadinessPort = 8167;
@@ -96,6 +97,10 @@
 // it was when it failed.
 inline constexpr std::uint64_t FirstSeedWithDrains = 1000;
 
+// Seeds from here on name only a majority of the replicas in the settings of a node that starts again, so that one with an
+// empty disk may have to learn from a leader that it was not told of.
+inline constexpr std::uint64_t FirstSeedWithFewSeeds = 2000;
+
 // The routes that never change, one for each service, and one that comes and goes.
 inline const std::vector<std::string> Services = {"quotes", "decks"};
 inline constexpr Endpoint FirstRoute{0xc6120001, 443};
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -4,6 +4,7 @@
 #include "fault_proxy.h"
 #include "network_claim.h"
 #include "packet_codec.h"
+#include "replica_watch.h"
 #include "soak_types.h"
 #include "standin_wire.h"
 #include "target_fleet.h"
@@ -186,3 +187,16 @@
     }
     CHECK(NetworkClaim(io, First, Last, Last).network() == First);
 }
+
+TEST_CASE("a version is due at each replica an apply time after its acknowledgement, and is read from metrics")
+{
+    AcknowledgedVersions versions;
+    versions.note(Start, 3);
+    versions.note(Start + milliseconds(10), 3);
+    versions.note(Start + seconds(1), 5);
+    CHECK(versions.due(Start + ApplyTime - milliseconds(1)) == 0);
+    CHECK(versions.due(Start + ApplyTime) == 3);
+    CHECK(versions.due(Start + ApplyTime + seconds(1)) == 5);
+    CHECK(routingVersionOf("# TYPE robinrail_routing_version gauge\nrobinrail_routing_version 12\nrobinrail_x 3\n") == 12);
+    CHECK_FALSE(routingVersionOf("robinrail_x 3\n"));
+}
