--- a/spec/check.sh
+++ b/spec/check.sh
@@ -59,5 +59,9 @@
 for mutation in ANSWER_HELD TAKE_ANY SAME_REVISION VOUCH_BY_HEARING; do
     expect 1 drains.pml "drains-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 joining.pml joining
+for mutation in DIALLED_ONLY NO_STEP_BACK NO_FORWARD; do
+    expect 1 joining.pml "joining-$mutation" "-DMUTATE_$mutation"
+done
 echo "model searches that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
