Count messages and bytes on links by kind, direction and distance

Cause: bytes between data centres, and what a replica's processor is spent on, could not be told apart by what causes them: only bytes sent were counted, by kind alone.

Change: LinkTraffic counts both directions, near, far and before the greeting. /metrics has them under three bounded labels (15 kinds x 2 x 3); a summary line comes every 10 s and at the stop, as a node that loses power writes no last line. A replica says that it stops, as a balancer does.

--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -14,6 +14,7 @@
     : m_self(self)
     , m_callbacks(std::move(callbacks))
     , m_clock(monotonicNow())
+    , m_trafficLogDue(m_clock.now() + TrafficLogInterval)
     , m_hub(io,
             MaxLinkMessage,
             {[this](LinkHandle handle, std::uint64_t tag) {
@@ -81,6 +82,10 @@
             this->dial(replica, dial);
         }
     }
+    if (now >= m_trafficLogDue) {
+        m_trafficLogDue = now + TrafficLogInterval;
+        m_traffic.log();
+    }
 }
 
 void NodeLinks::dial(ReplicaId replica, Dial &dial)
@@ -132,6 +137,7 @@
         return;
     }
     at->second.times.heard = m_clock.now();
+    m_traffic.count(LinkDirection::Received, distanceOf(at->second), bytes);
     const std::optional<NodeMessage> message = decodeMessage<NodeMessage>(bytes);
     if (!message) {
         return refuse(handle, "unreadable");
@@ -229,9 +235,7 @@
     if (const auto at = m_links.find(link); at != m_links.end()) {
         at->second.times.said = m_clock.now();
         m_hub.send(link, message);
-        if (const std::optional<std::size_t> kind = messageKind(message); kind && *kind < m_bytesByKind.size()) {
-            m_bytesByKind[*kind] += message.size();
-        }
+        m_traffic.count(LinkDirection::Sent, distanceOf(at->second), message);
     }
 }
 
@@ -278,20 +282,25 @@
     return m_hub.buffered(link);
 }
 
-std::uint64_t NodeLinks::bytesSent() const
+LinkDistance NodeLinks::distanceOf(const Link &link) const
 {
-    return m_hub.bytesSent();
+    if (!link.peer) {
+        return LinkDistance::Unknown;
+    }
+    return link.peer->dataCentre == m_self.dataCentre ? LinkDistance::Near : LinkDistance::Far;
+}
+
+void NodeLinks::logTraffic() const
+{
+    m_traffic.log();
 }
 
 void NodeLinks::describe(MetricsText &text) const
 {
     text.gauge("robinrail_links", "Links to other nodes", static_cast<double>(m_links.size()));
     text.counter("robinrail_links_refused_total", "Links closed as one too many, or for a message that can't be read", static_cast<double>(m_refused));
-    text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(bytesSent()));
-    for (std::size_t i = 0; i < m_bytesByKind.size(); ++i) {
-        const std::string label = "message=\"" + std::string(NodeMessageNames[i]) + "\"";
-        text.counter("robinrail_link_message_bytes_total", "Bytes sent on links by kind of message", static_cast<double>(m_bytesByKind[i]), label);
-    }
+    text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_hub.bytesSent()));
+    m_traffic.describe(text);
 }
 
 } // namespace Robinrail
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -5,6 +5,7 @@
 
 #include "dial_schedule.h"
 #include "link_silence.h"
+#include "link_traffic.h"
 #include "log_budget.h"
 #include "metrics.h"
 #include "node_message.h"
@@ -66,11 +67,12 @@
     // Established links that were dialled from here.
     std::vector<LinkHandle> dialled() const;
 
-    std::uint64_t bytesSent() const;
-
-    // The same by kind of message, and the number of links, as lines of figures.
+    // Figures of links and of what passed over them.
     void describe(MetricsText &text) const;
 
+    // Writes a line on what passed over the links, as when the node stops.
+    void logTraffic() const;
+
 private:
     struct Link {
         std::optional<NodeHello> peer; // Once it said hello.
@@ -94,6 +96,7 @@
     void closed(LinkHandle handle, std::uint64_t tag);
     void forget(ReplicaId replica, LinkHandle handle);
     void refuse(LinkHandle handle, std::string_view reason);
+    LinkDistance distanceOf(const Link &link) const;
     void drop(LinkHandle handle);
     void dial(ReplicaId replica, Dial &dial);
     void connected(std::uint64_t tag);
@@ -106,7 +109,8 @@
     std::map<ReplicaId, Dial> m_dials;
     std::uint16_t m_port = 0;
     LinkClock m_clock;
-    std::array<std::uint64_t, std::variant_size_v<NodeMessage>> m_bytesByKind{};
+    LinkTraffic m_traffic;
+    TimePoint m_trafficLogDue;
     std::uint64_t m_refused = 0; // Links closed from here: one too many, or a message that can't be read.
     LogBudget m_refusedLog;
     WebsocketHub m_hub;
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -80,6 +80,12 @@
     LogLine(LogLevel::Info, "settings-reloaded").with("seeds", m_file.seeds.size());
 }
 
+void ReplicaNode::beginStop()
+{
+    LogLine(LogLevel::Info, "stopping").with("targets", m_targets.size()).with("followers", m_targets.followers());
+    m_links.logTraffic();
+}
+
 // ---- Storage ----
 
 // Opens the disk, or tries again later: a full or failing disk must not end the process, which still serves
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -58,6 +58,9 @@
     // Takes changed settings; only the seeds can change while it runs.
     void reload(const SteeringFile &file);
 
+    // The process is about to end: says so, and what passed over the links.
+    void beginStop();
+
     // A target announced itself. Done: it is known, and if it drains, no borne loss can undo that.
     void announce(const TargetRecord &record, Respond respond);
 
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -60,6 +60,7 @@
 {
     m_stopping = true;
     LogLine(LogLevel::Info, "stopping").with("flows", m_steering.flowCount());
+    m_links.logTraffic();
     updateReadiness();
 }
 
