Compare directories by digests when replicas link up, and send what differs

Cause: each end of each link between replicas sent its whole directory when the link came up, and each pair has two links. After a loss of all power 25 replicas with 10,000 targets encode and send 1,200 lists of 0.54 MB, four fifths of them between data centres, although all have nearly the same from their notes; a single restarted replica takes 48.

Ruled out: following each other's logs, as balancers do. Logs begin anew with each process, so that after a loss of power each follows 24 others from 0, which is the same lists in another form; and a target's home alone telling of it leaves a replica with an empty disk without the drains that a lost home had acknowledged.

Change: an end that links up sends a hash for each part of its directory (eight targets a part, 5 bytes each). The other one asks for parts that differ, one replica at a time, those that know all targets first; answers come in pieces that leave room on the link and time for other work. Messages changed: nodes of mixed versions do not understand each other.

Conclusion: what a link costs follows what differs, not replicas x targets.

--- a/src/directory_publisher.h
+++ b/src/directory_publisher.h
@@ -26,7 +26,7 @@
 
 // Pages are sent to a follower while less than this waits to be written to it, bytes. A link of 2 Mbit/s takes as much
 // in 65 ms, and then the next ones come.
-inline constexpr std::size_t MostBuffered = std::size_t{16} << 10U;
+inline constexpr std::size_t MaxBuffered = std::size_t{16} << 10U;
 
 // A page that was made for one follower is good for others for so long: after a loss of power hundreds ask at once, and
 // a page takes longer to encode than to send. What changed meanwhile follows under higher numbers.
@@ -98,7 +98,7 @@
         if (!m_log.tellsAllAfter(std::max(follower.number, follower.listedFrom))) {
             follower = begun(0);
         }
-        while (owes(follower, informed) && links.buffered(id) < MostBuffered) {
+        while (owes(follower, informed) && links.buffered(id) < MaxBuffered) {
             const Page &page = pageAfter(now, informed, follower.number);
             links.sendEncoded(id, page.bytes);
             follower.number = page.upTo;
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -2,6 +2,7 @@
 // Node messages: what replicas and steering balancers say to each other over their links.
 #pragma once
 
+#include "directory_digest.h"
 #include "link_message.h"
 #include "routing_table.h"
 #include "target_record.h"
@@ -118,14 +119,6 @@
     }
 };
 
-// A replica has told another one all the targets that it knows.
-struct TargetsTold {
-    auto fields()
-    {
-        return std::tie();
-    }
-};
-
 // Targets that announced themselves at the sending replica of late.
 struct TargetsHeard {
     std::vector<TargetKey> keys;
@@ -205,7 +198,7 @@
                                  RaftEnvelope,
                                  ReplicaList,
                                  TargetStatusList,
-                                 TargetsTold,
+                                 DirectoryDigest,
                                  TargetsHeard,
                                  TargetReceipt,
                                  RoutingOffer,
@@ -214,7 +207,9 @@
                                  TargetsUnanswered,
                                  TargetsUnreachable,
                                  FollowDirectory,
-                                 DirectoryPage>;
+                                 DirectoryPage,
+                                 DirectoryQuery,
+                                 DirectoryAnswered>;
 
 // What each kind of message is called in figures, in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<NodeMessage>> NodeMessageNames{"hello",
@@ -222,7 +217,7 @@
                                                                                                  "raft",
                                                                                                  "replica-list",
                                                                                                  "target-status",
-                                                                                                 "targets-told",
+                                                                                                 "directory-digest",
                                                                                                  "targets-heard",
                                                                                                  "target-receipt",
                                                                                                  "routing-offer",
@@ -231,6 +226,8 @@
                                                                                                  "targets-unanswered",
                                                                                                  "targets-unreachable",
                                                                                                  "follow-directory",
-                                                                                                 "directory-page"};
+                                                                                                 "directory-page",
+                                                                                                 "directory-query",
+                                                                                                 "directory-answered"};
 
 } // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -156,6 +156,7 @@
     }
     beat(now);
     tellUnreachable(now);
+    m_targets.reconcile(now);
     m_targets.publish(now);
     m_targets.expireDrains(now);
     m_timer.expires_after(ReplicaTick);
@@ -318,6 +319,7 @@
 void ReplicaNode::onClosed(LinkHandle link, const NodeHello &peer)
 {
     m_targets.unfollow(link);
+    m_targets.closed(link);
     if (peer.role == NodeRole::Replica) {
         LogLine(LogLevel::Warning, "replica-link-lost").with("replica", toText(peer.replica));
     }
@@ -345,8 +347,12 @@
         m_versions.sawInForce(offered->progress);
     } else if (const auto *receipt = std::get_if<TargetReceipt>(&message)) {
         m_targets.onReceipt(peer.replica, *receipt);
-    } else if (std::holds_alternative<TargetsTold>(message)) {
-        m_targets.onTold();
+    } else if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
+        m_targets.onDigest(peer.replica, link, *digest);
+    } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
+        m_targets.onQuery(link, *query);
+    } else if (const auto *answered = std::get_if<DirectoryAnswered>(&message)) {
+        m_targets.onAnswered(link, *answered);
     } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->finder == peer.replica) {
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), *gone);
     }
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -198,6 +198,31 @@
     return std::exchange(m_forgotten, {});
 }
 
+// Sums, as they do not depend on the order of the targets.
+std::vector<std::uint32_t> TargetDirectory::digest(std::size_t buckets) const
+{
+    std::vector<std::uint32_t> sums(buckets);
+    for (const auto &[key, entry] : m_entries) {
+        sums[digestBucket(key, buckets)] += digestOf(entry.record);
+    }
+    return sums;
+}
+
+std::vector<TargetKey> TargetDirectory::keysIn(const DirectoryQuery &query) const
+{
+    std::vector<bool> wanted(query.buckets);
+    for (const std::uint32_t bucket : query.wanted) {
+        wanted[bucket] = true;
+    }
+    std::vector<TargetKey> keys;
+    for (const auto &[key, entry] : m_entries) {
+        if (wanted[digestBucket(key, query.buckets)]) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 std::optional<TargetStatus> TargetDirectory::status(TimePoint now, TargetKey key) const
 {
     const auto found = m_entries.find(key);
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -3,6 +3,7 @@
 // changes on to all others and to every balancer; sequence and lifetime order them, no log is needed.
 #pragma once
 
+#include "directory_digest.h"
 #include "target_record.h"
 
 #include <map>
@@ -55,6 +56,10 @@
     // The targets that were forgotten since the last call.
     std::vector<TargetKey> takeForgotten();
 
+    // Hashes of all parts of the directory, so many in all; and the targets of those that are asked for.
+    std::vector<std::uint32_t> digest(std::size_t buckets) const;
+    std::vector<TargetKey> keysIn(const DirectoryQuery &query) const;
+
     std::vector<TargetStatus> all(TimePoint now) const;
     std::optional<TargetStatus> status(TimePoint now, TargetKey key) const;
     const TargetRecord *find(TargetKey key) const;
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -28,6 +28,8 @@
     , m_borneLosses(borneLosses)
     , m_directory(announceInterval, announceInterval * MissedAnnouncements + AnnouncementSlack)
     , m_publisher(m_directory, newLife())
+    , m_reconciler(m_directory)
+    , m_answers(m_directory)
     , m_drains(borneLosses)
     , m_started(now)
 {
@@ -103,6 +105,7 @@
 
 void TargetExchange::onNews(LinkHandle link, const TargetStatusList &list)
 {
+    m_reconciler.progressed(monotonicNow(), link);
     std::vector<TargetStatus> changed;
     for (const TargetStatus &news : list.news) {
         if (std::optional<TargetStatus> taken = m_directory.take(monotonicNow(), news)) {
@@ -126,9 +129,54 @@
     m_drains.receipt(from, receipt.lifetime, receipt.phase);
 }
 
-void TargetExchange::onTold()
+// ---- What other replicas know ----
+
+void TargetExchange::greet(TimePoint now, LinkHandle link)
+{
+    m_links.send(link, DirectoryDigest{informed(now), m_directory.digest(digestBuckets(m_directory.size()))});
+}
+
+void TargetExchange::onDigest(ReplicaId from, LinkHandle link, const DirectoryDigest &digest)
 {
-    m_toldByOther = true;
+    if (!digest.isSound()) {
+        return refuseMalformed("directory-digest");
+    }
+    m_reconciler.digest(from, link, digest);
+}
+
+void TargetExchange::onQuery(LinkHandle link, const DirectoryQuery &query)
+{
+    if (!query.isSound()) {
+        return refuseMalformed("directory-query");
+    }
+    m_answers.begin(link, query);
+}
+
+void TargetExchange::onAnswered(LinkHandle link, const DirectoryAnswered &answer)
+{
+    m_reconciler.answered(link, answer);
+}
+
+void TargetExchange::closed(LinkHandle link)
+{
+    m_reconciler.closed(link);
+    m_answers.closed(link);
+}
+
+void TargetExchange::reconcile(TimePoint now)
+{
+    if (const auto question = m_reconciler.ask(now)) {
+        LogLine(LogLevel::Info, "directory-differs").with("parts", question->query.wanted.size()).with("of", question->query.buckets);
+        m_links.send(question->link, question->query);
+    }
+    m_answers.turn(now, informed(now), m_links);
+}
+
+void TargetExchange::refuseMalformed(std::string_view message)
+{
+    if (const auto leftOut = m_malformedLog.take(monotonicNow())) {
+        LogLine(LogLevel::Error, "message-malformed").with("message", message).with("left-out", *leftOut);
+    }
 }
 
 // ---- Followers ----
@@ -172,14 +220,6 @@
     tellFollowers(targets);
 }
 
-void TargetExchange::greet(TimePoint now, LinkHandle link)
-{
-    m_links.send(link, TargetStatusList{m_directory.all(now)});
-    if (informed(now)) {
-        m_links.send(link, TargetsTold{});
-    }
-}
-
 void TargetExchange::beat(TimePoint now)
 {
     TargetsHeard heard{m_directory.takeHeardHere()};
@@ -207,7 +247,7 @@
 // Whether the targets that are there have had time to announce themselves, here or at another replica.
 bool TargetExchange::informed(TimePoint now) const
 {
-    return m_restored || m_toldByOther || now - m_started >= m_announceInterval * MissedAnnouncements;
+    return m_restored || m_reconciler.informed() || now - m_started >= m_announceInterval * MissedAnnouncements;
 }
 
 // ---- Small questions ----
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -3,7 +3,9 @@
 // other replicas and to the balancers, and confirms drains once enough replicas know.
 #pragma once
 
+#include "directory_answers.h"
 #include "directory_publisher.h"
+#include "directory_reconciler.h"
 #include "drain_confirmations.h"
 #include "log_budget.h"
 #include "metrics.h"
@@ -56,14 +58,22 @@
     void onNews(LinkHandle link, const TargetStatusList &list);
     void onHeard(const TargetsHeard &heard);
     void onReceipt(ReplicaId from, const TargetReceipt &receipt);
-    void onTold();
+    void onDigest(ReplicaId from, LinkHandle link, const DirectoryDigest &digest);
+    void onQuery(LinkHandle link, const DirectoryQuery &query);
+    void onAnswered(LinkHandle link, const DirectoryAnswered &answer);
+
+    // A link to another replica is gone.
+    void closed(LinkHandle link);
 
     // Takes the targets that were known before a restart; they are heard as of now.
     void restore(TimePoint now, std::span<const TargetStatus> targets);
 
-    // Tells a replica whose link has just come up all that is known.
+    // Tells a replica whose link has just come up what is known, as a digest; it asks for what it lacks.
     void greet(TimePoint now, LinkHandle link);
 
+    // Asks and answers other replicas about parts that differ. Call it at each tick.
+    void reconcile(TimePoint now);
+
     // Gives up on drains that waited too long. Call it at each tick.
     void expireDrains(TimePoint now);
 
@@ -88,6 +98,7 @@
     void confirm(const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
     void logSilent(TimePoint now, const TargetStatus &news);
+    void refuseMalformed(std::string_view message);
 
     NodeLinks &m_links;
     Duration m_announceInterval;
@@ -95,13 +106,15 @@
     TargetDirectory m_directory;
     DirectoryPublisher m_publisher;
     TimePoint m_publishDue;
+    DirectoryReconciler m_reconciler;
+    DirectoryAnswers m_answers;
     DrainConfirmations m_drains;
     TimePoint m_started;
     bool m_restored = false; // Targets were known from before the restart.
-    bool m_toldByOther = false;
     bool m_changed = false;
     LogBudget m_newsLog;
     LogBudget m_silentLog;
+    LogBudget m_malformedLog;
     std::uint64_t m_announcements = 0;
     std::uint64_t m_drainsUnanswered = 0;
     LatencyHistogram m_drainTimes;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -126,7 +126,7 @@
     'life != 0 && after <= m_newest' '*tell all that was missed*,*ends alike*'
 mutate "directory: who is not listed stays" src/directory_follower.cpp 'm_targets.keepVouched(replica, std::exchange(progress.listed, {}));' \
     'progress.listed.clear();' '*from the same life*,*ends alike*'
-mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MostBuffered' '' \
+mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MaxBuffered' '' \
     '*leave room on its link*'
 mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < HealthyFor' \
     'at->second.confirmedAt <= now' '*lost its quorum*'
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -189,7 +189,7 @@
             replica.announce(Start, record);
         }
         replica.publisher.publish(Start, true, links);
-        CHECK(links.buffered(OnlyFollower) < MostBuffered + 8192);
+        CHECK(links.buffered(OnlyFollower) < MaxBuffered + 8192);
     }
     Balancer balancer;
     PageVerdict verdict = PageVerdict::Taken;
@@ -215,7 +215,7 @@
     replica.publisher.follow(OnlyFollower, {});
     replica.publisher.publish(Start, true, links);
     balancer.drain(Start, links);
-    links.queues[OnlyFollower].push_back(Bytes(MostBuffered));
+    links.queues[OnlyFollower].push_back(Bytes(MaxBuffered));
     TargetRecord left = targetOf(2, 2);
     left.phase = TargetPhase::Left;
     replica.announce(Start + seconds(1), left);
--- /dev/null
+++ b/tests/test_directory_digest.cpp
@@ -0,0 +1,357 @@
+// SPDX-License-Identifier: MIT
+// Directory digest: replicas that link up end with the same targets, and what both have is not sent.
+#include "directory_answers.h"
+#include "directory_reconciler.h"
+
+#include <doctest/doctest.h>
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+
+using namespace Robinrail;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint Start(std::chrono::hours(1));
+constexpr Duration Turn = milliseconds(25);
+
+TargetRecord targetOf(std::uint64_t key, std::uint64_t born = 1)
+{
+    TargetRecord record;
+    record.key = TargetKey{key};
+    record.service = key % 2 == 0 ? "quotes" : "decks";
+    record.address = {0x0a000000U + static_cast<std::uint32_t>(key), 8080};
+    record.dataCentre = DataCentreId{1};
+    record.slots = 2;
+    record.sequence = 7;
+    record.born = born;
+    return record;
+}
+
+// A replica's links to others; what is sent arrives in the next turn.
+struct PeerLinks {
+    std::map<ReplicaLinkId, std::deque<Bytes>> queues; // Towards the peer, by link.
+    std::uint64_t records = 0;
+    std::uint64_t bytes = 0;
+
+    std::size_t buffered(ReplicaLinkId link)
+    {
+        std::size_t waiting = 0;
+        for (const Bytes &message : queues[link]) {
+            waiting += message.size();
+        }
+        return waiting;
+    }
+
+    void sendEncoded(ReplicaLinkId link, const Bytes &message)
+    {
+        const std::optional<NodeMessage> decoded = decodeMessage<NodeMessage>(message);
+        REQUIRE(decoded);
+        if (const auto *list = std::get_if<TargetStatusList>(&*decoded)) {
+            records += list->news.size();
+        }
+        bytes += message.size();
+        queues[link].push_back(message);
+    }
+};
+
+struct Replica {
+    TargetDirectory directory{milliseconds(770), seconds(3)};
+    DirectoryReconciler reconciler{directory};
+    DirectoryAnswers answers{directory};
+    PeerLinks links;
+    bool knowsAll = true;
+
+    bool informed() const
+    {
+        return knowsAll || reconciler.informed();
+    }
+
+    void take(TimePoint now, const TargetRecord &record)
+    {
+        directory.take(now, {record, false, Duration{0}, Duration{0}});
+    }
+};
+
+// Replicas that are linked with each other, each pair by one link.
+struct Cluster {
+    explicit Cluster(std::size_t size)
+        : replicas(size)
+    {
+    }
+
+    std::vector<Replica> replicas;
+    TimePoint now = Start;
+
+    // The link between two replicas is called by the number of the other one.
+    void linkUp(std::size_t one, std::size_t other)
+    {
+        for (const auto &[from, to] : {std::pair(one, other), std::pair(other, one)}) {
+            Replica &sender = replicas[from];
+            const TargetDirectory &directory = sender.directory;
+            send(from, to, DirectoryDigest{sender.informed(), directory.digest(digestBuckets(directory.size()))});
+        }
+    }
+
+    void linkDown(std::size_t one, std::size_t other)
+    {
+        for (const auto &[from, to] : {std::pair(one, other), std::pair(other, one)}) {
+            replicas[from].links.queues.erase(to);
+            replicas[from].reconciler.closed(to);
+            replicas[from].answers.closed(to);
+        }
+    }
+
+    void linkAll()
+    {
+        for (std::size_t one = 0; one < replicas.size(); ++one) {
+            for (std::size_t other = one + 1; other < replicas.size(); ++other) {
+                linkUp(one, other);
+            }
+        }
+    }
+
+    void send(std::size_t from, std::size_t to, NodeMessage message)
+    {
+        replicas[from].links.sendEncoded(to, encodeMessage(message));
+    }
+
+    void turn()
+    {
+        now += Turn;
+        for (std::size_t from = 0; from < replicas.size(); ++from) {
+            for (auto &[to, queue] : std::exchange(replicas[from].links.queues, {})) {
+                for (const Bytes &message : queue) {
+                    receive(from, to, *decodeMessage<NodeMessage>(message));
+                }
+            }
+        }
+        for (std::size_t self = 0; self < replicas.size(); ++self) {
+            Replica &replica = replicas[self];
+            if (const auto question = replica.reconciler.ask(now)) {
+                send(self, question->link, question->query);
+            }
+            replica.answers.turn(now, replica.informed(), replica.links);
+        }
+    }
+
+    void receive(std::size_t from, std::size_t to, const NodeMessage &message)
+    {
+        Replica &replica = replicas[to];
+        if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
+            REQUIRE(digest->isSound());
+            replica.reconciler.digest(ReplicaId{static_cast<std::uint32_t>(from)}, from, *digest);
+        } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
+            REQUIRE(query->isSound());
+            replica.answers.begin(from, *query);
+        } else if (const auto *list = std::get_if<TargetStatusList>(&message)) {
+            replica.reconciler.progressed(now, from);
+            for (const TargetStatus &news : list->news) {
+                replica.directory.take(now, news);
+            }
+        } else if (const auto *answer = std::get_if<DirectoryAnswered>(&message)) {
+            replica.reconciler.answered(from, *answer);
+        }
+    }
+
+    void turns(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            turn();
+        }
+    }
+
+    std::uint64_t records() const
+    {
+        std::uint64_t sum = 0;
+        for (const Replica &replica : replicas) {
+            sum += replica.links.records;
+        }
+        return sum;
+    }
+
+    bool alike() const
+    {
+        const std::vector<std::uint32_t> first = replicas.front().directory.digest(MinDigestBuckets);
+        return std::all_of(replicas.begin(), replicas.end(), [&first](const Replica &replica) {
+            return replica.directory.digest(MinDigestBuckets) == first;
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a digest tells lifetimes and phases apart, and not what each announcement changes")
+{
+    TargetRecord record = targetOf(5);
+    const std::uint32_t hash = digestOf(record);
+    record.sequence = 90;
+    record.warmupLeft = seconds(1);
+    CHECK(digestOf(record) == hash);
+    for (const auto &change : std::vector<std::function<void(TargetRecord &)>>{
+             [](TargetRecord &changed) {
+                 changed.born = 2;
+             },
+             [](TargetRecord &changed) {
+                 changed.phase = TargetPhase::Draining;
+             },
+             [](TargetRecord &changed) {
+                 changed.address.port = 81;
+             },
+             [](TargetRecord &changed) {
+                 changed.slots = 3;
+             },
+             [](TargetRecord &changed) {
+                 changed.service = "other";
+             },
+             [](TargetRecord &changed) {
+                 changed.key = TargetKey{6};
+             },
+         }) {
+        TargetRecord changed = record;
+        change(changed);
+        CHECK(digestOf(changed) != hash);
+    }
+}
+
+TEST_CASE("a digest of a number of parts that no replica sends is refused, and so is a question beyond its parts")
+{
+    for (const std::size_t size : {0U, 1U, 8U, 17U, 100U, 32768U}) {
+        CHECK_FALSE(DirectoryDigest{true, std::vector<std::uint32_t>(size)}.isSound());
+    }
+    CHECK(DirectoryDigest{true, std::vector<std::uint32_t>(MaxDigestBuckets)}.isSound());
+    CHECK(DirectoryQuery{16, {0, 15}}.isSound());
+    CHECK_FALSE(DirectoryQuery{16, {16}}.isSound());
+    CHECK_FALSE(DirectoryQuery{12, {0}}.isSound());
+    CHECK_FALSE(DirectoryQuery{16, std::vector<std::uint32_t>(17)}.isSound());
+    for (const std::size_t targets : {0U, 1U, 150U, 10'000U, 89'000U, 1'000'000U}) {
+        CHECK(DirectoryDigest{true, std::vector<std::uint32_t>(digestBuckets(targets))}.isSound());
+    }
+}
+
+TEST_CASE("replicas that restart with the same targets send none of them, however many replicas there are")
+{
+    for (const std::size_t size : {5U, 10U, 20U}) {
+        Cluster cluster(size);
+        for (Replica &replica : cluster.replicas) {
+            for (std::uint64_t key = 1; key <= 1000; ++key) {
+                replica.take(Start, targetOf(key));
+            }
+        }
+        cluster.linkAll();
+        cluster.turns(20);
+        CHECK(cluster.records() == 0);
+    }
+}
+
+TEST_CASE("a replica with an empty disk gets each target once, however many replicas it is linked with")
+{
+    constexpr std::uint64_t Targets = 2000;
+    for (const std::size_t size : {5U, 10U, 25U}) {
+        Cluster cluster(size);
+        for (std::size_t i = 1; i < size; ++i) {
+            for (std::uint64_t key = 1; key <= Targets; ++key) {
+                cluster.replicas[i].take(Start, targetOf(key));
+            }
+        }
+        cluster.replicas[0].knowsAll = false;
+        cluster.linkAll();
+        cluster.turns(60);
+        CHECK(cluster.replicas[0].directory.size() == Targets);
+        CHECK(cluster.replicas[0].informed());
+        CHECK(cluster.records() == Targets);
+    }
+}
+
+TEST_CASE("replicas find the few targets that differ, and send little else")
+{
+    constexpr std::uint64_t Targets = 4000;
+    Cluster cluster(2);
+    for (Replica &replica : cluster.replicas) {
+        for (std::uint64_t key = 1; key <= Targets; ++key) {
+            replica.take(Start, targetOf(key));
+        }
+    }
+    TargetRecord left = targetOf(77);
+    left.phase = TargetPhase::Left;
+    cluster.replicas[0].take(Start, left);
+    cluster.replicas[1].take(Start, targetOf(78, 2)); // Started again.
+    cluster.replicas[1].take(Start, targetOf(Targets + 1));
+    cluster.linkAll();
+    cluster.turns(20);
+    CHECK(cluster.alike());
+    for (const Replica &replica : cluster.replicas) {
+        CHECK(replica.directory.find(TargetKey{77})->phase == TargetPhase::Left);
+        CHECK(replica.directory.find(TargetKey{78})->born == 2);
+        CHECK(replica.directory.find(TargetKey{Targets + 1}) != nullptr);
+    }
+    constexpr std::uint64_t Differences = 3;
+    CHECK(cluster.records() <= Differences * 2 * 4 * TargetsPerBucket);
+}
+
+TEST_CASE("a replica that was asked and falls silent keeps no other from being asked")
+{
+    Cluster cluster(3);
+    for (std::size_t i = 1; i < 3; ++i) {
+        cluster.replicas[i].take(Start, targetOf(1));
+        cluster.replicas[i].take(Start, targetOf(1 + i));
+    }
+    Replica &asker = cluster.replicas[0];
+    for (std::size_t i = 1; i < 3; ++i) {
+        const TargetDirectory &directory = cluster.replicas[i].directory;
+        asker.reconciler.digest(ReplicaId{static_cast<std::uint32_t>(i)}, i, {true, directory.digest(MinDigestBuckets)});
+    }
+    const auto first = asker.reconciler.ask(Start);
+    REQUIRE(first);
+    CHECK_FALSE(asker.reconciler.ask(Start + ReconcileTimeout - Turn));
+    asker.reconciler.progressed(Start + ReconcileTimeout - Turn, first->link);
+    CHECK_FALSE(asker.reconciler.ask(Start + ReconcileTimeout));
+    const auto second = asker.reconciler.ask(Start + 2 * ReconcileTimeout);
+    REQUIRE(second);
+    CHECK(second->link != first->link);
+    asker.reconciler.closed(second->link);
+    const auto again = asker.reconciler.ask(Start + 2 * ReconcileTimeout);
+    REQUIRE(again);
+    CHECK(again->link == first->link);
+}
+
+TEST_CASE("through losses of links and changes replicas end alike once their links stay up")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        pcg64 random(seed);
+        Cluster cluster(4);
+        const auto anyReplica = [&] {
+            return static_cast<std::size_t>(random() % cluster.replicas.size());
+        };
+        for (int step = 0; step < 200; ++step) {
+            TargetRecord record = targetOf(1 + random() % 300, 1 + random() % 3);
+            record.sequence = random() % 50;
+            record.phase = static_cast<TargetPhase>(random() % 3);
+            cluster.replicas[anyReplica()].take(cluster.now, record);
+            const std::size_t one = anyReplica();
+            const std::size_t other = anyReplica();
+            if (one != other) {
+                cluster.linkDown(one, other);
+                if (random() % 2 == 0) {
+                    cluster.linkUp(one, other);
+                }
+            }
+            cluster.turns(static_cast<int>(random() % 3));
+        }
+        // One round passes on what is known to some; a second one what came with the first.
+        for (int round = 0; round < 2; ++round) {
+            for (std::size_t one = 0; one < cluster.replicas.size(); ++one) {
+                for (std::size_t other = one + 1; other < cluster.replicas.size(); ++other) {
+                    cluster.linkDown(one, other);
+                    cluster.linkUp(one, other);
+                }
+            }
+            cluster.turns(40);
+        }
+        CHECK_MESSAGE(cluster.alike(), "seed ", seed);
+    }
+}
