Ask once about a drain, and tell other replicas of changes together

Cause: each change of a target went to each other replica at once as a message of its own; a drain went twice, and again with each announcement of the draining target, every 0.77 s until it ended, with a receipt from each replica each time. By arithmetic, 4,500 targets that drain for 6 s at 25 replicas are 22,000 messages a second at each replica.

Ruled out: receipts from some replicas alone: all must know of a drain anyhow, and the receipt is its acknowledgement.

Change: DrainConfirmations keeps which drains were confirmed, until the directory forgets the target, so that announcements after that are answered at once. Replicas that miss a change get it by the digest when their link comes up. NewsBatch tells the first change after a pause at once and what follows within 25 ms together; a list's receipts are one message.

Figures, in virtual time (test of that load): messages to each other replica while 200 or 1,600 targets drain with 8 announcements each: 32 at most, 3,200 and 25,600 announcements.

Conclusion: what replicas tell each other follows time, not targets x announcements.

--- a/src/drain_confirmations.cpp
+++ b/src/drain_confirmations.cpp
@@ -9,6 +9,17 @@
 {
 }
 
+bool DrainConfirmations::confirmed(TargetLifetime lifetime, TargetPhase phase) const
+{
+    const auto at = m_confirmed.find(lifetime.key);
+    return m_needed == 0 || (at != m_confirmed.end() && at->second.lifetime == lifetime && at->second.phase >= phase);
+}
+
+void DrainConfirmations::forget(TargetKey key)
+{
+    m_confirmed.erase(key);
+}
+
 void DrainConfirmations::await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond)
 {
     if (m_needed == 0) {
@@ -29,6 +40,9 @@
             ++at;
             continue;
         }
+        if (!confirmed(lifetime, open.phase)) {
+            m_confirmed[lifetime.key] = {lifetime, open.phase};
+        }
         const Respond respond = std::move(open.respond);
         at = m_open.erase(at);
         respond(true);
--- a/src/drain_confirmations.h
+++ b/src/drain_confirmations.h
@@ -3,7 +3,7 @@
 // which must be borne leave one that does.
 #pragma once
 
-#include "raft_message.h"
+#include "node_message.h"
 #include "target_record.h"
 
 #include <functional>
@@ -25,6 +25,13 @@
     // `needed` other replicas must know.
     explicit DrainConfirmations(std::size_t needed);
 
+    // Whether enough replicas knew of this phase of a lifetime at some time. A replica that loses its disk after that is told
+    // again when it links up, so the word holds.
+    bool confirmed(TargetLifetime lifetime, TargetPhase phase) const;
+
+    // Its lifetimes are known no more.
+    void forget(TargetKey key);
+
     // Waits for receipts of this phase or a later one; responds at once if none are needed.
     void await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond);
 
@@ -44,6 +51,7 @@
 
     std::size_t m_needed;
     std::multimap<TargetLifetime, Open> m_open;
+    std::map<TargetKey, TargetReceipt> m_confirmed; // The latest of each target.
 };
 
 } // namespace Robinrail
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -140,6 +140,16 @@
     }
 };
 
+// The answer to a list of news, for those targets of it that drain or left.
+struct TargetReceipts {
+    std::vector<TargetReceipt> receipts;
+
+    auto fields()
+    {
+        return std::tie(receipts);
+    }
+};
+
 // A balancer to the replica that it follows, and that one to the others: data of open flows to these targets was
 // repeated, and nothing came from them since.
 struct TargetsUnanswered {
@@ -200,7 +210,7 @@
                                  TargetStatusList,
                                  DirectoryDigest,
                                  TargetsHeard,
-                                 TargetReceipt,
+                                 TargetReceipts,
                                  RoutingOffer,
                                  RoutingRequest,
                                  RoutingUpdate,
@@ -219,7 +229,7 @@
                                                                                                  "target-status",
                                                                                                  "directory-digest",
                                                                                                  "targets-heard",
-                                                                                                 "target-receipt",
+                                                                                                 "target-receipts",
                                                                                                  "routing-offer",
                                                                                                  "routing-request",
                                                                                                  "routing-update",
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -345,8 +345,8 @@
         m_targets.onHeard(*heard);
     } else if (const auto *offered = std::get_if<RoutingOffer>(&message)) {
         m_versions.sawInForce(offered->progress);
-    } else if (const auto *receipt = std::get_if<TargetReceipt>(&message)) {
-        m_targets.onReceipt(peer.replica, *receipt);
+    } else if (const auto *receipts = std::get_if<TargetReceipts>(&message)) {
+        m_targets.onReceipts(peer.replica, *receipts);
     } else if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
         m_targets.onDigest(peer.replica, link, *digest);
     } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -6,6 +6,7 @@
 #include "net.h"
 #include "settings.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -64,12 +65,18 @@
     confirm(news->record, std::move(respond));
 }
 
-// Others may have missed the news that began this, so they are told again.
+// Others may have missed the news that began this, so they are told again until enough of them have confirmed it. A target
+// that drains goes on announcing that, and must not cost a round of all replicas each time.
 void TargetExchange::confirm(const TargetRecord &record, Respond respond)
 {
-    m_links.sendAll(m_links.dialled(), TargetStatusList{{{record, false, Duration{0}, Duration{0}}}});
+    const TargetLifetime lifetime{record.key, record.born};
+    if (m_drains.confirmed(lifetime, record.phase)) {
+        return respond(true);
+    }
     const TimePoint began = monotonicNow();
-    m_drains.await(began, {record.key, record.born}, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
+    m_news.add(record.key);
+    tellReplicas(began);
+    m_drains.await(began, lifetime, record.phase, [this, began, respond = std::move(respond)](bool confirmed) {
         if (confirmed) {
             m_drainTimes.record(monotonicNow() - began);
         }
@@ -90,7 +97,8 @@
 void TargetExchange::spread(const TargetStatus &news)
 {
     m_changed = true;
-    m_links.sendAll(m_links.dialled(), TargetStatusList{{news}});
+    m_news.add(news.record.key);
+    tellReplicas(monotonicNow());
     tellFollowers({&news, 1});
     if (const auto leftOut = m_newsLog.take(monotonicNow())) {
         LogLine(LogLevel::Info, "target-changed")
@@ -103,18 +111,37 @@
     }
 }
 
+// Tells the other replicas what changed here, unless they were told a moment ago.
+void TargetExchange::tellReplicas(TimePoint now)
+{
+    const std::vector<TargetKey> keys = m_news.take(now);
+    for (std::span<const TargetKey> left = keys; !left.empty(); left = left.subspan(std::min(left.size(), PageTargets))) {
+        TargetStatusList list;
+        for (const TargetKey key : left.first(std::min(left.size(), PageTargets))) {
+            if (std::optional<TargetStatus> status = m_directory.status(now, key)) {
+                list.news.push_back(std::move(*status));
+            }
+        }
+        m_links.sendAll(m_links.dialled(), list);
+    }
+}
+
 void TargetExchange::onNews(LinkHandle link, const TargetStatusList &list)
 {
     m_reconciler.progressed(monotonicNow(), link);
     std::vector<TargetStatus> changed;
+    TargetReceipts receipts;
     for (const TargetStatus &news : list.news) {
         if (std::optional<TargetStatus> taken = m_directory.take(monotonicNow(), news)) {
             changed.push_back(std::move(*taken));
         }
         if (news.record.phase != TargetPhase::Serving) {
-            m_links.send(link, TargetReceipt{{news.record.key, news.record.born}, news.record.phase});
+            receipts.receipts.push_back({{news.record.key, news.record.born}, news.record.phase});
         }
     }
+    if (!receipts.receipts.empty()) {
+        m_links.send(link, receipts);
+    }
     m_changed = m_changed || !changed.empty();
     tellFollowers(changed);
 }
@@ -124,9 +151,11 @@
     tellFollowers(m_directory.heard(monotonicNow(), heard.keys));
 }
 
-void TargetExchange::onReceipt(ReplicaId from, const TargetReceipt &receipt)
+void TargetExchange::onReceipts(ReplicaId from, const TargetReceipts &list)
 {
-    m_drains.receipt(from, receipt.lifetime, receipt.phase);
+    for (const TargetReceipt &receipt : list.receipts) {
+        m_drains.receipt(from, receipt.lifetime, receipt.phase);
+    }
 }
 
 // ---- What other replicas know ----
@@ -203,6 +232,7 @@
 
 void TargetExchange::publish(TimePoint now)
 {
+    tellReplicas(now);
     if (now >= m_publishDue) {
         m_publishDue = now + PublishInterval;
         m_publisher.publish(now, informed(now), m_links);
@@ -231,7 +261,11 @@
         logSilent(now, news);
     }
     tellFollowers(silent);
-    m_publisher.forget(m_directory.takeForgotten());
+    const std::vector<TargetKey> forgotten = m_directory.takeForgotten();
+    m_publisher.forget(forgotten);
+    for (const TargetKey key : forgotten) {
+        m_drains.forget(key);
+    }
 }
 
 void TargetExchange::logSilent(TimePoint now, const TargetStatus &news)
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -9,6 +9,7 @@
 #include "drain_confirmations.h"
 #include "log_budget.h"
 #include "metrics.h"
+#include "news_batch.h"
 #include "node_links.h"
 
 namespace Robinrail {
@@ -51,13 +52,13 @@
     void follow(TimePoint now, LinkHandle link, const FollowDirectory &request);
     void unfollow(LinkHandle link);
 
-    // Tells followers what changed, if that is due. Call it at each tick.
+    // Tells other replicas and followers what changed, if that is due. Call it at each tick.
     void publish(TimePoint now);
 
     // What another replica says over its link.
     void onNews(LinkHandle link, const TargetStatusList &list);
     void onHeard(const TargetsHeard &heard);
-    void onReceipt(ReplicaId from, const TargetReceipt &receipt);
+    void onReceipts(ReplicaId from, const TargetReceipts &list);
     void onDigest(ReplicaId from, LinkHandle link, const DirectoryDigest &digest);
     void onQuery(LinkHandle link, const DirectoryQuery &query);
     void onAnswered(LinkHandle link, const DirectoryAnswered &answer);
@@ -94,6 +95,7 @@
 
 private:
     void spread(const TargetStatus &news);
+    void tellReplicas(TimePoint now);
     void tellFollowers(std::span<const TargetStatus> changed);
     void confirm(const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
@@ -106,6 +108,7 @@
     TargetDirectory m_directory;
     DirectoryPublisher m_publisher;
     TimePoint m_publishDue;
+    NewsBatch m_news; // For the other replicas.
     DirectoryReconciler m_reconciler;
     DirectoryAnswers m_answers;
     DrainConfirmations m_drains;
--- a/tests/test_targets.cpp
+++ b/tests/test_targets.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Targets: the replicas' directory of targets, confirmed drains, and the orders of versions.
 #include "drain_confirmations.h"
+#include "news_batch.h"
 #include "routing_state.h"
 #include "target_directory.h"
 
@@ -219,6 +220,82 @@
     CHECK(answers.size() == 3);
 }
 
+TEST_CASE("a drain that was confirmed once is not asked about again, its lifetime's end and a later lifetime are")
+{
+    constexpr TargetLifetime Fifth{TargetKey{5}, 1};
+    constexpr TargetLifetime Later{TargetKey{5}, 2};
+    DrainConfirmations drains(1);
+    CHECK_FALSE(drains.confirmed(Fifth, TargetPhase::Draining));
+    drains.await(Start, Fifth, TargetPhase::Draining, [](bool) {});
+    CHECK_FALSE(drains.confirmed(Fifth, TargetPhase::Draining));
+    drains.receipt(FirstReplica, Fifth, TargetPhase::Draining);
+    CHECK(drains.confirmed(Fifth, TargetPhase::Draining));
+    CHECK_FALSE(drains.confirmed(Fifth, TargetPhase::Left));
+    CHECK_FALSE(drains.confirmed(Later, TargetPhase::Draining));
+    drains.await(Start, Fifth, TargetPhase::Left, [](bool) {});
+    drains.receipt(FirstReplica, Fifth, TargetPhase::Left);
+    CHECK(drains.confirmed(Fifth, TargetPhase::Draining));
+    drains.forget(TargetKey{5});
+    CHECK_FALSE(drains.confirmed(Fifth, TargetPhase::Draining));
+    CHECK(DrainConfirmations(0).confirmed(Later, TargetPhase::Left));
+}
+
+TEST_CASE("the first change after a pause is told at once, and those that follow together")
+{
+    NewsBatch news;
+    CHECK(news.take(Start).empty());
+    news.add(TargetKey{1});
+    CHECK(news.take(Start) == std::vector{TargetKey{1}});
+    news.add(TargetKey{2});
+    news.add(TargetKey{3});
+    news.add(TargetKey{2});
+    CHECK(news.take(Start + NewsInterval - milliseconds(1)).empty());
+    CHECK(news.take(Start + NewsInterval) == std::vector{TargetKey{2}, TargetKey{3}});
+    CHECK(news.take(Start + 2 * NewsInterval).empty());
+}
+
+// A release drains targets by the hundred, and each of them says so again with every announcement until it ends.
+TEST_CASE("what the other replicas are told in a release follows the time that it takes, not its targets and their announcements")
+{
+    const auto messagesFor = [](std::uint64_t targets) {
+        constexpr int Announcements = 8;
+        constexpr Duration Interval = milliseconds(770);
+        DrainConfirmations drains(2);
+        NewsBatch news;
+        std::size_t messages = 0;
+        std::size_t answered = 0;
+        std::vector<TargetKey> told;
+        for (TimePoint now = Start; now < Start + Interval * Announcements; now += milliseconds(1)) {
+            const auto tick = static_cast<std::uint64_t>((now - Start).count() / 1000);
+            for (std::uint64_t key = 1; key <= targets; ++key) {
+                if (tick % 770 != key % 770) {
+                    continue;
+                }
+                const TargetLifetime lifetime{TargetKey{key}, 1};
+                if (drains.confirmed(lifetime, TargetPhase::Draining)) {
+                    ++answered;
+                    continue;
+                }
+                news.add(lifetime.key);
+                drains.await(now, lifetime, TargetPhase::Draining, [&answered](bool taken) {
+                    answered += taken ? 1 : 0;
+                });
+            }
+            for (const TargetKey key : std::exchange(told, news.take(now))) {
+                drains.receipt(FirstReplica, {key, 1}, TargetPhase::Draining);
+                drains.receipt(SecondReplica, {key, 1}, TargetPhase::Draining);
+            }
+            messages += told.empty() ? 0 : 1;
+        }
+        CHECK(answered == targets * Announcements);
+        return messages;
+    };
+    const std::size_t few = messagesFor(200);
+    const std::size_t many = messagesFor(1600);
+    CHECK(few <= 770 / 25 + 2);
+    CHECK(many <= 770 / 25 + 2);
+}
+
 TEST_CASE("the highest version holds under one order, the expected base under the other")
 {
     CHECK(HighestVersion::judge(7, 0, 9) == VersionVerdict::Apply);
