Let a target be probed by few replicas, and count who knows by data centre

Cause, two faults that hold only while a data centre has one or two replicas. First: each of n replicas probed each target that a balancer reported, so probes grow with replicas x silent targets: 35,000 when 1,400 targets lose power at 25 replicas, and a replica has 256 under way at most. Second: three replicas' word made a target gone, and two receipts a drain known. With five replicas in a data centre the first answers all come from the own one, which is cut off and lost as one: its replicas alone can declare targets elsewhere gone, and a drain acknowledged by them alone is lost with them.

Ruled out: more witnesses (a larger constant, which a larger data centre outgrows again).

Change: rendezvous hashing names 2 x borne losses + 1 probers for each target, one a data centre first. LossTolerance asks that witnesses outlive so many replicas and so many data centres; the setting borneDataCentres tells the latter (0 without it). One report is enough where the target also missed its turn to announce itself: with hundreds of balancers, each target has a flow in seconds, and a second report came 0.4 s later at best.

Deployments of up to five replicas: probers as before.

The two share what tells where a replica is, hence one commit.

--- a/src/drain_confirmations.cpp
+++ b/src/drain_confirmations.cpp
@@ -4,15 +4,16 @@
 
 namespace Robinrail {
 
-DrainConfirmations::DrainConfirmations(std::size_t needed)
-    : m_needed(needed)
+DrainConfirmations::DrainConfirmations(const LossTolerance &borne, const ReplicaPlace &self)
+    : m_borne(borne)
+    , m_self{{self.replica, self.dataCentre}}
 {
 }
 
 bool DrainConfirmations::confirmed(TargetLifetime lifetime, TargetPhase phase) const
 {
     const auto at = m_confirmed.find(lifetime.key);
-    return m_needed == 0 || (at != m_confirmed.end() && at->second.lifetime == lifetime && at->second.phase >= phase);
+    return m_borne.isOutlivedBy(m_self) || (at != m_confirmed.end() && at->second.lifetime == lifetime && at->second.phase >= phase);
 }
 
 void DrainConfirmations::forget(TargetKey key)
@@ -22,21 +23,21 @@
 
 void DrainConfirmations::await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond)
 {
-    if (m_needed == 0) {
+    if (m_borne.isOutlivedBy(m_self)) {
         return respond(true);
     }
-    m_open.emplace(lifetime, Open{phase, {}, now + DrainAnswerTimeout, std::move(respond)});
+    m_open.emplace(lifetime, Open{phase, m_self, now + DrainAnswerTimeout, std::move(respond)});
 }
 
-void DrainConfirmations::receipt(ReplicaId from, TargetLifetime lifetime, TargetPhase phase)
+void DrainConfirmations::receipt(const ReplicaPlace &from, TargetLifetime lifetime, TargetPhase phase)
 {
     const auto [first, last] = m_open.equal_range(lifetime);
     for (auto at = first; at != last;) {
         Open &open = at->second;
         if (phase >= open.phase) {
-            open.receipts.insert(from);
+            open.witnesses[from.replica] = from.dataCentre;
         }
-        if (open.receipts.size() < m_needed) {
+        if (!m_borne.isOutlivedBy(open.witnesses)) {
             ++at;
             continue;
         }
--- a/src/drain_confirmations.h
+++ b/src/drain_confirmations.h
@@ -3,12 +3,11 @@
 // which must be borne leave one that does.
 #pragma once
 
-#include "node_message.h"
+#include "loss_tolerance.h"
 #include "target_record.h"
 
 #include <functional>
 #include <map>
-#include <set>
 
 namespace Robinrail {
 
@@ -22,8 +21,8 @@
     // Called once: whether enough replicas know.
     using Respond = std::function<void(bool confirmed)>;
 
-    // `needed` other replicas must know.
-    explicit DrainConfirmations(std::size_t needed);
+    // Besides `self` so many others must know that any borne loss leaves one of them.
+    DrainConfirmations(const LossTolerance &borne, const ReplicaPlace &self);
 
     // Whether enough replicas knew of this phase of a lifetime at some time. A replica that loses its disk after that is told
     // again when it links up, so the word holds.
@@ -36,7 +35,7 @@
     void await(TimePoint now, TargetLifetime lifetime, TargetPhase phase, Respond respond);
 
     // Another replica knows that the target is in this phase.
-    void receipt(ReplicaId from, TargetLifetime lifetime, TargetPhase phase);
+    void receipt(const ReplicaPlace &from, TargetLifetime lifetime, TargetPhase phase);
 
     // Gives up on those that waited too long; how many these were.
     std::size_t expire(TimePoint now);
@@ -44,12 +43,13 @@
 private:
     struct Open {
         TargetPhase phase = TargetPhase::Draining;
-        std::set<ReplicaId> receipts;
+        Witnesses witnesses;
         TimePoint deadline;
         Respond respond;
     };
 
-    std::size_t m_needed;
+    LossTolerance m_borne;
+    Witnesses m_self;
     std::multimap<TargetLifetime, Open> m_open;
     std::map<TargetKey, TargetReceipt> m_confirmed; // The latest of each target.
 };
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -163,7 +163,7 @@
 
 // A replica to the others, and each to balancers: the finder tried just now to connect to these targets, in vain.
 struct TargetsUnreachable {
-    ReplicaId finder{};
+    ReplicaPlace finder;
     std::vector<TargetKey> keys;
 
     auto fields()
--- a/src/replica_calls.cpp
+++ b/src/replica_calls.cpp
@@ -33,13 +33,7 @@
 
 std::optional<Endpoint> ReplicaNode::announceAt(const TargetRecord &record) const
 {
-    std::vector<ReplicaPlace> reachable{{m_self, m_file.dataCentreId(m_file.dataCentre)}};
-    for (const auto &[replica, dataCentre] : m_dataCentres) {
-        if (m_links.linkTo(replica) != 0) {
-            reachable.push_back({replica, dataCentre});
-        }
-    }
-    const std::optional<ReplicaId> replica = announcementReplica(record, reachable);
+    const std::optional<ReplicaId> replica = announcementReplica(record, reachableReplicas());
     return replica ? std::optional(Endpoint{value(*replica), m_file.adminListen.port}) : std::nullopt;
 }
 
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "net.h"
+#include "prober_choice.h"
 #include "replica_folder.h"
 
 #include <boost/asio/io_context.hpp>
@@ -49,7 +50,7 @@
                [this](LinkHandle link, const NodeHello &peer) {
                    onClosed(link, peer);
                }})
-    , m_targets(m_links, monotonicNow(), m_file.announceInterval, m_file.borneLosses)
+    , m_targets(m_links, monotonicNow(), place(), m_file.announceInterval, m_file.borneLoss())
     , m_prober(io)
     , m_notes(m_file.dataFolder / NotesFile)
     , m_timer(io)
@@ -272,7 +273,7 @@
 void ReplicaNode::tellUnreachable(TimePoint now)
 {
     m_prober.turn(now);
-    const TargetsUnreachable found{m_self, m_prober.takeUnreachable()};
+    const TargetsUnreachable found{place(), m_prober.takeUnreachable()};
     if (!found.keys.empty()) {
         m_links.sendAll(m_links.dialled(), found);
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
@@ -346,29 +347,66 @@
     } else if (const auto *offered = std::get_if<RoutingOffer>(&message)) {
         m_versions.sawInForce(offered->progress);
     } else if (const auto *receipts = std::get_if<TargetReceipts>(&message)) {
-        m_targets.onReceipts(peer.replica, *receipts);
+        m_targets.onReceipts({peer.replica, peer.dataCentre}, *receipts);
     } else if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
         m_targets.onDigest(peer.replica, link, *digest);
     } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
         m_targets.onQuery(link, *query);
     } else if (const auto *answered = std::get_if<DirectoryAnswered>(&message)) {
         m_targets.onAnswered(link, *answered);
-    } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->finder == peer.replica) {
+    } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->finder.replica == peer.replica) {
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), *gone);
     }
 }
 
-// A balancer reports to one replica; the others are to probe as well, as several must agree.
+// A balancer reports to one replica, which names those that are to probe, as several must agree.
 void ReplicaNode::onUnanswered(const NodeHello &peer, const TargetsUnanswered &list)
 {
-    if (peer.role == NodeRole::Balancer) {
-        m_links.sendAll(m_links.dialled(), list);
+    if (peer.role == NodeRole::Replica) {
+        return probe(list);
+    }
+    const std::size_t probers = 2 * m_file.borneLosses + 1; // So that enough are left of them when a borne loss has struck.
+    const std::vector<ReplicaPlace> reachable = reachableReplicas();
+    std::map<ReplicaId, TargetsUnanswered> shares;
+    for (const TargetKey key : list.keys) {
+        for (const ReplicaId replica : chooseProbers(key, reachable, probers)) {
+            shares[replica].keys.push_back(key);
+        }
+    }
+    for (const auto &[replica, share] : shares) {
+        if (replica == m_self) {
+            probe(share);
+        } else {
+            m_links.send(m_links.linkTo(replica), share);
+        }
     }
-    m_targets.onUnanswered(list, [this](TargetKey key, Endpoint address) {
-        m_prober.reported(monotonicNow(), key, address);
+}
+
+void ReplicaNode::probe(const TargetsUnanswered &list)
+{
+    const TimePoint now = monotonicNow();
+    m_targets.onUnanswered(now, list, [this, now](const ReportedTarget &target) {
+        m_prober.reported(now, target);
     });
 }
 
+ReplicaPlace ReplicaNode::place() const
+{
+    return {m_self, m_file.dataCentreId(m_file.dataCentre)};
+}
+
+// This replica and those that it is linked with.
+std::vector<ReplicaPlace> ReplicaNode::reachableReplicas() const
+{
+    std::vector<ReplicaPlace> reachable{place()};
+    for (const auto &[replica, dataCentre] : m_dataCentres) {
+        if (replica != m_self && m_links.linkTo(replica) != 0) {
+            reachable.push_back({replica, dataCentre});
+        }
+    }
+    return reachable;
+}
+
 // ---- Small questions ----
 
 const RoutingDocument &ReplicaNode::document() const
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -118,6 +118,9 @@
     ReplicaList replicaList() const;
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onUnanswered(const NodeHello &peer, const TargetsUnanswered &list);
+    void probe(const TargetsUnanswered &list);
+    ReplicaPlace place() const;
+    std::vector<ReplicaPlace> reachableReplicas() const;
     void tellUnreachable(TimePoint now);
     void sendTable(LinkHandle link);
     void logLeader();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -231,6 +231,11 @@
     return DataCentreId{static_cast<std::uint8_t>(at == dataCentres.end() ? 0 : at - dataCentres.begin() + 1)};
 }
 
+LossTolerance SteeringFile::borneLoss() const
+{
+    return {borneLosses, borneDataCentres};
+}
+
 leaf::result<SteeringFile> loadSteeringFile(const std::filesystem::path &path)
 {
     BOOST_LEAF_AUTO(document, loadDocument(path, steeringSettingsSchema()));
@@ -255,6 +260,7 @@
     file.firstStart = document.value("firstStart", false);
     file.announceInterval = std::chrono::milliseconds(reader.at("/announceIntervalMs").get<int>());
     file.borneLosses = reader.at("/borneLosses").get<std::size_t>();
+    file.borneDataCentres = document.value("borneDataCentres", std::size_t{0});
     file.drainTime = std::chrono::milliseconds(reader.at("/drainMs").get<std::int64_t>());
     file.grace = std::chrono::milliseconds(reader.at("/graceMs").get<std::int64_t>());
     file.dataFolder = document.value("dataFolder", "");
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,6 +6,7 @@
 #include "bundle.h"
 #include "control_command.h"
 #include "log.h"
+#include "loss_tolerance.h"
 #include "secure_session.h"
 
 #include <boost/leaf/result.hpp>
@@ -83,11 +84,15 @@
     bool firstStart = false; // The whole system starts for the first time, with empty disks.
     Duration announceInterval{}; // Targets announce themselves about this often.
     std::size_t borneLosses = 0; // Replicas that may be lost at once, disks and all.
+    std::size_t borneDataCentres = 0; // Data centres that may be lost at once, with all of their replicas.
     Duration drainTime{}; // A draining target must get no new flow after this.
     Duration grace{}; // From the request to stop to the kill.
     std::filesystem::path dataFolder; // Of a replica.
     LogSettings log;
 
+    // What may be lost at once.
+    LossTolerance borneLoss() const;
+
     // Number of a data centre, from 1; 0 if it is not listed.
     DataCentreId dataCentreId(std::string_view name) const;
 };
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -33,7 +33,7 @@
     , m_choice(m_file.dataCentreId(m_file.dataCentre), m_file.packetListen.address)
     , m_follower(m_steering.targets())
     , m_onLearnt([] {})
-    , m_findings(m_file.borneLosses + 1)
+    , m_findings(m_file.borneLoss())
     , m_sendResets([](std::span<const FlowReset>) {})
 {
 }
@@ -292,7 +292,7 @@
     const TimePoint now = monotonicNow();
     for (const TargetKey key : list.keys) {
         if (m_findings.unreachable(now, list.finder, key) && m_steering.targets().takeForGone(now, key)) {
-            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", toText(list.finder));
+            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", toText(list.finder.replica));
         }
     }
     resetFlows();
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -52,7 +52,7 @@
     for (auto at = first; at != last; ++at) {
         Entry &entry = m_entries.at(at->second);
         const bool older = at->second != record.key && entry.firstHeard < since && entry.record.phase != TargetPhase::Left;
-        if (older && now - entry.heard >= m_silenceLimit / 2) {
+        if (older && missedTurn(now, entry)) {
             entry.record.phase = TargetPhase::Left;
             entry.heard = now;
             ended.push_back(newsOf(entry, now));
@@ -61,6 +61,17 @@
     return ended;
 }
 
+bool TargetDirectory::missedTurn(TimePoint now, const Entry &entry) const
+{
+    return now - entry.heard >= m_silenceLimit / 2;
+}
+
+bool TargetDirectory::missedTurn(TimePoint now, TargetKey key) const
+{
+    const auto found = m_entries.find(key);
+    return found != m_entries.end() && missedTurn(now, found->second);
+}
+
 // Since when a lifetime is known. Of one that is new here its announcements tell: one for each interval. That is the
 // longest that it can have lived, as calls that failed count, too; an unknown one is rather taken for the older.
 TimePoint TargetDirectory::firstHeard(TimePoint now, const TargetRecord &record) const
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -50,6 +50,10 @@
     // Finds targets that fell silent, and forgets old ones.
     std::vector<TargetStatus> tick(TimePoint now);
 
+    // Whether a target that is held has not announced itself anywhere for half of the time after which it counts as silent:
+    // longer than between two announcements, and than word of them takes from another replica.
+    bool missedTurn(TimePoint now, TargetKey key) const;
+
     // The targets that announced themselves here since the last call.
     std::vector<TargetKey> takeHeardHere();
 
@@ -72,6 +76,7 @@
         TimePoint firstHeard; // By any replica.
         bool silent = false;
     };
+    bool missedTurn(TimePoint now, const Entry &entry) const;
     std::vector<TargetStatus> endOlderAt(TimePoint now, const TargetRecord &record);
     TimePoint firstHeard(TimePoint now, const TargetRecord &record) const;
     TargetStatus beginLifetime(TimePoint now, Entry &entry, const TargetStatus &news);
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -23,15 +23,14 @@
 
 } // namespace
 
-TargetExchange::TargetExchange(NodeLinks &links, TimePoint now, Duration announceInterval, std::size_t borneLosses)
+TargetExchange::TargetExchange(NodeLinks &links, TimePoint now, const ReplicaPlace &self, Duration announceInterval, const LossTolerance &borne)
     : m_links(links)
     , m_announceInterval(announceInterval)
-    , m_borneLosses(borneLosses)
     , m_directory(announceInterval, announceInterval * MissedAnnouncements + AnnouncementSlack)
     , m_publisher(m_directory, newLife())
     , m_reconciler(m_directory)
     , m_answers(m_directory)
-    , m_drains(borneLosses)
+    , m_drains(borne, self)
     , m_started(now)
 {
 }
@@ -88,7 +87,7 @@
 {
     if (const std::size_t expired = m_drains.expire(now); expired > 0) {
         m_drainsUnanswered += expired;
-        LogLine(LogLevel::Warning, "drain-not-shared").with("drains", expired).with("needed", m_borneLosses);
+        LogLine(LogLevel::Warning, "drain-not-shared").with("drains", expired);
     }
 }
 
@@ -151,7 +150,7 @@
     tellFollowers(m_directory.heard(monotonicNow(), heard.keys));
 }
 
-void TargetExchange::onReceipts(ReplicaId from, const TargetReceipts &list)
+void TargetExchange::onReceipts(const ReplicaPlace &from, const TargetReceipts &list)
 {
     for (const TargetReceipt &receipt : list.receipts) {
         m_drains.receipt(from, receipt.lifetime, receipt.phase);
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -11,6 +11,7 @@
 #include "metrics.h"
 #include "news_batch.h"
 #include "node_links.h"
+#include "target_probe.h"
 
 namespace Robinrail {
 
@@ -29,21 +30,21 @@
     // Whether a call was taken: the target is known, and if it drains or left, no borne loss can undo that.
     using Respond = std::function<void(bool taken)>;
 
-    // Targets announce themselves once in `announceInterval`; `borneLosses` replicas may be lost at once.
-    TargetExchange(NodeLinks &links, TimePoint now, Duration announceInterval, std::size_t borneLosses);
+    // The exchange of the replica `self`. Targets announce themselves once in `announceInterval`.
+    TargetExchange(NodeLinks &links, TimePoint now, const ReplicaPlace &self, Duration announceInterval, const LossTolerance &borne);
 
     // Calls of the targets.
     void announce(const TargetRecord &record, Respond respond);
     void leave(TargetKey key, std::uint64_t born, Respond respond);
 
-    // A balancer's targets that do not answer; the address of each that may still be there is passed on.
+    // A balancer's targets that do not answer; each that may still be there is passed on.
     template<typename Probe>
-    void onUnanswered(const TargetsUnanswered &list, Probe probe) const
+    void onUnanswered(TimePoint now, const TargetsUnanswered &list, Probe probe) const
     {
         for (const TargetKey key : list.keys) {
             const TargetRecord *record = m_directory.find(key);
             if (record != nullptr && record->phase != TargetPhase::Left) {
-                probe(key, record->address);
+                probe(ReportedTarget{key, record->address, m_directory.missedTurn(now, key)});
             }
         }
     }
@@ -58,7 +59,7 @@
     // What another replica says over its link.
     void onNews(LinkHandle link, const TargetStatusList &list);
     void onHeard(const TargetsHeard &heard);
-    void onReceipts(ReplicaId from, const TargetReceipts &list);
+    void onReceipts(const ReplicaPlace &from, const TargetReceipts &list);
     void onDigest(ReplicaId from, LinkHandle link, const DirectoryDigest &digest);
     void onQuery(LinkHandle link, const DirectoryQuery &query);
     void onAnswered(LinkHandle link, const DirectoryAnswered &answer);
@@ -104,7 +105,6 @@
 
     NodeLinks &m_links;
     Duration m_announceInterval;
-    std::size_t m_borneLosses;
     TargetDirectory m_directory;
     DirectoryPublisher m_publisher;
     TimePoint m_publishDue;
--- a/src/target_probe.h
+++ b/src/target_probe.h
@@ -13,6 +13,7 @@
 // showed life meanwhile. A target that is slow or full still answers a connection, as its kernel does that.
 #pragma once
 
+#include "loss_tolerance.h"
 #include "target_record.h"
 
 #include <algorithm>
@@ -45,13 +46,22 @@
 // time from the first repetition of its data to the end of the probes.
 inline constexpr Duration RecentLife = std::chrono::milliseconds(400);
 
+// A target whose open flows got no answer, as a replica knows it.
+struct ReportedTarget {
+    TargetKey key{};
+    Endpoint address;
+    bool overdue = false; // It missed its turn to announce itself, too. Then one report is enough: where hundreds of balancers
+                          // share the load, each target has too few flows for a second one in time.
+};
+
 // Which targets a replica probes, and when.
 class ProbeSchedule
 {
 public:
     // A target was reported. Whether to probe it now; if so, ended() must follow.
-    bool reported(TimePoint now, TargetKey key)
+    bool reported(TimePoint now, const ReportedTarget &target)
     {
+        const TargetKey key = target.key;
         std::erase_if(m_probes, [now](const auto &each) {
             return !each.second.underWay && now - each.second.since >= ProbePause;
         });
@@ -59,7 +69,7 @@
             return false;
         }
         Probe &probe = m_probes.try_emplace(key, Probe{now}).first->second;
-        if (probe.begun || ++probe.reports < ReportsForProbe) {
+        if (probe.begun || ++probe.reports < (target.overdue ? 1 : ReportsForProbe)) {
             return false;
         }
         probe = {now, probe.reports, true, true};
@@ -87,30 +97,40 @@
 class ProbeFindings
 {
 public:
-    // `needed` replicas must find a target unreachable before it is taken for gone.
-    explicit ProbeFindings(std::size_t needed)
-        : m_needed(needed)
+    // So many replicas must find a target unreachable before it is taken for gone that a borne loss, such as the cut of a data
+    // centre, can't be what they all saw.
+    explicit ProbeFindings(const LossTolerance &borne)
+        : m_borne(borne)
     {
     }
 
     // A replica found this target unreachable. Whether that makes it certain.
-    bool unreachable(TimePoint now, ReplicaId replica, TargetKey key)
+    bool unreachable(TimePoint now, const ReplicaPlace &finder, TargetKey key)
     {
         forgetOld(now);
         if (m_findings.size() >= MostProbes && !m_findings.contains(key)) {
             return false;
         }
-        std::map<ReplicaId, TimePoint> &finders = m_findings[key];
-        finders[replica] = now;
-        return finders.size() >= m_needed;
+        std::map<ReplicaId, Finding> &findings = m_findings[key];
+        findings[finder.replica] = {now, finder.dataCentre};
+        Witnesses finders;
+        for (const auto &[replica, finding] : findings) {
+            finders[replica] = finding.dataCentre;
+        }
+        return m_borne.isOutlivedBy(finders);
     }
 
 private:
+    struct Finding {
+        TimePoint at;
+        DataCentreId dataCentre{};
+    };
+
     void forgetOld(TimePoint now)
     {
-        for (auto &[key, finders] : m_findings) {
-            std::erase_if(finders, [now](const auto &each) {
-                return now - each.second >= ProbeLifetime;
+        for (auto &[key, findings] : m_findings) {
+            std::erase_if(findings, [now](const auto &each) {
+                return now - each.second.at >= ProbeLifetime;
             });
         }
         std::erase_if(m_findings, [](const auto &each) {
@@ -118,8 +138,8 @@
         });
     }
 
-    std::size_t m_needed;
-    std::map<TargetKey, std::map<ReplicaId, TimePoint>> m_findings;
+    LossTolerance m_borne;
+    std::map<TargetKey, std::map<ReplicaId, Finding>> m_findings;
 };
 
 } // namespace Robinrail
--- a/src/target_prober.cpp
+++ b/src/target_prober.cpp
@@ -17,16 +17,16 @@
 {
 }
 
-void TargetProber::reported(TimePoint now, TargetKey key, Endpoint address)
+void TargetProber::reported(TimePoint now, const ReportedTarget &target)
 {
-    if (!m_schedule.reported(now, key)) {
+    if (!m_schedule.reported(now, target)) {
         return;
     }
     ++m_probes;
     const auto stream = std::make_shared<boost::beast::tcp_stream>(m_io);
     stream->expires_after(ProbeTimeout);
-    stream->async_connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(address.address), address.port),
-                          [this, stream, key, standstills = m_standstills](const boost::system::error_code &error) {
+    stream->async_connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(target.address.address), target.address.port),
+                          [this, stream, key = target.key, standstills = m_standstills](const boost::system::error_code &error) {
                               ended(key, standstills, !error);
                           });
 }
--- a/src/target_prober.h
+++ b/src/target_prober.h
@@ -19,7 +19,7 @@
     // A balancer reported a target. Tries to connect to it once there are enough reports, unless it was tried a moment ago,
     // and keeps it in mind if that fails: nobody answers in time, or the machine refuses. Nothing is sent on the
     // connection.
-    void reported(TimePoint now, TargetKey key, Endpoint address);
+    void reported(TimePoint now, const ReportedTarget &target);
 
     // The process runs. Call it at each tick: a probe during which it did not run says nothing.
     void turn(TimePoint now);
