--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -137,12 +137,12 @@
 void printIdealAndBaselines(const SimulatedDeployment &deployment, std::uint64_t seed)
 {
     constexpr Duration Length = seconds(30);
-    constexpr Duration LongestWait = std::chrono::milliseconds(250);
+    constexpr Duration MaxWait = std::chrono::milliseconds(250);
     constexpr int Feeds = 40;
     for (const SimulatedService &service : deployment.services) {
         std::cout << "service " << value(service.id) << ", central queue (goodput, p50 ms, p99 ms) and baselines (goodput, imbalance, broken of 40):\n";
         for (const double load : {0.5, 0.9, 1.2, 2.0}) {
-            const IdealResult ideal = simulateIdeal(service, load, Length, LongestWait, seed);
+            const IdealResult ideal = simulateIdeal(service, load, Length, MaxWait, seed);
             std::cout << std::setprecision(1) << "  load " << load << std::setprecision(3) << "  ideal " << ideal.goodput << std::setprecision(0) << " "
                       << milliseconds(ideal.p50) << " " << milliseconds(ideal.p99) << std::setprecision(3);
             const std::pair<const char *, BaselineKind> kinds[] = {
--- a/soak/caller_crowd.cpp
+++ b/soak/caller_crowd.cpp
@@ -18,14 +18,14 @@
 
 // Data without an acknowledgement is sent again after this, twice as late each time.
 constexpr Duration FirstResend = milliseconds(200);
-constexpr Duration LongestResend = milliseconds(1600);
+constexpr Duration MaxResendDelay = milliseconds(1600);
 
 // A request without its answer is given up after this.
 constexpr Duration TimeBudget = milliseconds(3000);
 
 // Requests of one flow at most, the pause between two, and the shares of requests and of flows of a kind.
-constexpr std::size_t MostRequests = 8;
-constexpr milliseconds LongestPause{400};
+constexpr std::size_t MaxRequests = 8;
+constexpr milliseconds MaxPause{400};
 constexpr double RepeatableShare = 0.7;
 constexpr double SecondRouteShare = 0.3;
 constexpr double ChangingRouteShare = 0.2;
@@ -72,7 +72,7 @@
     caller.closed = false;
     caller.flow = {{m_plan.caller(), m_lastPort}, changing ? ChangingRoute : usual};
     caller.next = static_cast<std::uint32_t>(m_random());
-    caller.left = static_cast<int>(1 + pick(m_random, MostRequests));
+    caller.left = static_cast<int>(1 + pick(m_random, MaxRequests));
     caller.began = now;
     m_ports[m_lastPort] = index;
     sendOpening(now, caller);
@@ -183,7 +183,7 @@
     ++m_served;
     m_servedOnChangingRoute += caller.flow.route == ChangingRoute ? 1 : 0;
     caller.request.reset();
-    caller.due = now + between(m_random, milliseconds(5), LongestPause);
+    caller.due = now + between(m_random, milliseconds(5), MaxPause);
 }
 
 void CallerCrowd::end(TimePoint now, Caller &caller, bool served)
@@ -196,7 +196,7 @@
     }
     m_ports.erase(caller.flow.caller.port);
     caller.closed = true;
-    caller.due = now + between(m_random, milliseconds(5), LongestPause);
+    caller.due = now + between(m_random, milliseconds(5), MaxPause);
 }
 
 // ---- Time ----
@@ -212,7 +212,7 @@
     } else if (caller.request && now - caller.began >= TimeBudget) {
         end(now, caller, false);
     } else if (caller.request && !caller.unacknowledged.empty() && now >= caller.due) {
-        caller.wait = std::min(caller.wait * 2, LongestResend);
+        caller.wait = std::min(caller.wait * 2, MaxResendDelay);
         caller.due = now + caller.wait;
         m_fabric.send(now, caller.flow.caller.port, caller.unacknowledged);
     } else if (caller.open && !caller.request && now >= caller.due) {
--- a/soak/drain_orders.cpp
+++ b/soak/drain_orders.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 // Long enough, now and then, that openings come after the order must be in force; short enough for several in a run.
-constexpr milliseconds LongestRest{2500};
-constexpr milliseconds ShortestDrain{300};
-constexpr milliseconds LongestDrain{7000};
+constexpr milliseconds MaxIdleTime{2500};
+constexpr milliseconds MinDrain{300};
+constexpr milliseconds MaxDrain{7000};
 
 } // namespace
 
@@ -31,9 +31,9 @@
     m_due = now;
     if (step == Step::Drained) {
         m_drainedSince = now;
-        m_due = now + between(m_random, ShortestDrain, LongestDrain);
+        m_due = now + between(m_random, MinDrain, MaxDrain);
     } else if (step == Step::Resting) {
-        m_due = now + between(m_random, milliseconds(0), LongestRest);
+        m_due = now + between(m_random, milliseconds(0), MaxIdleTime);
     } else {
         m_drainedSince.reset();
     }
@@ -59,7 +59,7 @@
 {
     m_calling = true;
     m_due = now + m_pause;
-    m_pause = std::min(m_pause * 2, LongestCallPause);
+    m_pause = std::min(m_pause * 2, MaxCallPause);
     const Endpoint replica{m_plan.replica(pick(m_random, m_plan.replicas)), Plan::ControlPort};
     const HttpRequest request{m_step == Step::Draining ? "POST" : "DELETE", Platform::drainPath(DrainedDataCentre), {}, {}, {}};
     callReplica(m_io, replica, request, [this, step = m_step](const std::optional<HttpReply> &reply) {
--- a/soak/fault_schedule.cpp
+++ b/soak/fault_schedule.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 // A trouble's length, and the pause until the next one begins: two or three overlap most of the time.
-constexpr milliseconds ShortestTrouble{200};
-constexpr milliseconds LongestTrouble{3500};
-constexpr milliseconds ShortestPause{100};
-constexpr milliseconds LongestPause{1300};
+constexpr milliseconds MinTrouble{200};
+constexpr milliseconds MaxTrouble{3500};
+constexpr milliseconds MinPause{100};
+constexpr milliseconds MaxPause{1300};
 
-constexpr milliseconds ShortestDelay{20};
-constexpr milliseconds LongestDelay{400};
+constexpr milliseconds MinDelay{20};
+constexpr milliseconds MaxDelay{400};
 
 // A crashed target's address is free for this long at least, and a target that restarts at once needs so long.
 constexpr milliseconds AddressPause{2500};
@@ -105,7 +105,7 @@
 void FaultSchedule::tick(TimePoint now)
 {
     if (now >= m_due) {
-        m_due = now + between(m_random, ShortestPause, LongestPause);
+        m_due = now + between(m_random, MinPause, MaxPause);
         ++m_drawn;
         m_kinds[m_weights(m_random)].begin(now);
     }
@@ -118,7 +118,7 @@
 
 milliseconds FaultSchedule::length()
 {
-    return between(m_random, ShortestTrouble, LongestTrouble);
+    return between(m_random, MinTrouble, MaxTrouble);
 }
 
 std::optional<std::size_t> FaultSchedule::idleNode(bool replica)
@@ -141,7 +141,7 @@
 
 void FaultSchedule::harmLinks(TimePoint now, LinkFault fault)
 {
-    m_nodes.harmLinks(now, pick(m_random, m_plan.replicas), fault, between(m_random, ShortestDelay, LongestDelay), length());
+    m_nodes.harmLinks(now, pick(m_random, m_plan.replicas), fault, between(m_random, MinDelay, MaxDelay), length());
 }
 
 void FaultSchedule::killMany(TimePoint now, bool replicas, double share)
--- a/soak/operator_call.cpp
+++ b/soak/operator_call.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds CallTimeout{1000};
-constexpr int MostRedirects = 2;
+constexpr int MaxHttpRedirects = 2;
 
 } // namespace
 
@@ -17,7 +17,7 @@
 {
     startHttpCall(io, replica, request, CallTimeout, [&io, request, redirects, done](const std::optional<HttpReply> &reply) {
         constexpr std::string_view Scheme = "http://";
-        if (reply && reply->status == TemporaryRedirect && redirects < MostRedirects && reply->location.starts_with(Scheme)) {
+        if (reply && reply->status == TemporaryRedirect && redirects < MaxHttpRedirects && reply->location.starts_with(Scheme)) {
             const std::string place = reply->location.substr(Scheme.size());
             if (const std::optional<Endpoint> leader = parseEndpoint(place.substr(0, place.find('/')))) {
                 return callReplica(io, *leader, request, done, redirects + 1);
--- a/soak/operator_call.h
+++ b/soak/operator_call.h
@@ -12,7 +12,7 @@
 
 // A call without a clear answer is made again after a pause that doubles from the first to the longest.
 inline constexpr Duration FirstCallPause = std::chrono::milliseconds(50);
-inline constexpr Duration LongestCallPause = std::chrono::milliseconds(800);
+inline constexpr Duration MaxCallPause = std::chrono::milliseconds(800);
 
 // Calls a replica, and the one that it redirects to, twice at most.
 void callReplica(boost::asio::io_context &io, Endpoint replica, const HttpRequest &request, const HttpDone &done, int redirects = 0);
--- a/soak/operator_desk.cpp
+++ b/soak/operator_desk.cpp
@@ -18,7 +18,7 @@
 }
 
 // Between two changes drawn by lot, and between two reads.
-constexpr milliseconds LongestChangePause{900};
+constexpr milliseconds MaxChangePause{900};
 constexpr Duration ReadInterval = milliseconds(300);
 
 // Shares of changes that come as a pair, that are invalid, and that repeat an older document.
@@ -96,7 +96,7 @@
 
 void OperatorDesk::drawChange(TimePoint now)
 {
-    m_changeDue = now + between(m_random, milliseconds(50), LongestChangePause);
+    m_changeDue = now + between(m_random, milliseconds(50), MaxChangePause);
     if (chance(m_random, BadShare)) {
         drawBad(now);
     } else if (!m_sent.empty() && chance(m_random, OldShare)) {
@@ -112,8 +112,8 @@
 
 void OperatorDesk::tick(TimePoint now)
 {
-    constexpr std::size_t MostOpen = 8;
-    if (!m_finishing && now >= m_changeDue && m_open.size() < MostOpen) {
+    constexpr std::size_t MaxOpen = 8;
+    if (!m_finishing && now >= m_changeDue && m_open.size() < MaxOpen) {
         drawChange(now);
     }
     for (const std::shared_ptr<Order> &order : std::vector(m_open)) {
@@ -150,7 +150,7 @@
     order->calling = false;
     order->replica = (order->replica + 1) % m_plan.replicas;
     order->due = now + order->pause;
-    order->pause = std::min(order->pause * 2, LongestCallPause);
+    order->pause = std::min(order->pause * 2, MaxCallPause);
 }
 
 // ---- Reading back ----
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -130,11 +130,11 @@
 
     void restartTargets(TimePoint now)
     {
-        constexpr milliseconds ShortestPause{400};
-        constexpr milliseconds LongestPause{4000};
+        constexpr milliseconds MinPause{400};
+        constexpr milliseconds MaxPause{4000};
         constexpr milliseconds RestartTime{300};
         if (withDrains() && now >= m_restartDue) {
-            m_restartDue = now + between(m_restarts, ShortestPause, LongestPause);
+            m_restartDue = now + between(m_restarts, MinPause, MaxPause);
             m_targets.restart(now, RestartTime);
         }
     }
--- a/soak/target_fleet.cpp
+++ b/soak/target_fleet.cpp
@@ -23,12 +23,12 @@
 // Bytes of an answer, of one packet, and the time that one request takes at most.
 constexpr std::size_t LargestAnswer = 4000;
 constexpr std::size_t PacketBytes = 1200;
-constexpr milliseconds LongestWork{30};
+constexpr milliseconds MaxWorkTime{30};
 
 // Data without an acknowledgement is sent again after this, twice as late each time, and so often.
 constexpr Duration FirstResend = milliseconds(200);
-constexpr Duration LongestResend = milliseconds(1600);
-constexpr int MostTries = 8;
+constexpr Duration MaxResendDelay = milliseconds(1600);
+constexpr int MaxTries = 8;
 
 constexpr std::uint32_t SlotsPerTarget = 3;
 
@@ -309,7 +309,7 @@
         m_promises.broken("a request that must not be repeated runs once", std::to_string(request.number));
     }
     flow.working = writeAnswer(request.number, target.record.service, pick(m_random, LargestAnswer));
-    flow.due = now + between(m_random, milliseconds(2), LongestWork);
+    flow.due = now + between(m_random, milliseconds(2), MaxWorkTime);
 }
 
 void TargetFleet::serveFlows(TimePoint now, Place &place)
@@ -322,7 +322,7 @@
             flow.tries = 0;
             transmit(now, place, at->first, flow);
         } else if (!flow.working && !flow.unsent.empty() && now >= flow.due) {
-            if (++flow.tries > MostTries) {
+            if (++flow.tries > MaxTries) {
                 at = place.target->flows.erase(at);
                 continue;
             }
@@ -342,7 +342,7 @@
         reply(place, {key.second, key.first, flow.token, sequence, flow.expected, false, true, false, false, part});
     }
     flow.sent = flow.acknowledged + static_cast<std::uint32_t>(unsent.size());
-    flow.due = now + std::min(FirstResend * (1 << std::min(flow.tries, 3)), LongestResend);
+    flow.due = now + std::min(FirstResend * (1 << std::min(flow.tries, 3)), MaxResendDelay);
 }
 
 void TargetFleet::reply(Place &place, const WirePacket &packet)
--- a/src/balancer_api.cpp
+++ b/src/balancer_api.cpp
@@ -133,13 +133,13 @@
 
 HttpReply BalancerDaemon::events(const HttpRequest &request) const
 {
-    constexpr std::size_t MostAtOnce = 1000;
+    constexpr std::size_t MaxAtOnce = 1000;
     const std::uint64_t after = std::strtoull(queryValue(request.query, "after").c_str(), nullptr, 10);
     Json list = Json::array();
     std::uint64_t number = m_lastEvent - m_events.size();
     for (const Event &event : m_events) {
         ++number;
-        if (number > after && list.size() < MostAtOnce) {
+        if (number > after && list.size() < MaxAtOnce) {
             list.push_back(toApi(event, number));
         }
     }
--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -90,10 +90,10 @@
 
 std::string valueAt(const Json &document, const std::string &pointer)
 {
-    constexpr std::size_t LongestValue = 60;
+    constexpr std::size_t MaxValue = 60;
     const Json::json_pointer at(pointer);
     const std::string text = document.contains(at) ? document.at(at).dump() : "nothing";
-    return text.size() > LongestValue ? text.substr(0, LongestValue) + "..." : text;
+    return text.size() > MaxValue ? text.substr(0, MaxValue) + "..." : text;
 }
 
 bool unique(const Json &list, const char *key, const char *pointer, JsonFault &fault)
--- a/src/cbor_tokens.h
+++ b/src/cbor_tokens.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 // CBOR tokens: what the library's parser finds in a CBOR text, in order, without a tree of it.
 //
-// A tree costs an allocation for each array: a list of 190 targets took 410 us to decode, 10 ms on a VM with 0.04 of a
-// core, and a balancer that has just started gets one from each replica. Tokens take a fifth of that.
+// A tree costs an allocation for each array, and a balancer with a small part of a core reads a whole directory when it
+// has just started.
 #pragma once
 
 #include "types.h"
--- a/src/dial_schedule.h
+++ b/src/dial_schedule.h
@@ -19,10 +19,10 @@
 // The pause grows by as much after every so many attempts, to 1 s at the most. The first half second, in which most
 // peers come back, has a pause of 50 ms throughout; an attempt takes about 40 us of processor time.
 inline constexpr int AttemptsPerPause = 10;
-inline constexpr Duration LongestDialPause = std::chrono::milliseconds(1000);
+inline constexpr Duration MaxDialPause = std::chrono::milliseconds(1000);
 
 // Attempts that a peer has answered and whose handshakes are under way at once.
-inline constexpr int MostHandshakes = 2;
+inline constexpr int MaxHandshakes = 2;
 
 // A handshake that said nothing of its end for this long is counted no more: twice the hub's time-out.
 inline constexpr Duration HandshakeMemory = std::chrono::milliseconds(4000);
@@ -33,7 +33,7 @@
     // Whether to begin an attempt now.
     bool due(TimePoint now) const
     {
-        return now >= m_due && (m_handshakes < MostHandshakes || now - m_lastHandshake >= HandshakeMemory);
+        return now >= m_due && (m_handshakes < MaxHandshakes || now - m_lastHandshake >= HandshakeMemory);
     }
 
     void began(TimePoint now)
@@ -42,7 +42,7 @@
             m_handshakes = 0;
         }
         ++m_attempts;
-        m_due = now + std::min(DialPause * (1 + m_attempts / AttemptsPerPause), LongestDialPause);
+        m_due = now + std::min(DialPause * (1 + m_attempts / AttemptsPerPause), MaxDialPause);
     }
 
     // The peer's machine answered one of the attempts.
--- a/src/directory_publisher.h
+++ b/src/directory_publisher.h
@@ -2,10 +2,9 @@
 // Directory publisher: a replica tells balancers that follow it what changes in its directory of targets.
 //
 // The pattern that it answers: each change of a target told to each balancer by each replica, one message a change, grows
-// with the square of the deployment; at 295 balancers and 3,000 targets a replica sent 4.9 MB/s (0.7 MB/s with pages), four
-// fifths of it between data centres. Whole lists from five replicas at once, some 250 KB each, take 5 s of a link of
-// 2 Mbit/s, which counts as dead after 2 s without a message. Here a balancer follows one replica, changes go out in batches,
-// and a list comes in pages that leave room for pings.
+// with the square of the deployment, most of it between data centres. Whole lists from several replicas at once keep a slow
+// link busy for longer than it may be silent. Here a balancer follows one replica, changes go out in batches, and a list
+// comes in pages that leave room for pings.
 #pragma once
 
 #include "directory_log.h"
@@ -21,11 +20,10 @@
 // A balancer that follows, by the link that it asked on.
 using FollowerId = std::uint64_t;
 
-// Most targets of one page: 4.1 KB, 16 ms on a link of 2 Mbit/s, so that a ping waits for no longer.
+// Targets of one page at most: 16 ms on a link of 2 Mbit/s, so that a ping waits for no longer.
 inline constexpr std::size_t PageTargets = 128;
 
-// Pages are sent to a follower while less than this waits to be written to it, bytes. A link of 2 Mbit/s takes as much
-// in 65 ms, and then the next ones come.
+// Pages are sent to a follower while less than this waits to be written to it, bytes: 65 ms on a link of 2 Mbit/s.
 inline constexpr std::size_t MaxBuffered = std::size_t{16} << 10U;
 
 // A page that was made for one follower is good for others for so long: after a loss of power hundreds ask at once, and
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -103,7 +103,7 @@
     const bool late = flow != nullptr && flow->open && packet.copy > 0;
     if (late || (flow != nullptr && !flow->open && value(flow->target) != 0)) {
         SteeredTarget *first = m_targets.find(flow->target);
-        const bool tooSoon = flow->sentAt.elapsed(now) < ShortestCopyPause;
+        const bool tooSoon = flow->sentAt.elapsed(now) < MinCopyPause;
         const bool stays = first != nullptr && takesNewFlows(*first);
         if (late && first != nullptr && !stays) {
             return drop(SteeringReason::LateOpening);
@@ -195,7 +195,7 @@
         } else if (target.alive + flow.sentAt.elapsed(now) <= now) {
             // Data is sent again, and nothing came from the target since it was sent first.
             suspect(now, target);
-            if (m_unanswered.size() < MostReportsPerTick) {
+            if (m_unanswered.size() < MaxReportsPerTick) {
                 m_unanswered.push_back(target.record.key);
             }
         }
@@ -354,7 +354,7 @@
     boost::unordered::erase_if(m_flows, [&](auto &each) {
         auto &[key, flow] = each;
         const SteeredTarget *target = flow.counted ? m_targets.find(flow.target) : nullptr;
-        if (target == nullptr || !target->flowsOver || resets.size() >= MostResetsPerTick) {
+        if (target == nullptr || !target->flowsOver || resets.size() >= MaxResetsPerTick) {
             return false;
         }
         if (flow.open) {
@@ -363,7 +363,7 @@
         release(flow);
         return true;
     });
-    if (resets.size() < MostResetsPerTick) {
+    if (resets.size() < MaxResetsPerTick) {
         m_targets.clearFlowsOver();
     }
     return resets;
@@ -380,7 +380,7 @@
     const Duration idle = tableIdle > Duration{0} ? tableIdle : DefaultIdleTimeout;
     boost::unordered::erase_if(m_flows, [&](auto &each) {
         Flow &flow = each.second;
-        if (flow.busy && flow.sentAt.elapsed(now) >= LongestBusy) {
+        if (flow.busy && flow.sentAt.elapsed(now) >= MaxBusyTime) {
             setBusy(flow, false);
         }
         if (flow.seen.elapsed(now) < idle) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -19,7 +19,7 @@
 
 // A request without a sign of its answer is no longer counted as load after this. The longest time budget of
 // an interactive request is 3 s.
-inline constexpr Duration LongestBusy = std::chrono::seconds(4);
+inline constexpr Duration MaxBusyTime = std::chrono::seconds(4);
 
 // Flows are forgotten after this without a packet, unless the routing table gives a time.
 inline constexpr Duration DefaultIdleTimeout = std::chrono::seconds(15);
@@ -29,7 +29,7 @@
 
 // Copies of an opening packet are sent 200 ms and more apart. Two that come closer together were held up on
 // their way, and the later one says nothing about the target that got the first.
-inline constexpr Duration ShortestCopyPause = std::chrono::milliseconds(120);
+inline constexpr Duration MinCopyPause = std::chrono::milliseconds(120);
 
 // How often the table of flows is searched for old ones.
 inline constexpr Duration FlowSweepInterval = std::chrono::seconds(2);
@@ -78,7 +78,7 @@
 };
 
 // Most resets that one tick gives; the rest wait for the next one.
-inline constexpr std::size_t MostResetsPerTick = 512;
+inline constexpr std::size_t MaxResetsPerTick = 512;
 
 namespace detail {
 
--- a/src/held_packets.h
+++ b/src/held_packets.h
@@ -12,18 +12,18 @@
 namespace Robinrail {
 
 // After this a packet of an open flow has been sent again, twice, and is worth nothing.
-inline constexpr Duration LongestHold = std::chrono::milliseconds(500);
+inline constexpr Duration MaxHoldTime = std::chrono::milliseconds(500);
 
 // How long a packet may be held. An opening packet must not outlast the pause until its next copy, which may open
 // the flow through another balancer.
 inline Duration holdTime(const FlowPacket &packet)
 {
-    return packet.opening ? std::min(timeUntilNextCopy(packet.copy), LongestHold) : LongestHold;
+    return packet.opening ? std::min(timeUntilNextCopy(packet.copy), MaxHoldTime) : MaxHoldTime;
 }
 
 // Most packets that are held, 0.6 MB; beyond it the oldest goes. A balancer of the largest deployment gets 300
 // packets in the 0.3 s that it needs to learn the targets after a loss of power.
-inline constexpr std::size_t MostHeldPackets = 512;
+inline constexpr std::size_t MaxHeldPackets = 512;
 
 struct HeldPacket {
     TimePoint until; // Worth nothing from then on.
@@ -35,7 +35,7 @@
 public:
     void hold(HeldPacket packet)
     {
-        if (m_packets.size() >= MostHeldPackets) {
+        if (m_packets.size() >= MaxHeldPackets) {
             m_packets.pop_front();
             ++m_dropped;
         }
--- a/src/log_budget.h
+++ b/src/log_budget.h
@@ -10,8 +10,8 @@
 
 namespace Robinrail {
 
-// Lines of one kind that may come at once, and a second over time. Ten a second for a few kinds cost below a
-// thousandth of a core; measured in docs/OPERATIONS.md.
+// Lines of one kind that may come at once, and a second over time: enough to follow an incident, and below a thousandth
+// of a core.
 inline constexpr double LogBurst = 20;
 inline constexpr double LogLinesPerSecond = 10;
 
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -6,21 +6,21 @@
 
 namespace {
 
-constexpr double LowestSeconds = 1e-4;
-constexpr double HighestSeconds = 100.0;
+constexpr double MinSeconds = 1e-4;
+constexpr double MaxSeconds = 100.0;
 constexpr double MicrosecondsPerSecond = 1e6;
 
 } // namespace
 
 LatencyHistogram::LatencyHistogram()
-    : m_histogram(boost::histogram::make_histogram(Axis(BinCount, LowestSeconds, HighestSeconds)))
+    : m_histogram(boost::histogram::make_histogram(Axis(BinCount, MinSeconds, MaxSeconds)))
 {
 }
 
 void LatencyHistogram::record(Duration duration)
 {
     const double seconds = static_cast<double>(duration.count()) / MicrosecondsPerSecond;
-    m_histogram(std::max(seconds, LowestSeconds / 2));
+    m_histogram(std::max(seconds, MinSeconds / 2));
     ++m_count;
     m_sum += seconds;
 }
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -54,11 +54,10 @@
     std::size_t buffered(LinkHandle link) const;
 
     // An established link to a replica, whoever of the two dialled it; 0 without any. A replica with an empty disk knows the
-    // seeds alone and has no other way to answer a leader that is none of them; without an answer it was seen to stand empty
-    // for 20 s, as long as a leader waits for a learner that says nothing.
+    // seeds alone and has no other way to answer a leader that is none of them.
     //
     // Of several it is the one on which something was heard last, so that a connection that falls silent keeps messages back
-    // for LinkPingInterval instead of LinkSilenceLimit: 0.5 s instead of 2 s, where a leader steps down after 0.9 s.
+    // for LinkPingInterval instead of LinkSilenceLimit, before a leader steps down.
     LinkHandle linkTo(ReplicaId replica) const;
 
     // Established links that peers of this role dialled.
--- a/src/replica_choice.cpp
+++ b/src/replica_choice.cpp
@@ -106,7 +106,7 @@
         const bool was = std::exchange(state.healthy, healthy(now, replica));
         if (!was && state.healthy) {
             const std::uint64_t lot = hashPair(m_self, static_cast<std::uint64_t>(now.time_since_epoch().count()));
-            state.returnAt = now + Duration(static_cast<std::int64_t>(lot % static_cast<std::uint64_t>(LongestReturn.count())));
+            state.returnAt = now + Duration(static_cast<std::int64_t>(lot % static_cast<std::uint64_t>(MaxReturnDelay.count())));
         }
     }
 }
--- a/src/replica_choice.h
+++ b/src/replica_choice.h
@@ -24,13 +24,13 @@
 inline constexpr Duration CandidatePause = std::chrono::milliseconds(50);
 
 // A replica that took a connection and is slow to greet, as hundreds of balancers have just started, is waited for as long
-// before one more is dialled: otherwise each would get the handshakes of all balancers instead of its part of them.
+// before one more is dialled, as else each replica gets the handshakes of all balancers.
 inline constexpr Duration HandshakePatience = std::chrono::milliseconds(250);
 
 // A balancer that knows no targets yet follows a replica that is not its first choice after this, twice what a link in
 // the same data centre takes to come up after a loss of all power. The first choice is known only once some replica has
-// told where the others are, and a whole directory taken twice would keep a link of 2 Mbit/s full for 0.4 s each at 3,000
-// targets. Longer costs callers as much where the first choice is dark.
+// told where the others are, and a whole directory taken twice keeps a slow link full for as long again. Longer costs
+// callers as much where the first choice is dark.
 inline constexpr Duration FirstChoicePatience = std::chrono::milliseconds(25);
 
 // A source whose link is lost is waited for as long before another one is looked for: a killed process is back within it,
@@ -39,8 +39,8 @@
 inline constexpr Duration SourceGrace = std::chrono::milliseconds(500);
 
 // A better replica that is healthy again is gone back to after a random time up to this, so that it is not asked for its
-// whole directory by all balancers of a data centre at once: 60 lists of 96 KB at 3,000 targets, 250 of 400 KB at 12,630.
-inline constexpr Duration LongestReturn = std::chrono::seconds(4);
+// whole directory by all balancers of a data centre at once.
+inline constexpr Duration MaxReturnDelay = std::chrono::seconds(4);
 
 class ReplicaChoice
 {
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -259,8 +259,7 @@
     m_offered = now;
 }
 
-// Encodes a table once for all who ask: one of 490 routes takes 0.64 ms, and after a loss of power 64 balancers ask
-// within 0.2 s, which was 0.14 s of the processor of a VM with 0.3 of a core.
+// Encodes a table once for all who ask: after a loss of power hundreds of balancers ask within a fraction of a second.
 void ReplicaNode::sendTable(LinkHandle link)
 {
     if (m_encodedTable.empty() || m_encodedVersion != document().table.version) {
--- a/src/standstill_watch.h
+++ b/src/standstill_watch.h
@@ -9,7 +9,7 @@
 namespace Robinrail {
 
 // A pause between two turns of a process that is no standstill: twice the interval of its clock.
-inline constexpr Duration LongestTurn = std::chrono::milliseconds(100);
+inline constexpr Duration MaxTurnTime = std::chrono::milliseconds(100);
 
 class StandstillWatch
 {
@@ -19,12 +19,12 @@
     {
     }
 
-    // The process runs. Call it more often than LongestTurn, and before reading what may have waited.
+    // The process runs. Call it more often than MaxTurnTime, and before reading what may have waited.
     void turn(TimePoint now)
     {
         const Duration pause = now - m_last;
         m_last = now;
-        if (pause >= LongestTurn) {
+        if (pause >= MaxTurnTime) {
             m_waited = std::max(m_waited, pause);
         }
     }
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -23,8 +23,8 @@
 // The balancer's clock runs in steps of this. It finds dead links and old flows; packets don't wait for it.
 inline constexpr std::chrono::milliseconds SteeringTick{50};
 
-// At most one routing table is asked for in this time. Documents come in floods of 12 a second, and reading a
-// table of 450 routes takes a twentieth of a small VM's second.
+// At most one routing table is asked for in this time, as documents come in floods and reading a table of hundreds of
+// routes takes a small VM tens of milliseconds.
 inline constexpr Duration RoutingFetchPause = std::chrono::milliseconds(250);
 
 // A table that was asked for and did not come is asked for again, at another replica.
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -127,7 +127,7 @@
     if (target.suspect(now)) {
         return;
     }
-    target.suspicion = target.suspicion == Duration{0} ? FirstSuspicion : std::min(target.suspicion * 2, LongestSuspicion);
+    target.suspicion = target.suspicion == Duration{0} ? FirstSuspicion : std::min(target.suspicion * 2, MaxSuspicion);
     target.suspectUntil = now + target.suspicion;
 }
 
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -18,7 +18,7 @@
 // How long a target that did not answer is left out of new choices: at first, and at most after more of the
 // same. A trial costs one caller 200 ms, the pause before it sends its opening packet again.
 inline constexpr Duration FirstSuspicion = std::chrono::seconds(1);
-inline constexpr Duration LongestSuspicion = std::chrono::seconds(8);
+inline constexpr Duration MaxSuspicion = std::chrono::seconds(8);
 
 // How long a target counts as gone after enough replicas tried in vain to connect to it, unless it shows life. Its flows
 // come here from balancers that went down with it, each with its data's next repetition, 0.2 to 1.6 s apart.
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -12,7 +12,7 @@
 
 // Announcements that are counted to tell the age of a lifetime: a day of those each second. A sequence number is what
 // a target says, and must not take a time beyond what a clock can hold.
-constexpr std::uint64_t MostCountedIntervals = 86'400;
+constexpr std::uint64_t MaxCountedIntervals = 86'400;
 
 } // namespace
 
@@ -81,7 +81,7 @@
         return found->second.firstHeard;
     }
     const std::uint64_t before = record.sequence > 0 ? record.sequence - 1 : 0;
-    return now - m_announceInterval * static_cast<std::int64_t>(std::min(before, MostCountedIntervals));
+    return now - m_announceInterval * static_cast<std::int64_t>(std::min(before, MaxCountedIntervals));
 }
 
 std::optional<TargetStatus> TargetDirectory::take(TimePoint now, const TargetStatus &news)
--- a/src/target_exchange.cpp
+++ b/src/target_exchange.cpp
@@ -48,13 +48,11 @@
         m_heard.heard(monotonicNow(), key);
     }
     const TargetRecord *known = m_directory.find(record.key);
-    if (known == nullptr) {
-        return respond(false);
+    if (known != nullptr && known->phase != TargetPhase::Serving) {
+        return confirm(*known, std::move(respond));
     }
-    if (known->phase == TargetPhase::Serving) {
-        return respond(true);
-    }
-    confirm(*known, std::move(respond));
+    tellReplicas(monotonicNow());
+    respond(known != nullptr);
 }
 
 void TargetExchange::leave(TargetKey key, std::uint64_t born, Respond respond)
@@ -101,7 +99,6 @@
 {
     m_changed = true;
     m_news.add(news.record.key);
-    tellReplicas(monotonicNow());
     tellFollowers({&news, 1});
     if (const auto leftOut = m_newsLog.take(monotonicNow())) {
         LogLine(LogLevel::Info, "target-changed")
@@ -171,7 +168,10 @@
 
 void TargetExchange::greet(TimePoint now, LinkHandle link)
 {
-    m_links.send(link, DirectoryDigest{informed(now), m_directory.digest(digestBuckets(m_directory.size()))});
+    if (m_digest.empty()) {
+        m_digest = m_directory.digest(digestBuckets(m_directory.size()));
+    }
+    m_links.send(link, DirectoryDigest{informed(now), m_digest});
     if (m_links.isDialled(link)) {
         m_links.send(link, m_heard.whole()); // Beats go on the links that were dialled from here, and this is the first.
     }
@@ -226,6 +226,7 @@
 void TargetExchange::tellFollowers(std::span<const TargetStatus> changed)
 {
     for (const TargetStatus &status : changed) {
+        m_digest.clear();
         m_publisher.changed(status.record.key);
     }
 }
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -115,6 +115,7 @@
     NewsBatch m_news; // For the other replicas.
     HeardTargets m_heard;
     HeardElsewhere m_heardElsewhere;
+    std::vector<std::uint32_t> m_digest; // Of the directory as it is; empty if it has changed since.
     DirectoryReconciler m_reconciler;
     DirectoryAnswers m_answers;
     DrainConfirmations m_drains;
--- a/src/target_probe.h
+++ b/src/target_probe.h
@@ -4,8 +4,7 @@
 // The pattern that it answers: some targets lose power at once. Packets of their open flows have nowhere else to go, so
 // each such flow costs its caller one request that waits until its deadline, up to a second or more after the target's
 // end, until the target's silence is certain. The next request on an idle flow need not be lost: once the target is
-// known to be gone, its flows are reset, and the caller opens another one. Of 100 requests that four such targets out of
-// fourteen lost in 2 s, 14 remain, and 39 are answered late (one run each of a day of 23,000 requests).
+// known to be gone, its flows are reset, and the caller opens another one.
 //
 // A reset on a flow whose target lives would break it. What makes the end certain: balancers saw data of open flows
 // repeated, twice or more, without any sign of life since; then as many replicas as could be wrong at once, and one more, each tried to
@@ -25,19 +24,18 @@
 // A replica probes the same target at most once in this time.
 inline constexpr Duration ProbePause = std::chrono::milliseconds(500);
 
-// So many reports within ProbePause make a replica probe. A packet that is lost on its way gives one: at 64 balancers
-// and 1,200 requests a second about 30 a second, over 150 targets. A target that loses power gives 20 and more a second.
+// So many reports within ProbePause make a replica probe: a packet that is lost on its way gives one.
 inline constexpr int ReportsForProbe = 2;
 
 // Most reports that a balancer hands on in one tick.
-inline constexpr std::size_t MostReportsPerTick = 64;
+inline constexpr std::size_t MaxReportsPerTick = 64;
 
 // A target that has not answered a connection after this is unreachable from here. Data centres are up to 20 ms apart,
 // so it is seven round trips or more.
 inline constexpr Duration ProbeTimeout = std::chrono::milliseconds(300);
 
 // Probes that one replica has under way. More targets that fall silent at once wait for the next report.
-inline constexpr std::size_t MostProbes = 256;
+inline constexpr std::size_t MaxTargetProbes = 256;
 
 // What a replica found holds this long: the probes that one report sets off end within the time-out of each other.
 inline constexpr Duration ProbeLifetime = std::chrono::milliseconds(1000);
@@ -65,7 +63,7 @@
         std::erase_if(m_probes, [now](const auto &each) {
             return !each.second.underWay && now - each.second.since >= ProbePause;
         });
-        if (m_probes.size() >= MostProbes && !m_probes.contains(key)) {
+        if (m_probes.size() >= MaxTargetProbes && !m_probes.contains(key)) {
             return false;
         }
         Probe &probe = m_probes.try_emplace(key, Probe{now}).first->second;
@@ -108,7 +106,7 @@
     bool unreachable(TimePoint now, const ReplicaPlace &finder, TargetKey key)
     {
         forgetOld(now);
-        if (m_findings.size() >= MostProbes && !m_findings.contains(key)) {
+        if (m_findings.size() >= MaxTargetProbes && !m_findings.contains(key)) {
             return false;
         }
         std::map<ReplicaId, Finding> &findings = m_findings[key];
--- a/src/target_prober.cpp
+++ b/src/target_prober.cpp
@@ -33,7 +33,7 @@
 
 void TargetProber::turn(TimePoint now)
 {
-    if (now - std::exchange(m_lastTurn, now) >= LongestTurn) {
+    if (now - std::exchange(m_lastTurn, now) >= MaxTurnTime) {
         ++m_standstills;
     }
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -82,8 +82,8 @@
 mutate "steering: former lifetimes end at the first announcement only" src/target_directory.cpp \
     'known == nullptr || known->phase != TargetPhase::Left ||' 'known == nullptr ||' '*restarts at once*'
 mutate "steering: any lifetime ends the others at its address" src/target_directory.cpp 'entry.firstHeard < since' '(entry.firstHeard < since || entry.firstHeard >= since)' '*held up ends no successor*'
-mutate "steering: an unknown lifetime is the youngest" src/target_directory.cpp 'std::min(before, MostCountedIntervals)' \
-    'std::min(before, MostCountedIntervals / 100'"'"'000)' '*held up ends no successor*'
+mutate "steering: an unknown lifetime is the youngest" src/target_directory.cpp 'std::min(before, MaxCountedIntervals)' \
+    'std::min(before, MaxCountedIntervals / 100'"'"'000)' '*held up ends no successor*'
 mutate "steering: replicas do not tell since when a lifetime is known" src/target_directory.cpp \
     'std::min(entry.firstHeard, now - news.known)' 'entry.firstHeard' '*agree which is the older*'
 mutate "steering: one replica's word makes a target gone" src/target_probe.h 'return finders.size() >= m_needed;' \
@@ -103,7 +103,7 @@
     'return now < seen;' '*forgotten once its flows*'
 mutate "steering: messages of other clusters are taken" src/replica_driver.cpp \
     'if (cluster != 0 && envelope.cluster != cluster) {' 'if (cluster != 0 && envelope.cluster == 0) {' '*joins the first cluster*'
-mutate "links: any number of handshakes at once" src/dial_schedule.h 'm_handshakes < MostHandshakes ||' 'm_handshakes >= 0 ||' \
+mutate "links: any number of handshakes at once" src/dial_schedule.h 'm_handshakes < MaxHandshakes ||' 'm_handshakes >= 0 ||' \
     '*few attempts at once*,*two handshakes at once*'
 mutate "links: handshakes without an end are remembered" src/dial_schedule.h '|| now - m_lastHandshake >= HandshakeMemory);' ');' \
     '*few attempts at once*,*two handshakes at once*'
--- a/tests/test_links.cpp
+++ b/tests/test_links.cpp
@@ -163,7 +163,7 @@
     links.maintain({ReplicaId{Loopback}}, mute.local_endpoint().port());
     TimePoint now = monotonicNow();
     // The opening request on a connection shows that its dialler knows of the answer.
-    for (std::size_t i = 1; i <= MostHandshakes; ++i) {
+    for (std::size_t i = 1; i <= MaxHandshakes; ++i) {
         now += DialPause;
         links.tick(now);
         while (accepted.size() < i || accepted.back().available() == 0) {
@@ -175,14 +175,14 @@
         links.tick(now);
         io.poll();
     }
-    CHECK(accepted.size() == MostHandshakes);
+    CHECK(accepted.size() == MaxHandshakes);
     // Attempts whose end nobody told are forgotten in time, so that dialling never stops.
     now += HandshakeMemory;
     links.tick(now);
-    while (accepted.size() == MostHandshakes) {
+    while (accepted.size() == MaxHandshakes) {
         io.run_one();
     }
-    CHECK(accepted.size() > MostHandshakes);
+    CHECK(accepted.size() > MaxHandshakes);
 }
 
 TEST_CASE("a replica that dials nobody reaches the one that dialled it, on that one's link")
@@ -369,11 +369,11 @@
 {
     DialSchedule schedule;
     TimePoint now{};
-    for (int i = 0; i < MostHandshakes; ++i) {
+    for (int i = 0; i < MaxHandshakes; ++i) {
         schedule.began(now);
         schedule.connected(now);
     }
-    now += LongestDialPause;
+    now += MaxDialPause;
     CHECK_FALSE(schedule.due(now));
     schedule.handshakeEnded();
     CHECK(schedule.due(now));
--- a/tests/test_replica_choice.cpp
+++ b/tests/test_replica_choice.cpp
@@ -197,7 +197,7 @@
         chooser.choice.completed(Near);
         while (chooser.choice.source() != Near) {
             chooser.run(milliseconds(50));
-            REQUIRE(chooser.now - back <= LongestReturn + milliseconds(100));
+            REQUIRE(chooser.now - back <= MaxReturnDelay + milliseconds(100));
         }
         ++perSecond[std::chrono::duration_cast<seconds>(chooser.now - back).count()];
     }
--- a/tests/test_replica_node.cpp
+++ b/tests/test_replica_node.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint16_t AdminPort = 70; // Names the seeds; nobody listens there.
 
 // The wait in real time for what is due at once; half of the time after which a leader that hears nothing drops a learner.
-constexpr Duration LongestWait = DropLearnerAfter / 2;
+constexpr Duration MaxWait = DropLearnerAfter / 2;
 
 // A loopback port that is free at all of the addresses.
 std::uint16_t freePort(boost::asio::io_context &io, std::size_t addresses)
@@ -87,11 +87,11 @@
         m_processes[number]->frozen = true;
     }
 
-    // Runs the event loop until the condition holds, at most for LongestWait; whether it does.
+    // Runs the event loop until the condition holds, at most for MaxWait; whether it does.
     template<typename Condition>
     bool waitFor(Condition condition)
     {
-        const TimePoint end = monotonicNow() + LongestWait;
+        const TimePoint end = monotonicNow() + MaxWait;
         while (!condition()) {
             if (monotonicNow() >= end) {
                 return false;
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -114,13 +114,13 @@
 TEST_CASE("an opening packet is held no longer than until its next copy")
 {
     FlowPacket packet = Balancer::packet(1);
-    CHECK(holdTime(packet) == LongestHold);
+    CHECK(holdTime(packet) == MaxHoldTime);
     packet.opening = true;
     CHECK(holdTime(packet) < milliseconds(200));
     packet.copy = 1;
     CHECK(holdTime(packet) < milliseconds(400));
     packet.copy = 2;
-    CHECK(holdTime(packet) == LongestHold);
+    CHECK(holdTime(packet) == MaxHoldTime);
 }
 
 TEST_CASE("a balancer measures how long flows take to open and requests to be answered")
@@ -283,20 +283,20 @@
     const auto packet = [](std::size_t number) {
         return Bytes{static_cast<std::uint8_t>(number), static_cast<std::uint8_t>(number >> 8U)};
     };
-    held.hold({Start + LongestHold, packet(0)});
-    held.hold({Start + LongestHold + milliseconds(1), packet(1)});
-    held.hold({Start + LongestHold + milliseconds(2), packet(2)});
-    const std::vector<HeldPacket> young = held.release(Start + LongestHold);
+    held.hold({Start + MaxHoldTime, packet(0)});
+    held.hold({Start + MaxHoldTime + milliseconds(1), packet(1)});
+    held.hold({Start + MaxHoldTime + milliseconds(2), packet(2)});
+    const std::vector<HeldPacket> young = held.release(Start + MaxHoldTime);
     REQUIRE(young.size() == 2);
     CHECK(young[0].bytes == packet(1));
     CHECK(young[1].bytes == packet(2));
     CHECK(held.empty());
     CHECK(held.takeDropped() == 1);
-    for (std::size_t i = 0; i < MostHeldPackets + 3; ++i) {
-        held.hold({Start + LongestHold, packet(i)});
+    for (std::size_t i = 0; i < MaxHeldPackets + 3; ++i) {
+        held.hold({Start + MaxHoldTime, packet(i)});
     }
     const std::vector<HeldPacket> released = held.release(Start);
-    REQUIRE(released.size() == MostHeldPackets);
+    REQUIRE(released.size() == MaxHeldPackets);
     CHECK(released.front().bytes == packet(3));
     CHECK(held.takeDropped() == 3);
 }
--- a/tests/test_target_probe.cpp
+++ b/tests/test_target_probe.cpp
@@ -112,12 +112,12 @@
 TEST_CASE("many flows are reset over several ticks, each once")
 {
     Balancer balancer;
-    for (std::uint32_t caller = 1; caller <= MostResetsPerTick + 10; ++caller) {
+    for (std::uint32_t caller = 1; caller <= MaxResetsPerTick + 10; ++caller) {
         balancer.request(caller, Silent, 100, 1);
     }
     balancer.now += seconds(1);
     REQUIRE(balancer.steering.targets().takeForGone(balancer.now, Silent));
-    CHECK(balancer.steering.takeResets().size() == MostResetsPerTick);
+    CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
     CHECK(balancer.steering.takeResets().size() == 10);
     CHECK(balancer.steering.takeResets().empty());
 }
@@ -125,13 +125,13 @@
 TEST_CASE("a target that shows life while its flows are being reset keeps those that are left")
 {
     Balancer balancer;
-    for (std::uint32_t caller = 1; caller <= MostResetsPerTick + 10; ++caller) {
+    for (std::uint32_t caller = 1; caller <= MaxResetsPerTick + 10; ++caller) {
         balancer.request(caller, Silent, 100, 1);
     }
     balancer.now += seconds(1);
     REQUIRE(balancer.steering.targets().takeForGone(balancer.now, Silent));
-    CHECK(balancer.steering.takeResets().size() == MostResetsPerTick);
-    balancer.acknowledge(MostResetsPerTick + 11, Silent, 50);
+    CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
+    balancer.acknowledge(MaxResetsPerTick + 11, Silent, 50);
     CHECK(balancer.steering.takeResets().empty());
 }
 
@@ -162,10 +162,10 @@
     balancer.now += milliseconds(400);
     balancer.request(1, Silent, 100, 1);
     CHECK(balancer.steering.takeUnanswered().empty());
-    for (std::size_t i = 0; i < 2 * MostReportsPerTick; ++i) {
+    for (std::size_t i = 0; i < 2 * MaxReportsPerTick; ++i) {
         balancer.request(2, Silent, 100, 1);
     }
-    CHECK(balancer.steering.takeUnanswered().size() == MostReportsPerTick);
+    CHECK(balancer.steering.takeUnanswered().size() == MaxReportsPerTick);
     // Copies of an opening packet say nothing: a target that is full keeps silent on them.
     Balancer full;
     FlowPacket opening = Balancer::packet(1, Silent, 0, 0);
@@ -239,19 +239,19 @@
 TEST_CASE("floods of findings and of reports take bounded memory and probes")
 {
     ProbeFindings findings(OneReplica);
-    for (std::uint64_t key = 1; key <= 2 * MostProbes; ++key) {
+    for (std::uint64_t key = 1; key <= 2 * MaxTargetProbes; ++key) {
         findings.unreachable(Start, FirstFinder, TargetKey{key});
     }
     CHECK(findings.unreachable(Start, SecondFinder, TargetKey{1}));
-    CHECK_FALSE(findings.unreachable(Start, SecondFinder, TargetKey{2 * MostProbes}));
+    CHECK_FALSE(findings.unreachable(Start, SecondFinder, TargetKey{2 * MaxTargetProbes}));
     ProbeSchedule schedule;
     std::size_t begun = 0;
-    for (std::uint64_t key = 1; key <= 2 * MostProbes; ++key) {
+    for (std::uint64_t key = 1; key <= 2 * MaxTargetProbes; ++key) {
         CHECK_FALSE(schedule.reported(Start, reported(TargetKey{key})));
         begun += schedule.reported(Start, reported(TargetKey{key})) ? 1 : 0;
         CHECK_FALSE(schedule.reported(Start, reported(TargetKey{key})));
     }
-    CHECK(begun == MostProbes);
+    CHECK(begun == MaxTargetProbes);
     // A probe that is under way is not begun again, however long it takes; one that ended is after the pause.
     CHECK_FALSE(schedule.reported(Start + seconds(9), reported(TargetKey{1})));
     schedule.ended(TargetKey{1});
@@ -382,7 +382,7 @@
     ports.report(Living, ports.listening.local_endpoint().port());
     ports.run();
     ports.report(Silent, ports.refusingPort);
-    ports.prober.turn(monotonicNow() + LongestTurn);
+    ports.prober.turn(monotonicNow() + MaxTurnTime);
     ports.run();
     CHECK(ports.prober.takeUnreachable().empty());
 }
