--- a/spec/check.sh
+++ b/spec/check.sh
@@ -63,5 +63,9 @@
 for mutation in DIALLED_ONLY NO_STEP_BACK NO_FORWARD; do
     expect 1 joining.pml "joining-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 heard.pml heard
+for mutation in KEEP_WORD OTHER_LINK NO_WHOLE; do
+    expect 1 heard.pml "heard-$mutation" "-DMUTATE_$mutation"
+done
 echo "model searches that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -93,10 +93,10 @@
 mutate "steering: a probe during a standstill counts" src/target_prober.cpp '&& standstills == m_standstills' \
     '&& standstills <= m_standstills' '*stood still during a probe*'
 mutate "steering: probes count where no target takes any" src/target_prober.cpp '&& m_anyAnswered &&' '&&' '*no target ever answered*'
-mutate "steering: any lost packet sets off probes" src/target_probe.h '++probe.reports < ReportsForProbe' \
-    '++probe.reports < 1' '*lost here and there*'
-mutate "steering: what was found long ago counts" src/target_probe.h 'return now - each.second >= ProbeLifetime;' \
-    'return now < each.second;' '*enough different replicas*'
+mutate "steering: any lost packet sets off probes" src/target_probe.h '(target.overdue ? 1 : ReportsForProbe)' \
+    '1' '*lost here and there*'
+mutate "steering: what was found long ago counts" src/target_probe.h 'return now - each.second.at >= ProbeLifetime;' \
+    'return now < each.second.at;' '*enough different replicas*'
 mutate "steering: life during resets does not end them" src/steering_targets.cpp \
     '    target.flowsOver = false;' '' '*keeps those that are left*'
 mutate "steering: removed routes are never forgotten" src/flow_steering.cpp 'return now - seen >= RememberLeft;' \
@@ -128,6 +128,23 @@
     'progress.listed.clear();' '*from the same life*,*ends alike*'
 mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MaxBuffered' '' \
     '*leave room on its link*'
+mutate "digest: what differs is not asked for" src/directory_reconciler.cpp 'if (query.wanted.empty()) {' 'if (!next.digest.buckets.empty()) {' \
+    '*few targets that differ*,*each target once*'
+mutate "digest: all replicas are asked at once" src/directory_reconciler.cpp 'while (!m_asked && !m_waiting.empty()) {' 'while (!m_waiting.empty()) {' \
+    '*each target once*'
+mutate "digest: one that fell silent is waited for" src/directory_reconciler.cpp 'now - m_progressAt >= ReconcileTimeout' 'now < m_progressAt' \
+    '*keeps no other from being asked*'
+mutate "drain: confirmed for all lifetimes" src/drain_confirmations.cpp 'at->second.lifetime == lifetime && at->second.phase >= phase' \
+    'at->second.phase >= phase' '*confirmed once*'
+mutate "drain: never taken for confirmed" src/drain_confirmations.cpp 'm_confirmed[lifetime.key] = {lifetime, open.phase};' '' \
+    '*confirmed once*,*follows the time that it takes*'
+mutate "loss: the word of one data centre is enough" src/loss_tolerance.h 'places.size() > dataCentres' '!places.empty()' \
+    '*data centre alone*,*all replicas of one data centre*'
+mutate "beats: the word of a lost link stays" src/heard_targets.cpp 'm_links.erase(link);' '' '*lost link ends that word*'
+mutate "beats: when a missed target was heard is left out" src/target_directory.cpp 'std::min(found->second.heard, now - target.age)' \
+    'found->second.heard' '*silent target is found elsewhere*'
+mutate "probers: those of one data centre first" src/prober_choice.h 'taken[place.dataCentre]++' '0 * taken[place.dataCentre]++' \
+    '*same few for all*'
 mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < HealthyFor' \
     'at->second.confirmedAt <= now' '*lost its quorum*'
 mutate "replica choice: all return at once" src/replica_choice.cpp 'now >= m_states.at(replica).returnAt' 'now >= TimePoint{}' '*one after the other*'
