Compare directories with one replica at a time, each as it is then; a model of the fleet in virtual time

Cause: a digest was taken when a link came up and compared when its turn came.

Ruled out: waiting for calm, which a release never gives.

Change: a replica asks the others one after the other whether their directories are the same, by one hash, and gets a digest only if not.

--- /dev/null
+++ b/bench/fleet_model.cpp
@@ -0,0 +1,426 @@
+// SPDX-License-Identifier: MIT
+// Fleet model: implementation.
+#include "fleet_model.h"
+
+#include "hash.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Robinrail {
+
+namespace {
+
+constexpr Duration AnnounceInterval = std::chrono::milliseconds(770);
+constexpr Duration Tick = std::chrono::milliseconds(25);
+constexpr Duration Beat = std::chrono::milliseconds(500);
+
+// One way, between machines of one data centre and of two.
+constexpr Duration NearDelay = std::chrono::microseconds(300);
+constexpr Duration FarDelay = std::chrono::microseconds(1700);
+
+// Replicas start within this of each other, and links come up as long after.
+constexpr Duration StartSpread = std::chrono::milliseconds(100);
+
+constexpr LossTolerance Borne{2, 1};
+
+Duration fraction(Duration whole, std::uint64_t hash)
+{
+    return Duration(static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(whole.count())));
+}
+
+} // namespace
+
+// A replica's links: to the others, one dialled by each of a pair, and to balancers that only take.
+struct FleetModel::Links {
+    struct Link {
+        ReplicaPlace peer;
+        ReplicaLinkId peerLink = 0; // The same link as its other end calls it; 0 for a balancer's.
+        bool dialled = false;
+    };
+
+    FleetModel *model = nullptr;
+    std::size_t owner = 0;
+    std::map<ReplicaLinkId, Link> links;
+    LinkTraffic toReplicas;
+    LinkTraffic toBalancers;
+    std::uint64_t messagesToReplicas = 0;
+
+    void send(ReplicaLinkId link, const NodeMessage &message)
+    {
+        sendEncoded(link, encodeMessage(message));
+    }
+
+    void sendAll(std::span<const ReplicaLinkId> several, const NodeMessage &message)
+    {
+        const Bytes bytes = encodeMessage(message);
+        for (const ReplicaLinkId link : several) {
+            sendEncoded(link, bytes);
+        }
+    }
+
+    void sendEncoded(ReplicaLinkId link, const Bytes &message);
+
+    static std::size_t buffered(ReplicaLinkId /*link*/)
+    {
+        return 0;
+    }
+
+    bool isDialled(ReplicaLinkId link) const
+    {
+        const auto at = links.find(link);
+        return at != links.end() && at->second.dialled;
+    }
+
+    std::vector<ReplicaLinkId> dialled() const
+    {
+        std::vector<ReplicaLinkId> handles;
+        for (const auto &[handle, link] : links) {
+            if (link.dialled) {
+                handles.push_back(handle);
+            }
+        }
+        return handles;
+    }
+};
+
+struct FleetModel::Replica {
+    ReplicaPlace place;
+    Links links;
+    std::unique_ptr<BasicTargetExchange<Links>> exchange;
+    double processorSeconds = 0;
+};
+
+struct FleetModel::Target {
+    TargetKey key{};
+    DataCentreId dataCentre{};
+    std::uint32_t address = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t generation = 0; // Lifetimes that began in its place.
+    TargetPhase phase = TargetPhase::Serving;
+    bool over = false;
+};
+
+void FleetModel::Links::sendEncoded(ReplicaLinkId handle, const Bytes &message)
+{
+    const auto at = links.find(handle);
+    if (at == links.end()) {
+        return;
+    }
+    const Link &link = at->second;
+    const DataCentreId own = model->m_replicas[owner]->place.dataCentre;
+    const LinkDistance distance = link.peer.dataCentre == own ? LinkDistance::Near : LinkDistance::Far;
+    if (link.peerLink == 0) {
+        toBalancers.count(LinkDirection::Sent, distance, message);
+        return;
+    }
+    toReplicas.count(LinkDirection::Sent, distance, message);
+    ++messagesToReplicas;
+    const auto peer = static_cast<std::size_t>(value(link.peer.replica)) - 1;
+    model->at(model->m_now + (distance == LinkDistance::Near ? NearDelay : FarDelay),
+              [target = model, peer, peerLink = link.peerLink, bytes = message] {
+                  target->deliver(peer, peerLink, bytes);
+              });
+}
+
+FleetModel::FleetModel(const FleetShape &shape, std::uint64_t seed)
+    : m_shape(shape)
+    , m_seed(seed)
+    , m_now(std::chrono::hours(1))
+{
+    for (std::size_t i = 0; i < shape.replicas(); ++i) {
+        auto replica = std::make_unique<Replica>();
+        replica->place = {ReplicaId{static_cast<std::uint32_t>(i + 1)}, DataCentreId(1 + i % shape.dataCentres)};
+        m_replicas.push_back(std::move(replica));
+    }
+    for (std::size_t i = 0; i < shape.dataCentres * shape.targetsEach; ++i) {
+        Target target;
+        target.key = TargetKey{hashPair(seed, i) >> 24U};
+        target.dataCentre = DataCentreId(1 + i % shape.dataCentres);
+        target.address = 0x0a000000U + static_cast<std::uint32_t>(i);
+        m_targets.push_back(target);
+    }
+}
+
+FleetModel::~FleetModel() = default;
+
+void FleetModel::at(TimePoint time, std::function<void()> run)
+{
+    m_events.push({time, ++m_order, std::move(run)});
+}
+
+void FleetModel::run(Duration duration)
+{
+    const TimePoint end = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+    m_now = end;
+}
+
+template<typename Work>
+void FleetModel::timed(Replica &replica, Work work)
+{
+    const auto began = std::chrono::steady_clock::now();
+    work();
+    replica.processorSeconds += std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+}
+
+void FleetModel::start()
+{
+    bootAll(std::vector<std::vector<TargetStatus>>(m_replicas.size()));
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        at(m_now + StartSpread + fraction(AnnounceInterval, hashPair(m_seed + 1, i)), [this, i] {
+            announce(i, 0);
+        });
+    }
+}
+
+void FleetModel::restartAll(Duration pause, const std::vector<std::size_t> &emptied)
+{
+    std::vector<std::vector<TargetStatus>> known;
+    for (const auto &replica : m_replicas) {
+        known.push_back(replica->exchange->all(m_now));
+        replica->exchange.reset();
+        replica->links.links.clear();
+    }
+    for (const std::size_t replica : emptied) {
+        known[replica].clear();
+    }
+    ++m_boot;
+    run(pause);
+    bootAll(std::move(known));
+}
+
+// Replicas first, then links between all of them, then the balancers of each data centre at its replicas in turn.
+void FleetModel::bootAll(std::vector<std::vector<TargetStatus>> known)
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        const Duration late = fraction(StartSpread, hashPair(m_seed + 2, m_boot << 32U | i));
+        at(m_now + late, [this, i, boot = m_boot, known = std::move(known[i])] {
+            Replica &replica = *m_replicas[i];
+            replica.links.model = this;
+            replica.links.owner = i;
+            timed(replica, [&] {
+                replica.exchange = std::make_unique<BasicTargetExchange<Links>>(replica.links, m_now, replica.place, AnnounceInterval, Borne);
+                replica.exchange->restore(m_now, known);
+            });
+            tick(i, boot);
+        });
+    }
+    for (std::size_t one = 0; one < m_replicas.size(); ++one) {
+        for (std::size_t other = 0; other < m_replicas.size(); ++other) {
+            const Duration late = fraction(StartSpread, hashPair(one, other << 32U | m_boot));
+            if (one != other) {
+                at(m_now + StartSpread + late, [this, one, other] {
+                    linkUp(one, other);
+                });
+            }
+        }
+    }
+    for (std::size_t i = 0; i < m_shape.dataCentres * m_shape.balancersEach; ++i) {
+        const DataCentreId dataCentre = DataCentreId(1 + i % m_shape.dataCentres);
+        const std::size_t followed = i % m_shape.dataCentres + m_shape.dataCentres * (hashPair(m_seed + 3, i) % m_shape.replicasEach);
+        at(m_now + 2 * StartSpread + fraction(StartSpread, hashPair(m_seed + 4, i)), [this, dataCentre, followed] {
+            Replica &replica = *m_replicas[followed];
+            replica.links.links[++m_lastLink] = {{ReplicaId{0}, dataCentre}, 0, false};
+            timed(replica, [&] {
+                replica.exchange->follow(m_now, m_lastLink, FollowDirectory{});
+            });
+        });
+    }
+}
+
+void FleetModel::linkUp(std::size_t dialler, std::size_t acceptor)
+{
+    Replica &one = *m_replicas[dialler];
+    Replica &other = *m_replicas[acceptor];
+    const ReplicaLinkId here = ++m_lastLink;
+    const ReplicaLinkId there = ++m_lastLink;
+    one.links.links[here] = {other.place, there, true};
+    other.links.links[there] = {one.place, here, false};
+    timed(one, [&] {
+        one.exchange->linked(other.place.replica, here);
+    });
+    timed(other, [&] {
+        other.exchange->linked(one.place.replica, there);
+    });
+}
+
+void FleetModel::deliver(std::size_t to, ReplicaLinkId link, const Bytes &message)
+{
+    Replica &replica = *m_replicas[to];
+    const auto at = replica.links.links.find(link);
+    if (at == replica.links.links.end()) {
+        return; // Lost with the link.
+    }
+    const ReplicaPlace peer = at->second.peer;
+    timed(replica, [&] {
+        if (const std::optional<NodeMessage> decoded = decodeMessage<NodeMessage>(message)) {
+            dispatch(replica, peer, link, *decoded);
+        }
+    });
+}
+
+void FleetModel::dispatch(Replica &replica, const ReplicaPlace &peer, ReplicaLinkId link, const NodeMessage &message)
+{
+    BasicTargetExchange<Links> &exchange = *replica.exchange;
+    if (const auto *news = std::get_if<TargetStatusList>(&message)) {
+        exchange.onNews(m_now, link, *news);
+    } else if (const auto *heard = std::get_if<TargetsHeard>(&message)) {
+        exchange.onHeard(m_now, link, *heard);
+    } else if (const auto *receipts = std::get_if<TargetReceipts>(&message)) {
+        exchange.onReceipts(m_now, peer, *receipts);
+    } else if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
+        exchange.onDigest(m_now, link, *digest);
+    } else if (const auto *compare = std::get_if<DirectoryCompare>(&message)) {
+        exchange.onCompare(m_now, link, *compare);
+    } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
+        exchange.onQuery(m_now, link, *query);
+    } else if (const auto *answered = std::get_if<DirectoryAnswered>(&message)) {
+        exchange.onAnswered(link, *answered);
+    }
+}
+
+void FleetModel::tick(std::size_t number, std::uint64_t boot)
+{
+    Replica &replica = *m_replicas[number];
+    if (boot != m_boot) {
+        return;
+    }
+    timed(replica, [&] {
+        replica.exchange->reconcile(m_now);
+        replica.exchange->publish(m_now);
+        replica.exchange->expireDrains(m_now);
+        if (m_now.time_since_epoch() / Tick % (Beat / Tick) == static_cast<std::int64_t>(number) % (Beat / Tick)) {
+            replica.exchange->beat(m_now);
+        }
+    });
+    at(m_now + Tick, [this, number, boot] {
+        tick(number, boot);
+    });
+}
+
+// ---- Targets ----
+
+TargetRecord FleetModel::recordOf(const Target &target) const
+{
+    TargetRecord record;
+    record.key = target.key;
+    record.service = value(target.key) % 5 == 0 ? "documents" : "quotes";
+    record.address = {target.address, 8080};
+    record.dataCentre = target.dataCentre;
+    record.slots = 2;
+    record.phase = target.phase;
+    record.sequence = target.sequence;
+    record.born = 1'700'000'000'000 + target.generation;
+    return record;
+}
+
+void FleetModel::announce(std::size_t number, std::uint64_t generation)
+{
+    Target &target = m_targets[number];
+    if (target.over || target.generation != generation) {
+        return;
+    }
+    ++target.sequence;
+    const std::size_t place = hashPair(value(target.key), 9) % m_shape.replicasEach;
+    Replica &replica = *m_replicas[value(target.dataCentre) - 1U + m_shape.dataCentres * place];
+    if (replica.exchange) {
+        timed(replica, [&] {
+            replica.exchange->announce(m_now, recordOf(target), [](bool) {});
+        });
+    }
+    at(m_now + AnnounceInterval, [this, number, generation] {
+        announce(number, generation);
+    });
+}
+
+void FleetModel::drain(std::size_t targetsEach, Duration within, Duration serveOn)
+{
+    const std::size_t count = targetsEach * m_shape.dataCentres;
+    for (std::size_t i = 0; i < std::min(count, m_targets.size()); ++i) {
+        at(m_now + Duration(within.count() * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(count)), [this, i, serveOn] {
+            drainTarget(i, serveOn);
+        });
+    }
+}
+
+void FleetModel::drainTarget(std::size_t number, Duration serveOn)
+{
+    Target &target = m_targets[number];
+    target.phase = TargetPhase::Draining;
+    ++target.sequence;
+    ++m_drainsAsked;
+    const std::size_t place = hashPair(value(target.key), 9) % m_shape.replicasEach;
+    Replica &replica = *m_replicas[value(target.dataCentre) - 1U + m_shape.dataCentres * place];
+    timed(replica, [&] {
+        replica.exchange->announce(m_now, recordOf(target), [this, began = m_now](bool taken) {
+            m_drainsAnswered += taken ? 1 : 0;
+            m_longestDrainAnswer = std::max(m_longestDrainAnswer, m_now - began);
+        });
+    });
+    at(m_now + serveOn, [this, number, &replica] {
+        Target &ending = m_targets[number];
+        ending.over = true;
+        timed(replica, [&] {
+            replica.exchange->leave(m_now, ending.key, 0, [](bool) {});
+        });
+    });
+}
+
+// ---- Figures ----
+
+FleetFigures FleetModel::takeFigures()
+{
+    FleetFigures figures;
+    for (const auto &replica : m_replicas) {
+        Links &links = replica->links;
+        const auto sent = [](const LinkTraffic &traffic, LinkDistance distance) {
+            return static_cast<double>(traffic.bytes(LinkDirection::Sent, distance));
+        };
+        figures.replicaBytes += sent(links.toReplicas, LinkDistance::Near) + sent(links.toReplicas, LinkDistance::Far);
+        figures.balancerBytes += sent(links.toBalancers, LinkDistance::Near) + sent(links.toBalancers, LinkDistance::Far);
+        figures.farBytes += sent(links.toReplicas, LinkDistance::Far) + sent(links.toBalancers, LinkDistance::Far);
+        figures.replicaMessages += static_cast<double>(std::exchange(links.messagesToReplicas, 0));
+        figures.busiestProcessorSeconds = std::max(figures.busiestProcessorSeconds, replica->processorSeconds);
+        figures.processorSeconds += std::exchange(replica->processorSeconds, 0.0);
+        links.toReplicas = {};
+        links.toBalancers = {};
+    }
+    const auto count = static_cast<double>(m_replicas.size());
+    for (double *sum : {&figures.replicaBytes, &figures.balancerBytes, &figures.farBytes, &figures.replicaMessages, &figures.processorSeconds}) {
+        *sum /= count;
+    }
+    return figures;
+}
+
+bool FleetModel::alike() const
+{
+    const auto digest = [this](const Replica &replica) {
+        TargetDirectory directory(AnnounceInterval, AnnounceInterval);
+        for (const TargetStatus &status : replica.exchange->all(m_now)) {
+            directory.take(m_now, status);
+        }
+        return directory.digest(MinDigestBuckets);
+    };
+    const std::vector<std::uint32_t> first = digest(*m_replicas.front());
+    return std::all_of(m_replicas.begin(), m_replicas.end(), [&](const auto &replica) {
+        return digest(*replica) == first;
+    });
+}
+
+Duration FleetModel::longestDrainAnswer() const
+{
+    return m_longestDrainAnswer;
+}
+
+std::size_t FleetModel::drainsUnanswered() const
+{
+    return m_drainsAsked - m_drainsAnswered;
+}
+
+} // namespace Robinrail
--- a/src/directory_digest.cpp
+++ b/src/directory_digest.cpp
@@ -22,9 +22,14 @@
 
 } // namespace
 
+bool DirectoryCompare::isSound() const
+{
+    return isBucketCount(buckets);
+}
+
 bool DirectoryDigest::isSound() const
 {
-    return isBucketCount(buckets.size());
+    return buckets.empty() || isBucketCount(buckets.size());
 }
 
 bool DirectoryQuery::isSound() const
@@ -54,6 +59,11 @@
     return static_cast<std::uint32_t>(hashPair(hashPair(lifetime, place), hashPair(shape, service)));
 }
 
+std::uint64_t digestHash(std::span<const std::uint32_t> buckets)
+{
+    return XXH3_64bits(buckets.data(), buckets.size_bytes());
+}
+
 std::vector<std::uint32_t> differingBuckets(std::span<const std::uint32_t> own, std::span<const std::uint32_t> other)
 {
     assert(own.size() == other.size());
--- a/src/directory_digest.h
+++ b/src/directory_digest.h
@@ -23,18 +23,30 @@
 inline constexpr std::size_t MinDigestBuckets = 16;
 inline constexpr std::size_t MaxDigestBuckets = 16384;
 
-// A replica to another one, on a link that has just come up: a hash for each part of its directory. The part of a target
-// follows from its key.
+// Asks a replica whether its directory is the same, by the hash of a digest of so many parts.
+struct DirectoryCompare {
+    std::uint32_t buckets = 0;
+    std::uint64_t hash = 0;
+
+    auto fields()
+    {
+        return std::tie(buckets, hash);
+    }
+
+    // Whether the number of parts is one that a replica sends.
+    bool isSound() const;
+};
+
+// The answer: a hash for each part, so many as were named in the question. The part of a target follows from its key.
 struct DirectoryDigest {
     bool informed = false; // All targets have had time to become known to the sender.
-    std::vector<std::uint32_t> buckets;
+    std::vector<std::uint32_t> buckets; // Empty: the directories are the same.
 
     auto fields()
     {
         return std::tie(informed, buckets);
     }
 
-    // Whether the number of parts is one that a replica sends.
     bool isSound() const;
 };
 
@@ -70,6 +82,9 @@
 // A hash of what replicas must agree on: the lifetime and what of it would be news. Not of what each announcement changes.
 std::uint32_t digestOf(const TargetRecord &record);
 
+// One hash for all parts.
+std::uint64_t digestHash(std::span<const std::uint32_t> buckets);
+
 // Parts whose hashes differ. Both must be of the same size.
 std::vector<std::uint32_t> differingBuckets(std::span<const std::uint32_t> own, std::span<const std::uint32_t> other);
 
--- a/src/directory_reconciler.cpp
+++ b/src/directory_reconciler.cpp
@@ -3,7 +3,6 @@
 #include "directory_reconciler.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Robinrail {
 
@@ -12,69 +11,77 @@
 {
 }
 
-void DirectoryReconciler::digest(ReplicaId peer, ReplicaLinkId link, DirectoryDigest digest)
+// Two replicas may have two links, one dialled by each; the later one may have come up after a loss, so it is asked.
+void DirectoryReconciler::linked(ReplicaId peer, ReplicaLinkId link)
 {
-    std::erase_if(m_waiting, [peer](const Waiting &each) {
-        return each.peer == peer;
+    std::erase_if(m_waiting, [peer](const Peer &each) {
+        return each.replica == peer;
     });
-    Waiting waiting{peer, link, std::move(digest)};
-    // Those that know all targets come first: balancers are served once one of them has answered.
-    if (waiting.digest.informed) {
-        const auto firstUninformed = std::find_if(m_waiting.begin(), m_waiting.end(), [](const Waiting &each) {
-            return !each.digest.informed;
-        });
-        m_waiting.insert(firstUninformed, std::move(waiting));
-    } else {
-        m_waiting.push_back(std::move(waiting));
-    }
+    m_waiting.push_back({peer, link});
 }
 
-void DirectoryReconciler::progressed(TimePoint now, ReplicaLinkId link)
+void DirectoryReconciler::closed(ReplicaLinkId link)
 {
-    if (m_asked && m_asked->link == link) {
-        m_progressAt = now;
+    std::erase_if(m_waiting, [link](const Peer &each) {
+        return each.link == link;
+    });
+    if (isAsked(link)) {
+        m_asked.reset();
     }
 }
 
-void DirectoryReconciler::answered(ReplicaLinkId link, const DirectoryAnswered &answer)
+std::optional<DirectoryReconciler::Question> DirectoryReconciler::ask(TimePoint now)
 {
-    if (m_asked && m_asked->link == link) {
-        m_informed = m_informed || answer.informed;
+    if (m_asked && now - m_progressAt >= ReconcileTimeout) {
+        m_waiting.push_back(*m_asked);
         m_asked.reset();
     }
+    if (m_asked || m_waiting.empty()) {
+        return std::nullopt;
+    }
+    m_asked = m_waiting.front();
+    m_waiting.pop_front();
+    m_progressAt = now;
+    m_buckets = digestBuckets(m_directory.size());
+    return Question{m_asked->link, {static_cast<std::uint32_t>(m_buckets), digestHash(m_directory.digest(m_buckets))}};
 }
 
-void DirectoryReconciler::closed(ReplicaLinkId link)
+std::optional<DirectoryQuery> DirectoryReconciler::digest(TimePoint now, ReplicaLinkId link, const DirectoryDigest &digest)
 {
-    std::erase_if(m_waiting, [link](const Waiting &each) {
-        return each.link == link;
-    });
-    if (m_asked && m_asked->link == link) {
+    if (!isAsked(link)) {
+        return std::nullopt;
+    }
+    DirectoryQuery query{static_cast<std::uint32_t>(m_buckets), {}};
+    if (digest.buckets.size() == m_buckets) {
+        query.wanted = differingBuckets(m_directory.digest(m_buckets), digest.buckets);
+    }
+    if (query.wanted.empty()) {
+        m_informed = m_informed || digest.informed;
         m_asked.reset();
+        return std::nullopt;
     }
+    m_progressAt = now;
+    return query;
 }
 
-std::optional<DirectoryReconciler::Question> DirectoryReconciler::ask(TimePoint now)
+void DirectoryReconciler::progressed(TimePoint now, ReplicaLinkId link)
 {
-    if (m_asked && now - m_progressAt >= ReconcileTimeout) {
-        m_waiting.push_back(std::move(*m_asked));
-        m_asked.reset();
-    }
-    while (!m_asked && !m_waiting.empty()) {
-        Waiting next = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        const std::vector<std::uint32_t> &theirs = next.digest.buckets;
-        DirectoryQuery query{static_cast<std::uint32_t>(theirs.size()), differingBuckets(m_directory.digest(theirs.size()), theirs)};
-        if (query.wanted.empty()) {
-            m_informed = m_informed || next.digest.informed;
-            continue;
-        }
-        const ReplicaLinkId link = next.link;
-        m_asked = std::move(next);
+    if (isAsked(link)) {
         m_progressAt = now;
-        return Question{link, std::move(query)};
     }
-    return std::nullopt;
+}
+
+void DirectoryReconciler::answered(ReplicaLinkId link, const DirectoryAnswered &answer)
+{
+    if (isAsked(link)) {
+        m_informed = m_informed || answer.informed;
+        m_asked.reset();
+    }
+}
+
+bool DirectoryReconciler::isAsked(ReplicaLinkId link) const
+{
+    return m_asked && m_asked->link == link;
 }
 
 bool DirectoryReconciler::informed() const
--- a/src/directory_reconciler.h
+++ b/src/directory_reconciler.h
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
-// Directory reconciler: a replica's side of finding out what other replicas know of the targets and it does not. One
-// replica is asked at a time, so that what all others know in the same words comes once and not once from each.
-// DirectoryAnswers is the other side.
+// Directory reconciler: a replica's side of finding out what other replicas know of the targets and it does not.
+//
+// Replicas are asked one after the other, each for a digest of that moment: what all others know comes once and not once
+// from each, and what is told meanwhile on the links that are up does not count as a difference. DirectoryAnswers is the
+// other side.
 #pragma once
 
 #include "directory_digest.h"
@@ -25,41 +27,41 @@
 public:
     struct Question {
         ReplicaLinkId link = 0;
-        DirectoryQuery query;
+        DirectoryCompare compare;
     };
 
     // Compares `directory`, which must outlive it, with those of others.
     explicit DirectoryReconciler(const TargetDirectory &directory);
 
-    // Another replica told what it holds; a later digest takes the place of the former one, whichever link it came on.
-    void digest(ReplicaId peer, ReplicaLinkId link, DirectoryDigest digest);
-
-    // Some of what was asked for may have come on this link.
-    void progressed(TimePoint now, ReplicaLinkId link);
-
-    // All that was asked for on this link has come.
-    void answered(ReplicaLinkId link, const DirectoryAnswered &answer);
-
-    // A link is gone.
+    // A link to another replica came up, whose directory is to be compared; is gone.
+    void linked(ReplicaId peer, ReplicaLinkId link);
     void closed(ReplicaLinkId link);
 
-    // Whom to ask now, for what; empty while a question is open or nothing is lacking.
+    // Whom to ask now; empty while a question is open, or all have been asked.
     std::optional<Question> ask(TimePoint now);
 
+    // The answer came. What to ask for, of that link; empty if nothing differs.
+    std::optional<DirectoryQuery> digest(TimePoint now, ReplicaLinkId link, const DirectoryDigest &digest);
+
+    // Some of what was asked for may have come on this link; all of it has.
+    void progressed(TimePoint now, ReplicaLinkId link);
+    void answered(ReplicaLinkId link, const DirectoryAnswered &answer);
+
     // Whether all that a replica held that knew of all targets was taken.
     bool informed() const;
 
 private:
-    struct Waiting {
-        ReplicaId peer{};
+    struct Peer {
+        ReplicaId replica{};
         ReplicaLinkId link = 0;
-        DirectoryDigest digest;
     };
+    bool isAsked(ReplicaLinkId link) const;
 
     const TargetDirectory &m_directory;
-    std::deque<Waiting> m_waiting;
-    std::optional<Waiting> m_asked;
+    std::deque<Peer> m_waiting;
+    std::optional<Peer> m_asked;
     TimePoint m_progressAt;
+    std::size_t m_buckets = 0; // Of the open question.
     bool m_informed = false;
 };
 
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -210,7 +210,8 @@
                                  FollowDirectory,
                                  DirectoryPage,
                                  DirectoryQuery,
-                                 DirectoryAnswered>;
+                                 DirectoryAnswered,
+                                 DirectoryCompare>;
 
 // What each kind of message is called in figures, in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<NodeMessage>> NodeMessageNames{"hello",
@@ -229,6 +230,7 @@
                                                                                                  "follow-directory",
                                                                                                  "directory-page",
                                                                                                  "directory-query",
-                                                                                                 "directory-answered"};
+                                                                                                 "directory-answered",
+                                                                                                 "directory-compare"};
 
 } // namespace Robinrail
--- a/src/replica_calls.cpp
+++ b/src/replica_calls.cpp
@@ -11,14 +11,14 @@
 
 void ReplicaNode::announce(const TargetRecord &record, Respond respond)
 {
-    m_targets.announce(record, [respond = std::move(respond)](bool taken) {
+    m_targets.announce(monotonicNow(), record, [respond = std::move(respond)](bool taken) {
         respond(taken ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
     });
 }
 
 void ReplicaNode::leave(TargetKey key, std::uint64_t born, Respond respond)
 {
-    m_targets.leave(key, born, [respond = std::move(respond)](bool taken) {
+    m_targets.leave(monotonicNow(), key, born, [respond = std::move(respond)](bool taken) {
         respond(taken ? ReplicaAnswer::Done : ReplicaAnswer::Unavailable);
     });
 }
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -309,7 +309,7 @@
             m_driver->core().setDataCentre(peer.replica, peer.dataCentre);
         }
         LogLine(LogLevel::Info, "replica-link-up").with("replica", toText(peer.replica));
-        m_targets.greet(now, link);
+        m_targets.linked(peer.replica, link);
     } else {
         m_links.send(link, replicaList());
         m_links.send(link, offer(now));
@@ -340,17 +340,19 @@
     if (const auto *envelope = std::get_if<RaftEnvelope>(&message)) {
         onRaft(*envelope);
     } else if (const auto *news = std::get_if<TargetStatusList>(&message)) {
-        m_targets.onNews(link, *news);
+        m_targets.onNews(monotonicNow(), link, *news);
     } else if (const auto *heard = std::get_if<TargetsHeard>(&message)) {
-        m_targets.onHeard(link, *heard);
+        m_targets.onHeard(monotonicNow(), link, *heard);
     } else if (const auto *offered = std::get_if<RoutingOffer>(&message)) {
         m_versions.sawInForce(offered->progress);
     } else if (const auto *receipts = std::get_if<TargetReceipts>(&message)) {
-        m_targets.onReceipts({peer.replica, peer.dataCentre}, *receipts);
+        m_targets.onReceipts(monotonicNow(), {peer.replica, peer.dataCentre}, *receipts);
     } else if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
-        m_targets.onDigest(peer.replica, link, *digest);
+        m_targets.onDigest(monotonicNow(), link, *digest);
+    } else if (const auto *compare = std::get_if<DirectoryCompare>(&message)) {
+        m_targets.onCompare(monotonicNow(), link, *compare);
     } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
-        m_targets.onQuery(link, *query);
+        m_targets.onQuery(monotonicNow(), link, *query);
     } else if (const auto *answered = std::get_if<DirectoryAnswered>(&message)) {
         m_targets.onAnswered(link, *answered);
     } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->finder.replica == peer.replica) {
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -138,7 +138,7 @@
     std::optional<Driver> m_driver; // Empty while the disk refuses to work.
     TimePoint m_storageDue;
     NodeLinks m_links;
-    TargetExchange m_targets;
+    BasicTargetExchange<NodeLinks> m_targets;
     TargetProber m_prober;
     BackgroundFile m_notes;
     bool m_notesDue = false;
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -10,7 +10,6 @@
 #include "log_budget.h"
 #include "metrics.h"
 #include "news_batch.h"
-#include "node_links.h"
 #include "target_probe.h"
 
 namespace Robinrail {
@@ -28,18 +27,33 @@
 // drains, which serves for seconds more; at 150 changes a second a batch saves six messages of seven.
 inline constexpr Duration PublishInterval = std::chrono::milliseconds(50);
 
-class TargetExchange
+// Links between replicas, and to the balancers that follow; NodeLinks are the real ones. Handles are never reused.
+template<typename L>
+concept ExchangeLinks = PageLinks<L> && requires(L &links, ReplicaLinkId link, std::span<const ReplicaLinkId> several, const NodeMessage &message)
+{
+    links.send(link, message);
+    links.sendAll(several, message);
+    {
+        links.isDialled(link)
+        } -> std::same_as<bool>;
+    {
+        links.dialled()
+        } -> std::same_as<std::vector<ReplicaLinkId>>;
+};
+
+template<ExchangeLinks Links>
+class BasicTargetExchange
 {
 public:
     // Whether a call was taken: the target is known, and if it drains or left, no borne loss can undo that.
     using Respond = std::function<void(bool taken)>;
 
     // The exchange of the replica `self`. Targets announce themselves once in `announceInterval`.
-    TargetExchange(NodeLinks &links, TimePoint now, const ReplicaPlace &self, Duration announceInterval, const LossTolerance &borne);
+    BasicTargetExchange(Links &links, TimePoint now, const ReplicaPlace &self, Duration announceInterval, const LossTolerance &borne);
 
     // Calls of the targets.
-    void announce(const TargetRecord &record, Respond respond);
-    void leave(TargetKey key, std::uint64_t born, Respond respond);
+    void announce(TimePoint now, const TargetRecord &record, Respond respond);
+    void leave(TimePoint now, TargetKey key, std::uint64_t born, Respond respond);
 
     // A balancer's targets that do not answer; each that may still be there is passed on.
     template<typename Probe>
@@ -54,28 +68,29 @@
     }
 
     // A balancer follows this replica's directory; its link is gone.
-    void follow(TimePoint now, LinkHandle link, const FollowDirectory &request);
-    void unfollow(LinkHandle link);
+    void follow(TimePoint now, ReplicaLinkId link, const FollowDirectory &request);
+    void unfollow(ReplicaLinkId link);
 
     // Tells other replicas and followers what changed, if that is due. Call it at each tick.
     void publish(TimePoint now);
 
     // What another replica says over its link.
-    void onNews(LinkHandle link, const TargetStatusList &list);
-    void onHeard(LinkHandle link, const TargetsHeard &beat);
-    void onReceipts(const ReplicaPlace &from, const TargetReceipts &list);
-    void onDigest(ReplicaId from, LinkHandle link, const DirectoryDigest &digest);
-    void onQuery(LinkHandle link, const DirectoryQuery &query);
-    void onAnswered(LinkHandle link, const DirectoryAnswered &answer);
+    void onNews(TimePoint now, ReplicaLinkId link, const TargetStatusList &list);
+    void onHeard(TimePoint now, ReplicaLinkId link, const TargetsHeard &beat);
+    void onReceipts(TimePoint now, const ReplicaPlace &from, const TargetReceipts &list);
+    void onCompare(TimePoint now, ReplicaLinkId link, const DirectoryCompare &compare);
+    void onDigest(TimePoint now, ReplicaLinkId link, const DirectoryDigest &digest);
+    void onQuery(TimePoint now, ReplicaLinkId link, const DirectoryQuery &query);
+    void onAnswered(ReplicaLinkId link, const DirectoryAnswered &answer);
 
     // A link to another replica is gone.
-    void closed(LinkHandle link);
+    void closed(ReplicaLinkId link);
 
     // Takes the targets that were known before a restart; they are heard as of now.
     void restore(TimePoint now, std::span<const TargetStatus> targets);
 
-    // Tells a replica whose link has just come up what is known, as a digest; it asks for what it lacks.
-    void greet(TimePoint now, LinkHandle link);
+    // A link to another replica has come up: its directory is to be compared.
+    void linked(ReplicaId peer, ReplicaLinkId link);
 
     // Asks and answers other replicas about parts that differ. Call it at each tick.
     void reconcile(TimePoint now);
@@ -99,15 +114,16 @@
     const LatencyHistogram &drainTimes() const;
 
 private:
-    void spread(const TargetStatus &news);
+    void spread(TimePoint now, const TargetStatus &news);
     void tellReplicas(TimePoint now);
     void tellFollowers(std::span<const TargetStatus> changed);
-    void confirm(const TargetRecord &record, Respond respond);
+    void confirm(TimePoint now, const TargetRecord &record, Respond respond);
     bool informed(TimePoint now) const;
     void logSilent(TimePoint now, const TargetStatus &news);
-    void refuseMalformed(std::string_view message);
+    void askNext(TimePoint now);
+    void refuseMalformed(TimePoint now, std::string_view message);
 
-    NodeLinks &m_links;
+    Links &m_links;
     Duration m_announceInterval;
     TargetDirectory m_directory;
     DirectoryPublisher m_publisher;
@@ -115,11 +131,11 @@
     NewsBatch m_news; // For the other replicas.
     HeardTargets m_heard;
     HeardElsewhere m_heardElsewhere;
-    std::vector<std::uint32_t> m_digest; // Of the directory as it is; empty if it has changed since.
     DirectoryReconciler m_reconciler;
     DirectoryAnswers m_answers;
     DrainConfirmations m_drains;
     TimePoint m_started;
+    TimePoint m_receiptsAt; // When the receipts came that are being taken.
     bool m_restored = false; // Targets were known from before the restart.
     bool m_changed = false;
     LogBudget m_newsLog;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -128,9 +128,9 @@
     'progress.listed.clear();' '*from the same life*,*ends alike*'
 mutate "directory: pages go out however slow the link" src/directory_publisher.h '&& links.buffered(id) < MaxBuffered' '' \
     '*leave room on its link*'
-mutate "digest: what differs is not asked for" src/directory_reconciler.cpp 'if (query.wanted.empty()) {' 'if (!next.digest.buckets.empty()) {' \
+mutate "digest: what differs is not asked for" src/directory_reconciler.cpp 'if (query.wanted.empty()) {' 'if (m_buckets != 0) {' \
     '*few targets that differ*,*each target once*'
-mutate "digest: all replicas are asked at once" src/directory_reconciler.cpp 'while (!m_asked && !m_waiting.empty()) {' 'while (!m_waiting.empty()) {' \
+mutate "digest: all replicas are asked at once" src/directory_reconciler.cpp 'if (m_asked || m_waiting.empty()) {' 'if (m_waiting.empty()) {' \
     '*each target once*'
 mutate "digest: one that fell silent is waited for" src/directory_reconciler.cpp 'now - m_progressAt >= ReconcileTimeout' 'now < m_progressAt' \
     '*keeps no other from being asked*'
--- a/tests/test_directory_digest.cpp
+++ b/tests/test_directory_digest.cpp
@@ -91,9 +91,7 @@
     void linkUp(std::size_t one, std::size_t other)
     {
         for (const auto &[from, to] : {std::pair(one, other), std::pair(other, one)}) {
-            Replica &sender = replicas[from];
-            const TargetDirectory &directory = sender.directory;
-            send(from, to, DirectoryDigest{sender.informed(), directory.digest(digestBuckets(directory.size()))});
+            replicas[from].reconciler.linked(ReplicaId{static_cast<std::uint32_t>(to + 1)}, to);
         }
     }
 
@@ -133,7 +131,7 @@
         for (std::size_t self = 0; self < replicas.size(); ++self) {
             Replica &replica = replicas[self];
             if (const auto question = replica.reconciler.ask(now)) {
-                send(self, question->link, question->query);
+                send(self, question->link, question->compare);
             }
             replica.answers.turn(now, replica.informed(), replica.links);
         }
@@ -144,7 +142,16 @@
         Replica &replica = replicas[to];
         if (const auto *digest = std::get_if<DirectoryDigest>(&message)) {
             REQUIRE(digest->isSound());
-            replica.reconciler.digest(ReplicaId{static_cast<std::uint32_t>(from)}, from, *digest);
+            if (const auto question = replica.reconciler.digest(now, from, *digest)) {
+                send(to, from, *question);
+            }
+        } else if (const auto *compare = std::get_if<DirectoryCompare>(&message)) {
+            REQUIRE(compare->isSound());
+            DirectoryDigest answer{replica.informed(), replica.directory.digest(compare->buckets)};
+            if (digestHash(answer.buckets) == compare->hash) {
+                answer.buckets.clear();
+            }
+            send(to, from, answer);
         } else if (const auto *query = std::get_if<DirectoryQuery>(&message)) {
             REQUIRE(query->isSound());
             replica.answers.begin(from, *query);
@@ -220,9 +227,12 @@
 
 TEST_CASE("a digest of a number of parts that no replica sends is refused, and so is a question beyond its parts")
 {
-    for (const std::size_t size : {0U, 1U, 8U, 17U, 100U, 32768U}) {
+    for (const std::uint32_t size : {1U, 8U, 17U, 100U, 32768U}) {
         CHECK_FALSE(DirectoryDigest{true, std::vector<std::uint32_t>(size)}.isSound());
+        CHECK_FALSE(DirectoryCompare{size, 1}.isSound());
     }
+    CHECK_FALSE(DirectoryCompare{0, 1}.isSound());
+    CHECK(DirectoryDigest{true, {}}.isSound()); // The directories are the same.
     CHECK(DirectoryDigest{true, std::vector<std::uint32_t>(MaxDigestBuckets)}.isSound());
     CHECK(DirectoryQuery{16, {0, 15}}.isSound());
     CHECK_FALSE(DirectoryQuery{16, {16}}.isSound());
@@ -243,8 +253,12 @@
             }
         }
         cluster.linkAll();
-        cluster.turns(20);
+        cluster.turns(static_cast<int>(4 * size));
         CHECK(cluster.records() == 0);
+        constexpr std::uint64_t WordBytes = 40; // To say that directories are the same takes a question and an answer.
+        for (const Replica &replica : cluster.replicas) {
+            CHECK(replica.links.bytes <= 2 * size * WordBytes);
+        }
     }
 }
 
@@ -260,7 +274,7 @@
         }
         cluster.replicas[0].knowsAll = false;
         cluster.linkAll();
-        cluster.turns(60);
+        cluster.turns(160);
         CHECK(cluster.replicas[0].directory.size() == Targets);
         CHECK(cluster.replicas[0].informed());
         CHECK(cluster.records() == Targets);
@@ -300,23 +314,53 @@
         cluster.replicas[i].take(Start, targetOf(1));
         cluster.replicas[i].take(Start, targetOf(1 + i));
     }
-    Replica &asker = cluster.replicas[0];
-    for (std::size_t i = 1; i < 3; ++i) {
-        const TargetDirectory &directory = cluster.replicas[i].directory;
-        asker.reconciler.digest(ReplicaId{static_cast<std::uint32_t>(i)}, i, {true, directory.digest(MinDigestBuckets)});
-    }
-    const auto first = asker.reconciler.ask(Start);
+    DirectoryReconciler &asker = cluster.replicas[0].reconciler;
+    const auto digestOfPeer = [&cluster](ReplicaLinkId link, std::size_t buckets) {
+        return DirectoryDigest{true, cluster.replicas[link].directory.digest(buckets)};
+    };
+    asker.linked(ReplicaId{1}, 1);
+    asker.linked(ReplicaId{2}, 2);
+    const auto first = asker.ask(Start);
     REQUIRE(first);
-    CHECK_FALSE(asker.reconciler.ask(Start + ReconcileTimeout - Turn));
-    asker.reconciler.progressed(Start + ReconcileTimeout - Turn, first->link);
-    CHECK_FALSE(asker.reconciler.ask(Start + ReconcileTimeout));
-    const auto second = asker.reconciler.ask(Start + 2 * ReconcileTimeout);
+    CHECK_FALSE(asker.ask(Start + ReconcileTimeout - Turn));
+    CHECK(asker.digest(Start + ReconcileTimeout - Turn, first->link, digestOfPeer(first->link, first->compare.buckets)));
+    CHECK_FALSE(asker.ask(Start + ReconcileTimeout));
+    asker.progressed(Start + ReconcileTimeout, first->link);
+    CHECK_FALSE(asker.ask(Start + 2 * ReconcileTimeout - Turn));
+    const auto second = asker.ask(Start + 2 * ReconcileTimeout);
     REQUIRE(second);
     CHECK(second->link != first->link);
-    asker.reconciler.closed(second->link);
-    const auto again = asker.reconciler.ask(Start + 2 * ReconcileTimeout);
+    // What the first one still sends is no answer to the second question.
+    CHECK_FALSE(asker.digest(Start, first->link, digestOfPeer(first->link, first->compare.buckets)));
+    asker.answered(first->link, {true});
+    CHECK_FALSE(asker.informed());
+    asker.closed(second->link);
+    const auto again = asker.ask(Start + 2 * ReconcileTimeout);
     REQUIRE(again);
     CHECK(again->link == first->link);
+    asker.answered(again->link, {true});
+    CHECK(asker.informed());
+}
+
+// Targets announce themselves by the thousand just when replicas link up, and each is told of on all links that are up.
+TEST_CASE("while targets come up replicas ask each other for no more than what came within a question and its answer")
+{
+    constexpr std::size_t Size = 10;
+    constexpr std::uint64_t Targets = 2000;
+    constexpr std::uint64_t TargetsPerTurn = 20;
+    Cluster cluster(Size);
+    cluster.linkAll();
+    for (std::uint64_t key = 1; key <= Targets; ++key) {
+        for (Replica &replica : cluster.replicas) {
+            replica.take(cluster.now, targetOf(key));
+        }
+        if (key % TargetsPerTurn == 0) {
+            cluster.turn();
+        }
+    }
+    cluster.turns(100);
+    CHECK(cluster.alike());
+    CHECK(cluster.records() <= Size * (Size - 1) * 2 * TargetsPerTurn * 2 * TargetsPerBucket);
 }
 
 TEST_CASE("through losses of links and changes replicas end alike once their links stay up")
