Take in all replicas that ask by one step, and tell balancers of replicas together

Cause: at the first start of a fleet each replica but the seeds was a configuration change of its own, 0.1 s each, and each change sent the list of replicas to all balancers of each replica. After a loss of all power the places of replicas had to be learnt anew.

Ruled out: patience of balancers at a first start: longer than the joining takes, and lost where a data centre has no replica.

Change: learners count in no quorum, so one step takes in all that ask. The list is told at once after a pause and then each 100 ms at most. Recovery notes keep where replicas are; older notes are read.

Figures, in virtual time: log entries until all are members, 25 replicas against 6: at most 4 more (19 before).

--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -204,7 +204,7 @@
     void commitTo(LogIndex index);
     void confirmReads();
     void maintainMembers(TimePoint now);
-    bool takeInJoiner(TimePoint now, ClusterConfig &config) const;
+    bool takeInJoiners(TimePoint now, ClusterConfig &config) const;
     bool replaceOrAddVoter(TimePoint now, ClusterConfig &config) const;
     bool retireVoter(TimePoint now, ClusterConfig &config) const;
     bool dropLearner(TimePoint now, ClusterConfig &config) const;
--- a/src/raft_members.cpp
+++ b/src/raft_members.cpp
@@ -29,9 +29,10 @@
     return config;
 }
 
-// Takes joiners in, one step at a time: first as a learner; when it has caught up, the voter that its
+// Takes joiners in, one step at a time: first as learners; when one has caught up, the voter that its
 // replica was on its lost disk is removed; then it becomes a voter. So a repaired replica counts only
-// with a full log, and the loss of a second one after that loses nothing.
+// with a full log, and the loss of a second one after that loses nothing. Learners count in no quorum, so one
+// step takes in all that ask: at the first start of a fleet that is every replica but the seeds.
 void RaftCore::maintainMembers(TimePoint now)
 {
     if (configPending() || termAt(m_commit) != m_hard.term) {
@@ -41,23 +42,24 @@
         return now - joiner.second >= JoinMemory;
     });
     ClusterConfig changed = config();
-    if (takeInJoiner(now, changed) || retireVoter(now, changed) || replaceOrAddVoter(now, changed) || dropLearner(now, changed)) {
+    if (takeInJoiners(now, changed) || retireVoter(now, changed) || replaceOrAddVoter(now, changed) || dropLearner(now, changed)) {
         proposeConfig(now, changed);
     }
 }
 
-bool RaftCore::takeInJoiner(TimePoint now, ClusterConfig &config) const
+bool RaftCore::takeInJoiners(TimePoint now, ClusterConfig &config) const
 {
+    bool any = false;
     for (const auto &[joiner, asked] : m_joiners) {
         const auto known = std::find_if(config.members.begin(), config.members.end(), [&joiner = joiner](const ReplicaMember &member) {
             return member.key == joiner;
         });
         if (known == config.members.end() && joiner.id != m_self.id && now >= asked) {
             config.members.push_back({joiner, false});
-            return true;
+            any = true;
         }
     }
-    return false;
+    return any;
 }
 
 // A replica's vote on a lost disk is gone for good, so that voter leaves before its successor votes. A voter
--- a/src/recovery_notes.h
+++ b/src/recovery_notes.h
@@ -4,8 +4,7 @@
 #pragma once
 
 #include "codec.h"
-#include "raft_message.h"
-#include "target_record.h"
+#include "node_message.h"
 
 namespace Robinrail {
 
@@ -13,10 +12,13 @@
     std::uint64_t disk = 0; // Whose log this is about.
     LogIndex committed{}; // Entries up to here are committed, which never stops being true.
     std::vector<TargetStatus> targets; // As last known.
+    std::vector<ReplicaPlace> replicas; // Where they were; balancers look for those of their own data centre.
+
+    static constexpr std::size_t OldestFields = 3;
 
     auto fields()
     {
-        return std::tie(disk, committed, targets);
+        return std::tie(disk, committed, targets, replicas);
     }
 };
 
--- a/src/replica_members.cpp
+++ b/src/replica_members.cpp
@@ -32,10 +32,22 @@
     for (const ReplicaMember &member : config.members) {
         voters += (voters.empty() ? "" : ",") + toText(member.key.id) + (member.voter ? "" : "(learner)");
     }
-    m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), replicaList());
+    m_listDue = true;
+    tellReplicaList(monotonicNow());
     LogLine(LogLevel::Info, "members-changed").with("members", voters).with("term", value(raft().term()));
 }
 
+// The first change after a pause is told at once. Those that follow share a message: when a fleet starts, each replica
+// learns of all others within a second, and has hundreds of balancers to tell.
+void ReplicaNode::tellReplicaList(TimePoint now)
+{
+    if (m_listDue && now >= m_nextList) {
+        m_listDue = false;
+        m_nextList = now + ReplicaListInterval;
+        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), replicaList());
+    }
+}
+
 ReplicaList ReplicaNode::replicaList() const
 {
     ReplicaList list{{{m_self, m_file.dataCentreId(m_file.dataCentre)}}};
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -101,6 +101,9 @@
             const RecoveryNotes notes = readRecoveryNotes(m_file.dataFolder / NotesFile, disk);
             m_driver.emplace(std::move(storage), now, std::random_device()(), policyOf(m_file), notes.committed);
             m_targets.restore(now, notes.targets);
+            for (const ReplicaPlace &known : notes.replicas) {
+                m_dataCentres.try_emplace(known.replica, known.dataCentre);
+            }
             m_dataCentres[m_self] = m_file.dataCentreId(m_file.dataCentre);
             for (const auto &[replica, dataCentre] : m_dataCentres) {
                 m_driver->core().setDataCentre(replica, dataCentre);
@@ -125,7 +128,7 @@
     if (!m_notesDue || !m_driver) {
         return;
     }
-    RecoveryNotes notes{m_driver->self().disk, raft().commitIndex(), m_targets.all(monotonicNow())};
+    RecoveryNotes notes{m_driver->self().disk, raft().commitIndex(), m_targets.all(monotonicNow()), replicaList().replicas};
     m_notesDue = !m_notes.replace(encodeNotes(notes));
 }
 
@@ -156,6 +159,7 @@
         flush();
     }
     beat(now);
+    tellReplicaList(now);
     tellUnreachable(now);
     m_targets.reconcile(now);
     m_targets.publish(now);
@@ -303,7 +307,8 @@
         const bool moved = std::exchange(m_dataCentres[peer.replica], peer.dataCentre) != peer.dataCentre;
         if (moved) {
             // Balancers of its data centre look for it there.
-            m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), replicaList());
+            m_listDue = true;
+            tellReplicaList(now);
         }
         if (m_driver) {
             m_driver->core().setDataCentre(peer.replica, peer.dataCentre);
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -34,6 +34,9 @@
 // Replicas tell each other this often whom they heard, and all linked nodes which version is in force.
 inline constexpr Duration ReplicaBeatInterval = std::chrono::milliseconds(500);
 
+// Balancers are told where replicas are this often at most.
+inline constexpr Duration ReplicaListInterval = std::chrono::milliseconds(100);
+
 // A disk that refused a write is tried again this often.
 inline constexpr Duration StorageRetry = std::chrono::milliseconds(500);
 
@@ -116,6 +119,7 @@
     RoutingOffer offer(TimePoint now) const;
     void offerRouting();
     ReplicaList replicaList() const;
+    void tellReplicaList(TimePoint now);
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onUnanswered(const NodeHello &peer, const TargetsUnanswered &list);
     void probe(const TargetsUnanswered &list);
@@ -148,6 +152,8 @@
     bool m_flushScheduled = false;
     TimePoint m_nextJoin;
     TimePoint m_nextBeat;
+    TimePoint m_nextList;
+    bool m_listDue = false; // Balancers must hear of a change of the replicas or of where they are.
     RoutingOffer m_offered; // What the balancers were last told.
     VersionWatch m_versions; // Of the other replicas.
     Bytes m_encodedTable; // As a message, of m_encodedVersion.
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -305,6 +305,30 @@
     CHECK(cluster.answersTo(change.change).front().version == 1);
 }
 
+// Steps that a cluster takes from its start until all are members, of which five vote.
+std::uint64_t stepsUntilSettled(int replicas)
+{
+    ClusterOptions options;
+    options.replicas = replicas;
+    options.seeds = 3;
+    options.policy.wantedVoters = 5;
+    options.policy.copies = 3;
+    ControlCluster cluster(options);
+    REQUIRE(cluster.runUntil([&] {
+        return cluster.settled();
+    }));
+    CHECK(cluster.violation().empty());
+    CHECK(cluster.voters() == 5);
+    return value(cluster.core(cluster.leader()).raft().lastIndex());
+}
+
+TEST_CASE("a fleet of replicas that starts is taken in by a few steps, not by one for each")
+{
+    const std::uint64_t few = stepsUntilSettled(6);
+    const std::uint64_t many = stepsUntilSettled(25);
+    CHECK(many <= few + 4); // Nineteen more replicas.
+}
+
 TEST_CASE("of two changes with equal numbers one wins and the other is told the winner")
 {
     ControlCluster cluster({});
--- a/tests/test_replica.cpp
+++ b/tests/test_replica.cpp
@@ -119,13 +119,36 @@
     const Folder folder;
     const fs::path path = folder.path() / "notes";
     CHECK(value(readRecoveryNotes(path, 9).committed) == 0);
-    const Bytes bytes = encodeNotes({9, LogIndex{12}, {}});
+    const Bytes bytes = encodeNotes({9, LogIndex{12}, {}, {{ReplicaId{4}, DataCentreId{2}}}});
     std::ofstream(path, std::ios::binary).write(reinterpret_cast<const char *>(bytes.data()), static_cast<std::streamsize>(bytes.size()));
     CHECK(value(readRecoveryNotes(path, 9).committed) == 12);
     CHECK(value(readRecoveryNotes(path, 8).committed) == 0);
     CHECK(value(readRecoveryNotes(folder.path(), 9).committed) == 0);
 }
 
+struct NotesWithoutPlaces {
+    std::uint64_t disk = 0;
+    LogIndex committed{};
+    std::vector<TargetStatus> targets;
+
+    auto fields()
+    {
+        return std::tie(disk, committed, targets);
+    }
+};
+
+TEST_CASE("recovery notes tell where replicas are, and those of the release before are read")
+{
+    const ReplicaPlace place{ReplicaId{4}, DataCentreId{2}};
+    const std::optional<RecoveryNotes> notes = decodeNotes(encodeNotes({9, LogIndex{12}, {}, {place}}));
+    REQUIRE(notes);
+    CHECK(notes->replicas == std::vector{place});
+    const std::optional<RecoveryNotes> older = decodeNotes(encodeMessage(std::variant<NotesWithoutPlaces>(NotesWithoutPlaces{9, LogIndex{12}, {}})));
+    REQUIRE(older);
+    CHECK(older->committed == LogIndex{12});
+    CHECK(older->replicas.empty());
+}
+
 TEST_CASE("a file that can't be replaced in the background is counted")
 {
     const Folder folder;
