--- a/src/prober_choice.h
+++ b/src/prober_choice.h
@@ -29,6 +29,7 @@
     });
     std::map<DataCentreId, std::size_t> taken;
     std::vector<std::pair<std::size_t, ReplicaId>> rounds; // In which round through the data centres it has its turn.
+    rounds.reserve(ranked.size());
     for (const ReplicaPlace &place : ranked) {
         rounds.emplace_back(taken[place.dataCentre]++, place.replica);
     }
