--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -117,10 +117,9 @@
     toReplicas.count(LinkDirection::Sent, distance, message);
     ++messagesToReplicas;
     const auto peer = static_cast<std::size_t>(value(link.peer.replica)) - 1;
-    model->at(model->m_now + (distance == LinkDistance::Near ? NearDelay : FarDelay),
-              [target = model, peer, peerLink = link.peerLink, bytes = message] {
-                  target->deliver(peer, peerLink, bytes);
-              });
+    model->at(model->m_now + (distance == LinkDistance::Near ? NearDelay : FarDelay), [target = model, peer, peerLink = link.peerLink, bytes = message] {
+        target->deliver(peer, peerLink, bytes);
+    });
 }
 
 FleetModel::FleetModel(const FleetShape &shape, std::uint64_t seed)
