--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -140,9 +140,9 @@
     '*confirmed once*,*follows the time that it takes*'
 mutate "loss: the word of one data centre is enough" src/loss_tolerance.h 'places.size() > dataCentres' '!places.empty()' \
     '*data centre alone*,*all replicas of one data centre*'
-mutate "beats: the word of a lost link stays" src/heard_targets.cpp 'm_links.erase(link);' '' '*lost link ends that word*'
+mutate "beats: the word of a lost link stays" src/heard_targets.cpp 'm_links.erase(link);' 'm_links.try_emplace(link);' '*lost link ends that word*'
 mutate "beats: when a missed target was heard is left out" src/target_directory.cpp 'std::min(found->second.heard, now - target.age)' \
-    'found->second.heard' '*silent target is found elsewhere*'
+    'std::max(found->second.heard, now - target.age)' '*silent target is found elsewhere*'
 mutate "probers: those of one data centre first" src/prober_choice.h 'taken[place.dataCentre]++' '0 * taken[place.dataCentre]++' \
     '*same few for all*'
 mutate "replica choice: a replica without a quorum is followed on" src/replica_choice.cpp 'now - at->second.confirmedAt < HealthyFor' \
