Routes carry priority, latency objective and time-out to balancers

Cause: a balancer that has to refuse new flows under overload does not know which are urgent, as the document's priority and times were read only to validate them. Change: RoutingTable::objectives, by route index; tables of earlier releases decode with none.

--- a/src/routing_table.h
+++ b/src/routing_table.h
@@ -49,6 +49,20 @@
     }
 };
 
+// What the requests of a route need, for admission control. Zeros: not specified.
+struct RequestObjective {
+    std::uint8_t priority = 0; // 0 is the most urgent.
+    Duration latency{}; // Objective, from the caller's first attempt to the whole answer.
+    Duration timeout{};
+
+    bool operator==(const RequestObjective &) const = default;
+
+    auto fields()
+    {
+        return std::tie(priority, latency, timeout);
+    }
+};
+
 struct RoutingTable {
     std::uint64_t version = 0; // 0: none.
     Duration idleTimeout{}; // A flow without packets for this long may be removed.
@@ -56,19 +70,28 @@
     std::vector<Route> routes;
     std::vector<ServiceWarmup> warmups; // By service index; services beyond the end have no warm-up specified.
 
+    std::vector<RequestObjective> objectives; // By route index; routes beyond the end have none specified.
+
     static constexpr std::size_t OldestFields = 4;
 
     bool operator==(const RoutingTable &) const = default;
 
     auto fields()
     {
-        return std::tie(version, idleTimeout, services, routes, warmups);
+        return std::tie(version, idleTimeout, services, routes, warmups, objectives);
     }
 
     ServiceWarmup warmupOf(std::uint16_t service) const
     {
         return service < warmups.size() ? warmups[service] : ServiceWarmup{};
     }
+
+    // `route`: one of `routes`.
+    RequestObjective objectiveOf(const Route &route) const
+    {
+        const auto index = static_cast<std::size_t>(&route - routes.data());
+        return index < objectives.size() ? objectives[index] : RequestObjective{};
+    }
 };
 
 // Limits of a table; larger ones are rejected.
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -107,6 +107,21 @@
     CHECK(document->table.routes[1].address == Endpoint{0xc6120001, 8443});
 }
 
+// Guards against admission by wrong priorities, and against the rejection of a document for a time with a fraction.
+TEST_CASE("priority and times of a route are parsed, and are 0 if absent")
+{
+    const std::string text = documentWithRoutes(routeWith(R"(, "service": "a", "timeout_ms": 4000, "target_latency_ms": 400.0, "priority": 2)") + ","
+                                                + routeWith(R"(, "service": "a", "priority": 1000)", "/8443/"));
+    std::string reason;
+    const std::optional<RoutingDocument> document = parseRoutingDocument(text, reason);
+    REQUIRE(document);
+    const RoutingTable &table = document->table;
+    CHECK(table.objectiveOf(table.routes[0]) == RequestObjective{2, std::chrono::milliseconds(400), std::chrono::seconds(4)});
+    CHECK(table.objectiveOf(table.routes[1]) == RequestObjective{255, Duration{0}, Duration{0}});
+    CHECK_FALSE(isValidDocument(documentWithRoutes(routeWith(R"(, "service": "a", "priority": -1)"))));
+    CHECK_FALSE(isValidDocument(documentWithRoutes(routeWith(R"(, "service": "a", "target_latency_ms": "soon")"))));
+}
+
 TEST_CASE("invalid routing documents are rejected")
 {
     const std::string wellFormed = routeWith(R"(, "service": "a")");
