--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -2,6 +2,7 @@
 // Flow steering: implementation.
 #include "flow_steering.h"
 
+#include "hash.h"
 #include "target_directory.h"
 #include "target_probe.h"
 
@@ -30,6 +31,7 @@
                                                                            "target-gone",
                                                                            "unknown-token",
                                                                            "not-informed",
+                                                                           "overloaded",
                                                                            "late-opening"};
 
 } // namespace
@@ -40,8 +42,9 @@
 }
 
 template<TargetSelectionPolicy Policy>
-BasicFlowSteering<Policy>::BasicFlowSteering(DataCentreId dataCentre)
+BasicFlowSteering<Policy>::BasicFlowSteering(DataCentreId dataCentre, double linkBytesPerSecond)
     : m_dataCentre(dataCentre)
+    , m_admission(dataCentre, linkBytesPerSecond)
 {
 }
 
@@ -50,7 +53,32 @@
 template<TargetSelectionPolicy Policy>
 bool BasicFlowSteering<Policy>::apply(const RoutingTable &table)
 {
-    return m_routes.apply(table);
+    const std::vector<std::string> services = m_routes.table().services;
+    if (!m_routes.apply(table)) {
+        return false;
+    }
+    m_usableDataCentres.clear();
+    if (m_routes.table().services != services) {
+        indexServices();
+    }
+    return true;
+}
+
+// Pools are identified by the index of their service, so they start again when the services change.
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::indexServices()
+{
+    m_admission.reset();
+    m_serviceIndices.clear();
+    for (const std::string &service : m_routes.table().services) {
+        m_serviceIndices.emplace(service, static_cast<std::uint16_t>(m_serviceIndices.size()));
+    }
+}
+
+template<TargetSelectionPolicy Policy>
+std::string BasicFlowSteering<Policy>::serviceName(std::uint16_t service) const
+{
+    return service < m_routes.table().services.size() ? m_routes.table().services[service] : std::string();
 }
 
 template<TargetSelectionPolicy Policy>
@@ -62,6 +90,7 @@
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::setDrained(TimePoint now, std::span<const DataCentreId> drained)
 {
+    m_usableDataCentres.clear();
     for (const DataCentreId dataCentre : m_routes.setDrained(drained)) {
         m_targets.startWarmup(dataCentre, now + m_routes.longestWarmup());
     }
@@ -97,6 +126,9 @@
     }
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = findOrAdd(now, key);
+    if (flow != nullptr && flow->refused && packet.copy > 0) {
+        return refuse(now, packet, *flow);
+    }
     SteeringReason reason = SteeringReason::NewFlow;
     FlowToken avoid{};
     // A retransmission for an open flow must not open it at a second target. A first copy is a new flow that reuses the port.
@@ -117,7 +149,20 @@
             reason = SteeringReason::OtherTarget;
         }
     }
-    const SelectionContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
+    SelectionContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
+    // Only a first copy that was not forwarded here may be refused: any other may have opened its flow at a target.
+    if (flow != nullptr && value(flow->target) == 0 && packet.copy == 0) {
+        const std::uint16_t service = serviceOf(*route, context.flowHash);
+        const std::uint64_t callerHash = hashPair(packet.caller.address, 0);
+        const AdmissionDecision admission =
+            m_admission.decide(now, service, m_routes.table().objectiveOf(*route), callerHash, usableDataCentres(now, service));
+        if (admission.verdict == AdmissionVerdict::RefusedByPools || admission.verdict == AdmissionVerdict::RefusedByLink) {
+            return refuse(now, packet, *flow);
+        }
+        if (admission.verdict == AdmissionVerdict::DataCentre) {
+            context.only = admission.dataCentre;
+        }
+    }
     SteeredTarget *target = choose(context, *route, avoid);
     if (target == nullptr) {
         return m_informed ? reset(SteeringReason::NoTarget, packet) : hold(SteeringReason::NotInformed);
@@ -128,6 +173,7 @@
         flow->sentAt = CoarseTime(now);
         flow->openingSeenHere = true;
         flow->open = false;
+        flow->refused = false;
     }
     return forward(reason, *target);
 }
@@ -179,6 +225,7 @@
     }
     if (answered && flow.busy) {
         m_answerTimes.record(flow.sentAt.elapsed(now));
+        recordAnswer(now, target, flow.sentAt.elapsed(now));
     }
     flow.open = true;
     if (answered) {
@@ -243,7 +290,8 @@
     };
     const bool excludeWarming = m_routes.table().warmupOf(service).limited;
     const auto eligible = [&](const SteeredTarget &target) {
-        return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd);
+        return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd)
+            && (!context.only || target.record.dataCentre == *context.only);
     };
     const std::span<SteeredTarget *const> targets = m_targets.ofService(m_routes.table().services[service]);
     for (const Impairment worst : {Impairment::None, Impairment::Suspect, Impairment::Silent, Impairment::Avoided}) {
@@ -282,6 +330,57 @@
     return route.services.front().service;
 }
 
+// ---- Admission ----
+
+// Refuses a new flow without a word to any target.
+template<TargetSelectionPolicy Policy>
+SteeringDecision BasicFlowSteering<Policy>::refuse(TimePoint now, const FlowPacket &packet, Flow &flow)
+{
+    release(flow);
+    flow = Flow{};
+    flow.lastSeen = CoarseTime(now);
+    flow.refused = true;
+    return {SteeringAction::Reset, SteeringReason::Overloaded, {}, {}, {}, packet.opening ? 0 : packet.acknowledged};
+}
+
+// The data centres with targets of a service that may get new flows; computed once per tick, as it is needed for each new flow.
+template<TargetSelectionPolicy Policy>
+std::span<const DataCentreId> BasicFlowSteering<Policy>::usableDataCentres(TimePoint now, std::uint16_t service)
+{
+    const auto [at, added] = m_usableDataCentres.try_emplace(service);
+    if (added) {
+        const bool excludeWarming = m_routes.table().warmupOf(service).limited;
+        for (const SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
+            const bool usable = acceptsNewFlows(*target) && m_targets.reportedAlive(*target) && !(excludeWarming && now < target->warmupEnd);
+            if (usable && std::find(at->second.begin(), at->second.end(), target->record.dataCentre) == at->second.end()) {
+                at->second.push_back(target->record.dataCentre);
+            }
+        }
+    }
+    return at->second;
+}
+
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::recordAnswer(TimePoint now, const SteeredTarget &target, Duration answerTime)
+{
+    const auto service = m_serviceIndices.find(target.record.service);
+    if (service != m_serviceIndices.end()) {
+        m_admission.recordAnswer(now, {service->second, target.record.dataCentre}, answerTime);
+    }
+}
+
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::recordBytes(std::size_t received, std::size_t sent)
+{
+    m_admission.recordBytes(received, sent);
+}
+
+template<TargetSelectionPolicy Policy>
+const AdmissionControl &BasicFlowSteering<Policy>::admission() const
+{
+    return m_admission;
+}
+
 // ---- Flows ----
 
 template<TargetSelectionPolicy Policy>
@@ -374,6 +473,8 @@
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::tick(TimePoint now)
 {
+    m_admission.tick(now);
+    m_usableDataCentres.clear();
     if (now < m_sweepDue) {
         return;
     }
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -5,6 +5,7 @@
 // choice of targets for new flows. Related: Cheetah (Barbette et al., NSDI 2020) and QUIC-LB.
 #pragma once
 
+#include "admission_control.h"
 #include "metrics.h"
 #include "steering_routes.h"
 #include "target_selection.h"
@@ -54,10 +55,11 @@
     TargetGone, // The target was recently marked as gone; the flow may be new to this balancer.
     UnknownToken,
     NotInformed, // This balancer has just started and may not know the route or its targets yet.
+    Overloaded, // The targets that may be used, or this balancer's link, can take no more new flows.
     LateOpening, // Queued during a stall, or a late copy for an open flow: forwarding it could open the flow at a second target.
 };
 
-inline constexpr std::size_t SteeringReasonCount = 13;
+inline constexpr std::size_t SteeringReasonCount = 14;
 
 std::string_view nameOf(SteeringReason reason);
 
@@ -92,6 +94,7 @@
     bool open = false;
     bool busy = false;
     bool counted = false; // Included in SteeredTarget::flows.
+    bool refused = false; // Its opening packet was refused before any target has seen it.
     bool openingSeenHere = false; // Its opening packet came through here, at sentAt, and no other packet has since.
 };
 
@@ -111,7 +114,8 @@
 class BasicFlowSteering
 {
 public:
-    explicit BasicFlowSteering(DataCentreId dataCentre);
+    // `linkBytesPerSecond`: capacity of this balancer's link in each direction, 0 if it is not known.
+    explicit BasicFlowSteering(DataCentreId dataCentre, double linkBytesPerSecond = 0);
 
     // Puts a table in force if it is newer than the present one; returns whether it was.
     bool apply(const RoutingTable &table);
@@ -143,6 +147,14 @@
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
 
+    const AdmissionControl &admission() const;
+
+    // Name of a service by its index in the table in force; empty if there is none.
+    std::string serviceName(std::uint16_t service) const;
+
+    // Counts the bytes that this balancer received and sent on its link.
+    void recordBytes(std::size_t received, std::size_t sent);
+
     // From an opening packet to the caller's next packet; from a request's data to the first acknowledgement of its answer.
     const LatencyHistogram &openTimes() const;
     const LatencyHistogram &answerTimes() const;
@@ -159,8 +171,12 @@
     SteeringDecision reset(SteeringReason reason, const FlowPacket &packet);
     SteeringDecision drop(SteeringReason reason);
     SteeringDecision hold(SteeringReason reason);
+    SteeringDecision refuse(TimePoint now, const FlowPacket &packet, Flow &flow);
     SteeredTarget *choose(const SelectionContext &context, const Route &route, FlowToken avoid);
     SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service, FlowToken avoid);
+    std::span<const DataCentreId> usableDataCentres(TimePoint now, std::uint16_t service);
+    void recordAnswer(TimePoint now, const SteeredTarget &target, Duration answerTime);
+    void indexServices();
     static std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
     bool acceptsNewFlows(const SteeredTarget &target) const;
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
@@ -174,6 +190,9 @@
     bool m_informed = false;
     SteeringRoutes m_routes;
     SteeringTargets m_targets;
+    AdmissionControl m_admission;
+    boost::unordered_flat_map<std::string, std::uint16_t> m_serviceIndices; // Of the table in force.
+    boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
     std::vector<SteeredTarget *> m_candidates; // Reused between packets to avoid allocations.
--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -24,6 +24,9 @@
 // Batches that are handled before other events of the loop are served.
 inline constexpr int BatchesPerWakeup = 4;
 
+// Bytes of the IPv4 and UDP headers of a datagram, which use the link as well.
+inline constexpr std::size_t UdpOverhead = 28;
+
 // Reads and writes packet headers. A packet for a target is sent with a prefix that names the target.
 template<typename C>
 concept PacketCodec = requires(BytesView bytes, std::span<std::uint8_t> writable, const FlowPacket &packet, FlowToken token, TargetKey key)
@@ -119,9 +122,12 @@
             return 0;
         }
         m_outCount = 0;
+        std::size_t bytes = 0;
         for (std::size_t i = 0; i < static_cast<std::size_t>(received); ++i) {
+            bytes += m_in[i].msg_len + UdpOverhead;
             handle(m_slots[i], m_in[i].msg_len, std::nullopt);
         }
+        m_node.countBytes(bytes, 0);
         flush();
         return static_cast<std::size_t>(received);
     }
@@ -197,6 +203,11 @@
     // Drops packets that the kernel does not accept; the protocol above retransmits them.
     void flush()
     {
+        std::size_t bytes = 0;
+        for (std::size_t i = 0; i < m_outCount; ++i) {
+            bytes += m_outParts[i].iov_len + UdpOverhead;
+        }
+        m_node.countBytes(0, bytes);
         std::size_t sent = 0;
         while (sent < m_outCount) {
             const int count = ::sendmmsg(m_socket.native_handle(), m_out.data() + sent, static_cast<unsigned>(m_outCount - sent), MSG_DONTWAIT);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -259,6 +259,8 @@
     settings.linkPort = reader.at("/linkPort").get<std::uint16_t>();
     settings.linkListenPort = document.value("linkListenPort", settings.linkPort);
     settings.firstStart = document.value("firstStart", false);
+    constexpr double BytesPerMegabit = 125'000;
+    settings.linkBytesPerSecond = document.value("linkMbps", 0.0) * BytesPerMegabit;
     settings.announceInterval = std::chrono::milliseconds(reader.at("/announceIntervalMs").get<int>());
     settings.maxLostReplicas = reader.at("/borneLosses").get<std::size_t>();
     settings.maxLostDataCentres = document.value("borneDataCentres", std::size_t{0});
--- a/src/settings.h
+++ b/src/settings.h
@@ -85,6 +85,7 @@
     Duration announceInterval{}; // Approximate interval between the announcements of a target.
     std::size_t maxLostReplicas = 0; // Replicas that may fail at the same time and lose their disks.
     std::size_t maxLostDataCentres = 0; // Data centres that may fail at the same time, with all their replicas.
+    double linkBytesPerSecond = 0; // Capacity of the VM's network link in each direction; 0: not known.
     Duration drainTimeout{}; // Time after which a draining target must not get new flows.
     Duration stopGracePeriod{}; // Time from the stop request until the process is killed.
     std::filesystem::path dataFolder; // Used by replicas only.
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -10,6 +10,15 @@
 
 namespace Robinrail {
 
+namespace {
+
+double toMilliseconds(Duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
 SteeringNode::SteeringNode(boost::asio::io_context &io, SteeringSettings file)
     : m_file(std::move(file))
     , m_links(io,
@@ -27,7 +36,7 @@
                    onClosed(link, peer);
                }})
     , m_timer(io)
-    , m_steering(m_file.dataCentreId(m_file.dataCentre))
+    , m_steering(m_file.dataCentreId(m_file.dataCentre), m_file.linkBytesPerSecond)
     , m_stallDetector(monotonicNow())
     , m_now(monotonicNow())
     , m_replicaSelector(m_file.dataCentreId(m_file.dataCentre), m_file.packetListen.address)
@@ -96,6 +105,7 @@
     selectReplicas();
     m_links.tick(m_now);
     m_steering.tick(m_now);
+    logAdmission();
     reportUnanswered();
     resetFlows();
     requestTableIfBehind(m_now);
@@ -391,8 +401,45 @@
     }
 }
 
+// ---- Admission ----
+
+// Logs when the limit on the new flows of a pool or of the link begins and ends, with the measurements that it follows from.
+void SteeringNode::logAdmission()
+{
+    const AdmissionControl &admission = m_steering.admission();
+    for (const auto &[key, pool] : admission.pools()) {
+        const bool limited = pool.limiting();
+        if (limited == m_limitedPools.contains(key)) {
+            continue;
+        }
+        limited ? static_cast<void>(m_limitedPools.insert(key)) : static_cast<void>(m_limitedPools.erase(key));
+        if (const auto leftOut = m_admissionLog.take(m_now)) {
+            LogLine(LogLevel::Info, limited ? "admission-limited" : "admission-unlimited")
+                .with("service", m_steering.serviceName(key.service))
+                .with("data-centre", static_cast<int>(value(key.dataCentre)))
+                .with("limit", pool.limiter().limit().value_or(0))
+                .with("arrivals", pool.limiter().arrivalRate())
+                .with("answer-ms", toMilliseconds(pool.meanAnswerTime()))
+                .with("usual-ms", toMilliseconds(admission.usualAnswerTime(key.service)))
+                .with("rejected", pool.rejectedShare())
+                .with("left-out", *leftOut);
+        }
+    }
+    const bool linkLimited = admission.link().limiter().refusesAny();
+    if (linkLimited != std::exchange(m_linkLimited, linkLimited)) {
+        if (const auto leftOut = m_admissionLog.take(m_now)) {
+            LogLine(LogLevel::Info, linkLimited ? "link-limited" : "link-unlimited").with("used", admission.link().used()).with("left-out", *leftOut);
+        }
+    }
+}
+
 // ---- Counters and metrics ----
 
+void SteeringNode::countBytes(std::size_t received, std::size_t sent)
+{
+    m_steering.recordBytes(received, sent);
+}
+
 void SteeringNode::countHeldTooLong(std::uint64_t packets)
 {
     m_heldTooLong += packets;
@@ -406,6 +453,20 @@
     return m_file;
 }
 
+void SteeringNode::writeAdmissionMetrics(PrometheusWriter &text) const
+{
+    const AdmissionControl &admission = m_steering.admission();
+    text.gauge("robinrail_link_used", "Share of the own link in use", admission.link().used());
+    for (const auto &[key, pool] : admission.pools()) {
+        const std::string label =
+            "service=\"" + m_steering.serviceName(key.service) + "\",data_centre=\"" + std::to_string(value(key.dataCentre)) + "\"";
+        text.gauge("robinrail_pool_limit", "New flows per second that the pool is given; -1: unlimited", pool.limiter().limit().value_or(-1), label);
+        text.gauge("robinrail_pool_arrivals", "New flows per second that asked for the pool", pool.limiter().arrivalRate(), label);
+        text.gauge("robinrail_pool_answer_seconds", "Mean answer time of the pool", std::chrono::duration<double>(pool.meanAnswerTime()).count(), label);
+        text.gauge("robinrail_pool_rejected", "Share of answers that were rejections by full targets", pool.rejectedShare(), label);
+    }
+}
+
 std::string SteeringNode::metricsText() const
 {
     PrometheusWriter text;
@@ -429,6 +490,7 @@
     text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(m_heldTooLong));
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
+    writeAdmissionMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -73,6 +73,7 @@
     void countMalformed();
     void countSendFailure();
     void countHeldTooLong(std::uint64_t packets);
+    void countBytes(std::size_t received, std::size_t sent);
 
     const SteeringSettings &settings() const;
     std::string metricsText() const;
@@ -94,8 +95,10 @@
     void updateReplicas();
     void selectReplicas();
     void followDirectories();
+    void logAdmission();
     void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
     void updateReadiness();
+    void writeAdmissionMetrics(PrometheusWriter &text) const;
 
     SteeringSettings m_file;
     NodeLinks m_links;
@@ -123,6 +126,9 @@
     bool m_ready = false;
     bool m_stopping = false;
     std::array<LogRateLimiter, SteeringReasonCount> m_decisionLogs;
+    std::set<PoolKey> m_limitedPools; // Pools whose new flows were limited at the last tick.
+    bool m_linkLimited = false;
+    LogRateLimiter m_admissionLog;
     std::uint64_t m_malformed = 0;
     std::uint64_t m_sendFailures = 0;
     std::uint64_t m_heldTooLong = 0;
--- a/src/target_selection.h
+++ b/src/target_selection.h
@@ -15,6 +15,7 @@
     TimePoint now;
     std::uint64_t flowHash = 0; // The same at every balancer.
     DataCentreId dataCentre{}; // Of this balancer.
+    std::optional<DataCentreId> only{}; // If set, only targets of this data centre are candidates.
 };
 
 // Picks one of the candidates, of which there is at least one.
