Admission control: limits of pools, overflow and the link

Nobody was refused before a target was reached, so that targets and links filled with work for callers whose objective had passed. The limits of a pool now follow the answer times of a balancer's own flows, those of the link its used share; overflow pools start small.

--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -14,6 +14,8 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
+#include <vector>
 
 namespace Robinrail {
 
@@ -47,59 +49,157 @@
 // window, as packets beyond the capacity of the link are lost.
 inline constexpr double MaxLinkShare = 0.85;
 
+// Limits never fall below this rate, so that an overloaded pool or link is still measured by a few flows.
+inline constexpr double MinAdmittedRate = 2;
+
+// Part of the admitted rate that remains after an overloaded window, and the least part if the excess is large.
+inline constexpr double LimitDecrease = 0.93;
+inline constexpr double MaxLimitDecrease = 0.5;
+
+// Step by which a limit rises after a window without overload, as a part of the rate that asks for admission. Steps relative to
+// the demand instead of the limit make balancers converge that saw different answers.
+inline constexpr double LimitIncrease = 0.05;
+
+// Largest step as a part of the limit while answers are slower than usual, and while they are nearly as fast as usual.
+inline constexpr double MaxLimitIncrease = 0.1;
+inline constexpr double MaxIdleLimitIncrease = 0.25;
+
+// A limit ends when less than this part of it has asked for admission for this long.
+inline constexpr double CalmShare = 0.8;
+inline constexpr Duration CalmTime = std::chrono::seconds(1);
+
+// An answer is a rejection by a full target if it takes less than this part of the usual time. Windows with more than
+// MaxRejectedShare of them are overloaded, provided that the other answers took at least RejectionWaitFactor times the usual time:
+// where targets reject, others wait. Without this, a release that answers much faster would look like an overload.
+inline constexpr double RejectionAnswerShare = 1.0 / 3;
+inline constexpr double MaxRejectedShare = 0.2;
+inline constexpr double RejectionWaitFactor = 1.25;
+
+// An answer counts at most this many times the limit of the mean, so that a few slow targets do not make a pool overloaded.
+inline constexpr double MaxAnswerExcess = 2;
+
+// Answers in one overloaded window that suffice to set a first limit; with fewer, two such windows in a row are required.
+inline constexpr std::uint32_t FirstLimitAnswers = 3 * MinWindowAnswers;
+
+// Longest window, and the time without any answer after which a pool with admitted flows is overloaded.
+inline constexpr Duration MaxAdmissionWindow = std::chrono::seconds(1);
+
+// The usual answer time is the lowest mean of the samples of the last one to two periods. Small samples would make the lowest
+// mean much lower than a typical one.
+inline constexpr Duration UsualTimePeriod = std::chrono::seconds(30);
+inline constexpr Duration UsualTimeSample = std::chrono::seconds(1);
+inline constexpr std::uint32_t UsualTimeAnswers = 4 * MinWindowAnswers;
+
+// Limit of an overflow pool at first, as a part of the rate that the own pool admits; its growth per window until it is first
+// overloaded; and the time without use after which it starts again.
+inline constexpr double OverflowStartShare = 0.25;
+inline constexpr double OverflowGrowth = 2;
+inline constexpr Duration OverflowRetention = std::chrono::seconds(3);
+
+// Pools that have not been used for this long are forgotten.
+inline constexpr Duration PoolRetention = std::chrono::seconds(60);
+
 // A new flow that asks for admission.
 struct AdmissionRequest {
     std::uint8_t priority = 0; // 0 is the most urgent.
     std::uint64_t callerHash = 0; // Of the caller's address without its port.
 };
 
+using PriorityRates = std::array<double, PriorityCount>;
+
 // Admits a limited rate of new flows: the most urgent priorities first, and of the one that can't be admitted whole a share of
 // the callers. Without a limit it admits all and measures the rate.
 class RateLimiter
 {
 public:
-    bool admit(TimePoint now, const AdmissionRequest &request);
+    // `salt`: makes the order of callers differ from that of other limiters. Callers that one pool refuses would otherwise be
+    // the last ones at each other pool, too.
+    explicit RateLimiter(std::uint64_t salt = 0);
 
-    // Ends a window: the next one follows the arrivals of this one. The limit is changed by the owner first.
+    // Whether the flow may be admitted. The caller passes the outcome to record().
+    bool allows(TimePoint now, const AdmissionRequest &request) const;
+    void record(const AdmissionRequest &request, bool admitted);
+
+    // Ends a window: the next one follows the arrivals of this one. The limit is changed by the owner afterwards.
     void endWindow(Duration length);
 
     // Flows per second that may be admitted; empty: unlimited.
     std::optional<double> limit() const;
     void setLimit(std::optional<double> limit);
 
-    // Admitted and arrived flows per second, of the last window that ended.
+    // Sets the limit to about LimitDecrease of the admitted rate, but not below MinAdmittedRate. `remaining`: 1, or less if the
+    // excess is large.
+    void lower(double remaining);
+
+    // Raises an existing limit by about LimitIncrease for each AdmissionWindow of `length`, and removes it after CalmTime.
+    // `used`: how close the resource is to overload, 1 at most; steps are larger far below it and smaller right below it.
+    void raise(Duration length, double used);
+
+    // Admitted, arrived and asking flows per second, of the last window that ended. Refused callers return; the arrivals count
+    // each return, the demand counts the caller once.
     double admittedRate() const;
     double arrivalRate() const;
+    double demand() const;
+
+    // Demand by priority that the limit refuses.
+    PriorityRates refusedDemand() const;
+    void assumeDemand(const PriorityRates &demand);
 
     // Whether flows of this priority, or of the least urgent one that arrived, are refused at present.
     bool refuses(std::uint8_t priority) const;
     bool refusesAny() const;
 
+    // Arrivals and admissions in the present window.
+    std::uint32_t arrived() const;
+    std::uint32_t admitted() const;
+
 private:
     double share(std::uint8_t priority) const;
+    void updateShares();
 
+    std::uint64_t m_salt;
     std::optional<double> m_limit;
     std::array<std::uint32_t, PriorityCount> m_arrived{}; // In this window.
-    std::array<double, PriorityCount> m_rates{}; // Arrivals per second by priority, of the last window.
-    std::uint32_t m_admitted = 0;
+    std::array<std::uint32_t, PriorityCount> m_admitted{};
+    PriorityRates m_demand{}; // Callers per second that ask for admission, smoothed.
+    PriorityRates m_shares{}; // Part of the demand that is admitted.
+    double m_arrivalRate = 0;
     double m_admittedRate = 0;
+    Duration m_calm{}; // How long the demand has been below CalmShare of the limit.
+};
+
+// Times against which a pool's answers are compared. Zeros: not known.
+struct AnswerTimes {
+    Duration usual{}; // Usual answer time of the service.
+    Duration max{}; // Mean answer time from which on the pool is overloaded.
+    Duration silence = MaxAdmissionWindow; // Time without any answer after which the pool is overloaded.
+};
+
+// Answers of a window.
+struct WindowAnswers {
+    std::uint32_t answers = 0; // Without rejections.
+    std::uint32_t rejections = 0;
+    Duration sum{}; // Of `answers`.
+    Duration rejectionSum{};
 };
 
 // The new flows that the targets of one service in one data centre can take.
 class PoolAdmission
 {
 public:
-    explicit PoolAdmission(double overloadedFactor);
+    explicit PoolAdmission(std::uint64_t salt);
 
-    bool admit(TimePoint now, const AdmissionRequest &request);
+    bool allows(TimePoint now, const AdmissionRequest &request) const;
+    void record(TimePoint now, const AdmissionRequest &request, bool admitted);
 
-    // A request of a flow to this pool was answered after this time. `usual`: the usual answer time of the service, 0 if it is
-    // not known. Answers that come much faster than usual are rejections by a target whose queue is full.
-    void recordAnswer(TimePoint now, Duration answerTime, Duration usual);
+    // A request of a flow to this pool was answered after this time.
+    void recordAnswer(TimePoint now, Duration answerTime, const AnswerTimes &times);
 
-    // Ends the window if it is due and has enough answers. `maxAnswerTime`: the mean answer time from which on the pool is
-    // overloaded.
-    void tick(TimePoint now, Duration maxAnswerTime);
+    // Limits the pool for flows that the own pool refuses, unless it is limited already.
+    void startOverflow(double limit, const PriorityRates &demand);
+
+    // Ends the window if it is due and has enough answers. Returns its answers if they show the usual answer time.
+    std::optional<WindowAnswers> tick(TimePoint now, const AnswerTimes &times);
 
     // Whether the last window was overloaded; whether new flows are refused at present.
     bool overloaded() const;
@@ -108,17 +208,23 @@
     const RateLimiter &limiter() const;
     Duration meanAnswerTime() const; // Of the last window, without rejections.
     double rejectedShare() const; // Of the answers of the last window.
+    TimePoint lastUse() const;
 
 private:
+    void noteUse(TimePoint now);
+    bool isOverloaded(const AnswerTimes &times) const;
+    void moveLimit(Duration length, const AnswerTimes &times, bool wasOverloaded, Duration meanBefore, double rejectedBefore);
+
     RateLimiter m_limiter;
-    double m_overloadedFactor;
     TimePoint m_windowStart;
-    std::uint32_t m_answers = 0;
-    std::uint32_t m_rejections = 0;
-    Duration m_answerTimeSum{};
+    TimePoint m_lastUse;
+    TimePoint m_lastArrival;
+    WindowAnswers m_window;
     Duration m_meanAnswerTime{};
     double m_rejectedShare = 0;
     bool m_overloaded = false;
+    std::uint32_t m_hold = 0; // Overloaded windows that do not lower the limit.
+    bool m_overflow = false; // Limited for overflow; it has not been overloaded since.
 };
 
 // Measures the bytes on the own link against its capacity.
@@ -128,10 +234,11 @@
     // Capacity in bytes per second in each direction; 0: not known, the link is never full.
     explicit LinkLoad(double bytesPerSecond);
 
-    void record(std::size_t received, std::size_t sent);
+    void recordBytes(std::size_t received, std::size_t sent);
 
-    // Whether a new flow may be admitted.
-    bool admit(TimePoint now, const AdmissionRequest &request);
+    // Whether a new flow may be admitted. The caller passes the outcome to record().
+    bool allows(TimePoint now, const AdmissionRequest &request) const;
+    void record(const AdmissionRequest &request, bool admitted);
 
     void tick(TimePoint now);
 
@@ -148,6 +255,24 @@
     double m_used = 0;
 };
 
+// The usual answer time of a service: the lowest mean of the samples of the last one to two periods.
+class UsualAnswerTime
+{
+public:
+    void record(TimePoint now, const WindowAnswers &window);
+
+    // 0 if it is not known.
+    Duration get() const;
+
+private:
+    TimePoint m_sampleStart;
+    std::uint32_t m_answers = 0;
+    Duration m_sum{};
+    TimePoint m_periodStart;
+    Duration m_lowest{}; // Of this period; 0: no sample.
+    Duration m_previous{}; // Of the period before.
+};
+
 enum class AdmissionVerdict : std::uint8_t {
     Anywhere, // No limit applies: choose among all targets as without admission control.
     DataCentre, // Choose among the targets of this data centre only.
@@ -179,7 +304,8 @@
 
     // Decides on a new flow. `usable`: the data centres with targets of the service that may get new flows, the own one among
     // them if it has any. Refuses no flow whose objective has no latency.
-    AdmissionDecision decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable);
+    AdmissionDecision
+    decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable);
 
     // A request was answered by a target of this pool.
     void recordAnswer(TimePoint now, PoolKey pool, Duration answerTime);
@@ -196,17 +322,23 @@
 
 private:
     struct ServiceState {
-        Duration usual{};
-        Duration smallestLatency{}; // Smallest latency objective of the requests seen lately.
+        UsualAnswerTime usual;
+        Duration smallestLatency{}; // Smallest latency objective of the requests of this period; 0: none.
+        Duration previousLatency{}; // The same of the period before.
+        TimePoint periodStart;
     };
 
     PoolAdmission &pool(PoolKey key);
-    AdmissionDecision decideOverflow(TimePoint now, std::uint16_t service, const AdmissionRequest &request, std::span<const DataCentreId> usable);
+    AnswerTimes answerTimes(PoolKey key) const;
+    void noteLatency(TimePoint now, std::uint16_t service, Duration latency);
+    AdmissionDecision chooseAmong(TimePoint now, std::uint16_t service, const AdmissionRequest &request, std::span<const DataCentreId> usable);
+    AdmissionDecision chooseOverflow(TimePoint now, std::uint16_t service, const AdmissionRequest &request, const PoolAdmission &home);
 
     DataCentreId m_own;
     LinkLoad m_link;
     std::map<PoolKey, PoolAdmission> m_pools;
     std::map<std::uint16_t, ServiceState> m_services;
+    std::vector<std::pair<std::uint64_t, DataCentreId>> m_order; // Of the pools for one flow; kept for its memory.
 };
 
 } // namespace Robinrail
