--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -19,6 +19,10 @@
 // counts vary by a fifth.
 constexpr double NewestWeight = 0.5;
 
+// The same where the demand rises. At the start of an overload each window's returns add to the demand of the next, and a late
+// estimate admits more than the limit.
+constexpr double RisingWeight = 0.8;
+
 // A link this full limits new flows after a single window.
 constexpr double FullLinkShare = 0.95;
 
@@ -29,7 +33,7 @@
 constexpr double IdleShare = 0.5;
 
 // Overloaded windows after a first limit that do not lower it again: the queues were full and take this long to shrink.
-constexpr std::uint32_t FirstLimitHold = 3;
+constexpr std::uint32_t FirstLimitHold = 2;
 
 // Part of the step by which a limit rises even right below overload.
 constexpr double MinIncreasePart = 0.2;
@@ -105,7 +109,7 @@
         // which gives the demand without the returns.
         const double part = m_shares[i];
         const double seen = part > 0 ? m_admitted[i] / time / part : m_demand[i];
-        m_demand[i] += NewestWeight * part * (seen - m_demand[i]);
+        m_demand[i] += (seen > m_demand[i] ? RisingWeight : NewestWeight) * std::min(1.0, 2 * part) * (seen - m_demand[i]);
         m_demand[i] = std::clamp(m_demand[i], arrivals / MaxAttempts, std::max(arrivals, m_demand[i] * NewestWeight));
     }
     m_arrived = {};
@@ -463,7 +467,8 @@
     m_services.clear();
 }
 
-AdmissionDecision AdmissionControl::decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable)
+AdmissionDecision AdmissionControl::decide(
+    TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable)
 {
     if (objective.latency <= Duration{} || usable.empty()) {
         return {};
@@ -533,8 +538,8 @@
     const ServiceState &state = at->second;
     const Duration latency = smallestKnown(state.smallestLatency, state.previousLatency);
     times.usual = state.usual.get();
-    times.max = smallestKnown(scaled(times.usual, key.dataCentre == m_own ? OverloadedAnswerFactor : RemoteOverloadedAnswerFactor),
-                              scaled(latency, MaxObjectiveShare));
+    times.max =
+        smallestKnown(scaled(times.usual, key.dataCentre == m_own ? OverloadedAnswerFactor : RemoteOverloadedAnswerFactor), scaled(latency, MaxObjectiveShare));
     times.silence = std::max(MaxAdmissionWindow, times.usual > Duration{} ? 2 * times.usual : latency);
     return times;
 }
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -304,7 +304,8 @@
 
     // Decides on a new flow. `usable`: the data centres with targets of the service that may get new flows, the own one among
     // them if it has any. Refuses no flow whose objective has no latency.
-    AdmissionDecision decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable);
+    AdmissionDecision
+    decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, std::uint64_t callerHash, std::span<const DataCentreId> usable);
 
     // A request was answered by a target of this pool.
     void recordAnswer(TimePoint now, PoolKey pool, Duration answerTime);
