Admission control: limits fall in proportion to what was measured

With a threshold, 26 balancers that share the targets drifted apart to 0.1 and 3 times their mean admitted rate within 30 s, as small windows of balancers with few flows are overloaded by noise more often.

--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -17,26 +17,29 @@
 
 // Weight of the newest window in the demand and in the admitted rate. The windows of a balancer hold about 20 arrivals, so their
 // counts vary by a fifth.
-constexpr double NewestWeight = 0.5;
+constexpr double NewestWeight = 0.4;
 
 // The same where the demand rises. At the start of an overload each window's returns add to the demand of the next, and a late
 // estimate admits more than the limit.
-constexpr double RisingWeight = 0.8;
+constexpr double RisingWeight = 0.7;
 
 // A link this full limits new flows after a single window.
 constexpr double FullLinkShare = 0.95;
 
-// A queue counts as falling if the mean answer time is below this part of the one before.
-constexpr double FallingAnswerShare = 0.95;
+// The demand counts at most this many times the limit when the limit rises. With more, large overloads would be allowed longer
+// answers, and overflow would push the callers of another data centre aside.
+constexpr double MaxDemand = 4;
+constexpr double MaxOverflowDemand = 1.5;
 
-// Answers up to this part of the overload limit mean that the pool has room; the same part applies to the used share of a link.
-constexpr double IdleShare = 0.5;
+// An overflow pool grows fast up to this part of what makes it overloaded.
+constexpr double MaxGrowthShare = 0.8;
 
-// Overloaded windows after a first limit that do not lower it again: the queues were full and take this long to shrink.
-constexpr std::uint32_t FirstLimitHold = 2;
+// Length of a sample of the usual answer time with few answers.
+constexpr Duration LongUsualTimeSample = std::chrono::seconds(4);
 
-// Part of the step by which a limit rises even right below overload.
-constexpr double MinIncreasePart = 0.2;
+// Weight of the change since the window before. The answers of a window are of flows that were admitted up to a window before,
+// so that the limit would otherwise go on falling while the queues already shrink.
+constexpr double TrendWeight = 0.5;
 
 double seconds(Duration duration)
 {
@@ -131,28 +134,33 @@
 
 void RateLimiter::lower(double remaining)
 {
-    const double base = m_limit ? std::min(*m_limit, m_admittedRate) : m_admittedRate;
-    setLimit(std::max(MinAdmittedRate, base * std::max(MaxLimitDecrease, LimitDecrease * remaining)));
+    const double base = m_limit && m_admittedRate >= MinAdmittedRate ? std::min(*m_limit, m_admittedRate) : m_limit.value_or(m_admittedRate);
+    setLimit(std::max(MinAdmittedRate, base * std::max(MaxLimitDecrease, FirstLimitShare * remaining)));
 }
 
-void RateLimiter::raise(Duration length, double used)
+void RateLimiter::adjust(Duration length, double used, double maxDemand)
 {
     if (!m_limit) {
         return;
     }
     m_calm = demand() < CalmShare * *m_limit ? m_calm + length : Duration{};
-    if (m_calm >= CalmTime) {
-        setLimit(std::nullopt);
-        return;
-    }
+    const double limit = used > 1 ? std::min(*m_limit, std::max(demand(), MinAdmittedRate)) : *m_limit;
+    const double pressure = std::max(used - IdleShare, 0.0) / (1 - IdleShare);
+    const double step = used < IdleShare ? MaxIdleLimitIncrease * limit
+                                         : LimitIncrease * limit * std::sqrt(std::min(demand() / limit, maxDemand)) - LimitDecrease * pressure * limit;
+    const double highest = used < IdleShare ? MaxIdleLimitIncrease : MaxLimitIncrease;
     const double windows = seconds(length) / seconds(AdmissionWindow);
-    const double part = std::clamp((1 - used) / (1 - IdleShare), MinIncreasePart, 1.0);
-    const double step = used < IdleShare ? MaxIdleLimitIncrease * *m_limit : part * std::min(LimitIncrease * demand(), MaxLimitIncrease * *m_limit);
+    const double next = limit + windows * std::clamp(step, -MaxLimitDecrease * limit / windows, highest * limit);
     // A limit far above the demand would take long to fall when the demand rises again.
-    m_limit = std::max(*m_limit, std::min(*m_limit + windows * step, 2 * demand()));
+    m_limit = std::max(MinAdmittedRate, next > limit ? std::max(limit, std::min(next, 2 * demand())) : next);
     updateShares();
 }
 
+Duration RateLimiter::calm() const
+{
+    return m_calm;
+}
+
 double RateLimiter::admittedRate() const
 {
     return m_admittedRate;
@@ -257,6 +265,7 @@
         m_limiter.setLimit(std::max(limit, MinAdmittedRate));
         m_limiter.assumeDemand(demand);
         m_overflow = true;
+        m_growing = true;
     }
 }
 
@@ -271,23 +280,23 @@
     if (used && answers < MinWindowAnswers && length < (answers > 0 ? MaxAdmissionWindow : std::max(MaxAdmissionWindow, times.silence))) {
         return std::nullopt;
     }
-    const bool wasOverloaded = m_overloaded;
-    const Duration meanBefore = m_meanAnswerTime;
-    const double rejectedBefore = m_rejectedShare;
+    const double usedBefore = m_used;
     m_meanAnswerTime = mean(m_window.sum, m_window.answers);
     m_rejectedShare = answers > 0 ? static_cast<double>(m_window.rejections) / answers : 0;
+    m_used = m_rejectedShare + (times.max > Duration{} ? seconds(m_meanAnswerTime) / seconds(times.max) : 0);
     m_overloaded = isOverloaded(times);
     m_limiter.endWindow(length);
-    moveLimit(length, times, wasOverloaded, meanBefore, rejectedBefore);
+    moveLimit(length, usedBefore);
     if (m_overflow && now - m_lastArrival >= OverflowRetention) {
         m_limiter.setLimit(std::nullopt);
         m_overflow = false;
+        m_growing = false;
     }
     const WindowAnswers window = std::exchange(m_window, {});
     m_windowStart = now;
     // At the least limit the pool has no load of this balancer. Without these windows, a service that became slower than
     // OverloadedAnswerFactor times its usual time would be refused for good.
-    const bool atFloor = m_limiter.limit() && *m_limiter.limit() <= MinAdmittedRate;
+    const bool atFloor = m_limiter.limit() && *m_limiter.limit() <= 2 * MinAdmittedRate;
     return answers > 0 && ((!m_overloaded && !m_limiter.limit()) || atFloor) ? std::optional(window) : std::nullopt;
 }
 
@@ -341,39 +350,34 @@
     return m_rejectedShare > MaxRejectedShare && m_meanAnswerTime > scaled(times.usual, RejectionWaitFactor);
 }
 
-void PoolAdmission::moveLimit(Duration length, const AnswerTimes &times, bool wasOverloaded, Duration meanBefore, double rejectedBefore)
+void PoolAdmission::moveLimit(Duration length, double usedBefore)
 {
     const std::uint32_t answers = m_window.answers + m_window.rejections;
-    const bool limited = m_limiter.limit().has_value();
-    if (!m_overloaded) {
-        m_hold = 0;
-        if (m_overflow) {
-            const double limit = m_limiter.limit().value_or(0);
-            m_limiter.setLimit(std::max(limit, std::min(limit * OverflowGrowth, 2 * m_limiter.demand())));
-        } else {
-            m_limiter.raise(length, times.max > Duration{} ? seconds(m_meanAnswerTime) / seconds(times.max) : 0);
-        }
-        return;
-    }
-    if (answers == 0) {
-        m_overflow = false;
+    m_overloadedAnswers = m_overloaded ? m_overloadedAnswers + answers : 0;
+    if (m_overloaded && answers == 0) {
+        m_growing = false;
         m_limiter.lower(MaxLimitDecrease);
         return;
     }
-    if (!limited && answers < FirstLimitAnswers && !wasOverloaded) {
+    if (!m_limiter.limit()) {
+        if (m_overloadedAnswers >= FirstLimitAnswers) {
+            if (m_limiter.admittedRate() < MinAdmittedRate) {
+                // Flows that go to any data centre are known by their answers only.
+                m_limiter.setLimit(answers / seconds(length));
+            }
+            m_limiter.lower(std::min(1 - m_rejectedShare, 1 / std::sqrt(std::max(m_used, 1.0))));
+        }
         return;
     }
-    m_overflow = false;
-    // The answers of the window after a decrease are of flows that were admitted before it, and a falling mean shows that the
-    // queues shrink. A further decrease would leave slots idle afterwards.
-    const bool falling = wasOverloaded && m_rejectedShare <= rejectedBefore && m_meanAnswerTime < scaled(meanBefore, FallingAnswerShare);
-    if (limited && (falling || m_hold > 0)) {
-        m_hold -= m_hold > 0 ? 1 : 0;
+    m_growing = m_growing && !m_overloaded && m_used < MaxGrowthShare;
+    if (m_growing) {
+        m_limiter.setLimit(std::max(*m_limiter.limit(), std::min(*m_limiter.limit() * OverflowGrowth, 2 * m_limiter.demand())));
         return;
     }
-    m_hold = limited ? 1 : FirstLimitHold;
-    const double excess = times.max > Duration{} ? std::max(seconds(m_meanAnswerTime) / seconds(times.max), 1.0) : 1;
-    m_limiter.lower(std::min(1 - m_rejectedShare, 1.05 / std::sqrt(excess)));
+    m_limiter.adjust(length, m_used + TrendWeight * (m_used - usedBefore), m_overflow ? MaxOverflowDemand : MaxDemand);
+    if (!m_overflow && m_limiter.calm() >= CalmTime) {
+        m_limiter.setLimit(std::nullopt);
+    }
 }
 
 LinkLoad::LinkLoad(double bytesPerSecond)
@@ -409,9 +413,12 @@
     m_sent = 0;
     m_windowStart = now;
     m_limiter.endWindow(length);
-    if (m_used <= MaxLinkShare) {
-        m_limiter.raise(length, m_used / MaxLinkShare);
-    } else if (m_limiter.limit() || wasFull || m_used > FullLinkShare) {
+    if (m_limiter.limit()) {
+        m_limiter.adjust(length, m_used / MaxLinkShare, MaxDemand);
+        if (m_limiter.calm() >= CalmTime) {
+            m_limiter.setLimit(std::nullopt);
+        }
+    } else if (m_used > MaxLinkShare && (wasFull || m_used > FullLinkShare)) {
         m_limiter.lower(MaxLinkShare / m_used);
     }
 }
@@ -435,7 +442,8 @@
     const bool faster = window.rejections > MaxRejectedShare * (window.answers + window.rejections);
     m_answers += window.answers + (faster ? window.rejections : 0);
     m_sum += window.sum + (faster ? window.rejectionSum : Duration{});
-    const bool enough = m_answers >= UsualTimeAnswers && now - m_sampleStart >= UsualTimeSample;
+    const Duration length = now - m_sampleStart;
+    const bool enough = (m_answers >= UsualTimeAnswers && length >= UsualTimeSample) || (m_answers >= MinWindowAnswers && length >= LongUsualTimeSample);
     const bool first = get() == Duration{} && m_answers >= MinWindowAnswers;
     if (!enough && !first) {
         return;
@@ -573,17 +581,18 @@
         }
         return chooseOverflow(now, service, request, home);
     }
-    // The caller chooses among all targets, so the flow counts for the pool that is first in the order: each pool gets its part.
-    bool limited = false;
-    for (const auto &each : m_order) {
-        limited = limited || pool({service, each.second}).limiter().limit();
+    const bool limited = std::ranges::any_of(m_order, [&](const auto &each) {
+        return pool({service, each.second}).limiter().limit().has_value();
+    });
+    if (!limited) {
+        return {};
     }
     for (const auto &each : m_order) {
         PoolAdmission &candidate = pool({service, each.second});
         const bool admitted = candidate.allows(now, request);
         candidate.record(now, request, admitted);
         if (admitted) {
-            return limited ? AdmissionDecision{AdmissionVerdict::DataCentre, each.second} : AdmissionDecision{};
+            return {AdmissionVerdict::DataCentre, each.second};
         }
     }
     return {AdmissionVerdict::RefusedByPools, {}};
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -52,15 +52,21 @@
 // Limits never fall below this rate, so that an overloaded pool or link is still measured by a few flows.
 inline constexpr double MinAdmittedRate = 2;
 
-// Part of the admitted rate that remains after an overloaded window, and the least part if the excess is large.
-inline constexpr double LimitDecrease = 0.93;
+// The first limit of a pool or link, as a part of the admitted rate of the window that is overloaded, and the least part if the
+// excess is large.
+inline constexpr double FirstLimitShare = 0.9;
 inline constexpr double MaxLimitDecrease = 0.5;
 
-// Step by which a limit rises after a window without overload, as a part of the rate that asks for admission. Steps relative to
-// the demand instead of the limit make balancers converge that saw different answers.
+// Steps of an existing limit per window. It rises by LimitIncrease of the geometric mean of limit and demand, and falls by
+// LimitDecrease of the limit times the pressure, which is 0 at IdleShare of what makes a window overloaded and 1 at the overload.
+// The fall is linear in what was measured, so that the noise of small windows averages out: with a threshold, 26 balancers that
+// share the targets drifted apart to 0.1 and 3 times their mean rate within 30 s. The rise that follows the demand brings them
+// together again.
 inline constexpr double LimitIncrease = 0.05;
+inline constexpr double LimitDecrease = 0.075;
+inline constexpr double IdleShare = 0.5;
 
-// Largest step as a part of the limit while answers are slower than usual, and while they are nearly as fast as usual.
+// Largest rise per window as a part of the limit, and the rise while less than IdleShare is used.
 inline constexpr double MaxLimitIncrease = 0.1;
 inline constexpr double MaxIdleLimitIncrease = 0.25;
 
@@ -78,7 +84,8 @@
 // An answer counts at most this many times the limit of the mean, so that a few slow targets do not make a pool overloaded.
 inline constexpr double MaxAnswerExcess = 2;
 
-// Answers in one overloaded window that suffice to set a first limit; with fewer, two such windows in a row are required.
+// Answers in consecutive overloaded windows that are required for a first limit. Single windows of MinWindowAnswers are
+// overloaded now and then by a few slow targets.
 inline constexpr std::uint32_t FirstLimitAnswers = 3 * MinWindowAnswers;
 
 // Longest window, and the time without any answer after which a pool with admitted flows is overloaded.
@@ -127,13 +134,16 @@
     std::optional<double> limit() const;
     void setLimit(std::optional<double> limit);
 
-    // Sets the limit to about LimitDecrease of the admitted rate, but not below MinAdmittedRate. `remaining`: 1, or less if the
-    // excess is large.
+    // Sets the limit to FirstLimitShare of the admitted rate, but not below MinAdmittedRate. `remaining`: 1, or less if the excess
+    // is large.
     void lower(double remaining);
 
-    // Raises an existing limit by about LimitIncrease for each AdmissionWindow of `length`, and removes it after CalmTime.
-    // `used`: how close the resource is to overload, 1 at most; steps are larger far below it and smaller right below it.
-    void raise(Duration length, double used);
+    // Moves an existing limit. `used`: 1 when the resource becomes overloaded. `maxDemand`: the demand counts at most this many
+    // times the limit.
+    void adjust(Duration length, double used, double maxDemand);
+
+    // How long the demand has been below CalmShare of the limit.
+    Duration calm() const;
 
     // Admitted, arrived and asking flows per second, of the last window that ended. Refused callers return; the arrivals count
     // each return, the demand counts the caller once.
@@ -165,7 +175,7 @@
     PriorityRates m_shares{}; // Part of the demand that is admitted.
     double m_arrivalRate = 0;
     double m_admittedRate = 0;
-    Duration m_calm{}; // How long the demand has been below CalmShare of the limit.
+    Duration m_calm{};
 };
 
 // Times against which a pool's answers are compared. Zeros: not known.
@@ -213,7 +223,7 @@
 private:
     void noteUse(TimePoint now);
     bool isOverloaded(const AnswerTimes &times) const;
-    void moveLimit(Duration length, const AnswerTimes &times, bool wasOverloaded, Duration meanBefore, double rejectedBefore);
+    void moveLimit(Duration length, double usedBefore);
 
     RateLimiter m_limiter;
     TimePoint m_windowStart;
@@ -222,9 +232,11 @@
     WindowAnswers m_window;
     Duration m_meanAnswerTime{};
     double m_rejectedShare = 0;
+    double m_used = 0; // What was measured in the last window, 1 when it becomes overloaded.
     bool m_overloaded = false;
-    std::uint32_t m_hold = 0; // Overloaded windows that do not lower the limit.
-    bool m_overflow = false; // Limited for overflow; it has not been overloaded since.
+    std::uint32_t m_overloadedAnswers = 0; // In consecutive overloaded windows.
+    bool m_overflow = false; // Limited for overflow.
+    bool m_growing = false; // Has not been overloaded since the overflow began.
 };
 
 // Measures the bytes on the own link against its capacity.
