--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -28,9 +28,12 @@
 
 // The demand counts at most this many times the limit when the limit rises. With more, large overloads would be allowed longer
 // answers, and overflow would push the callers of another data centre aside.
-constexpr double MaxDemand = 4;
+constexpr double MaxDemand = 8;
 constexpr double MaxOverflowDemand = 1.5;
 
+// Beyond the overload, overflow falls this many times faster than the limits of the data centre's own balancers.
+constexpr double OverflowDecrease = 3;
+
 // An overflow pool grows fast up to this part of what makes it overloaded.
 constexpr double MaxGrowthShare = 0.8;
 
@@ -39,7 +42,7 @@
 
 // Weight of the change since the window before. The answers of a window are of flows that were admitted up to a window before,
 // so that the limit would otherwise go on falling while the queues already shrink.
-constexpr double TrendWeight = 0.5;
+constexpr double TrendWeight = 0.75;
 
 double seconds(Duration duration)
 {
@@ -138,16 +141,18 @@
     setLimit(std::max(MinAdmittedRate, base * std::max(MaxLimitDecrease, FirstLimitShare * remaining)));
 }
 
-void RateLimiter::adjust(Duration length, double used, double maxDemand)
+void RateLimiter::adjust(Duration length, double used, bool yields)
 {
     if (!m_limit) {
         return;
     }
     m_calm = demand() < CalmShare * *m_limit ? m_calm + length : Duration{};
     const double limit = used > 1 ? std::min(*m_limit, std::max(demand(), MinAdmittedRate)) : *m_limit;
+    const double maxDemand = yields ? MaxOverflowDemand : MaxDemand;
+    const double decrease = LimitDecrease * (yields && used > 1 ? OverflowDecrease : 1);
     const double pressure = std::max(used - IdleShare, 0.0) / (1 - IdleShare);
     const double step = used < IdleShare ? MaxIdleLimitIncrease * limit
-                                         : LimitIncrease * limit * std::sqrt(std::min(demand() / limit, maxDemand)) - LimitDecrease * pressure * limit;
+                                         : LimitIncrease * limit * std::sqrt(std::min(demand() / limit, maxDemand)) - decrease * pressure * limit;
     const double highest = used < IdleShare ? MaxIdleLimitIncrease : MaxLimitIncrease;
     const double windows = seconds(length) / seconds(AdmissionWindow);
     const double next = limit + windows * std::clamp(step, -MaxLimitDecrease * limit / windows, highest * limit);
@@ -374,7 +379,7 @@
         m_limiter.setLimit(std::max(*m_limiter.limit(), std::min(*m_limiter.limit() * OverflowGrowth, 2 * m_limiter.demand())));
         return;
     }
-    m_limiter.adjust(length, m_used + TrendWeight * (m_used - usedBefore), m_overflow ? MaxOverflowDemand : MaxDemand);
+    m_limiter.adjust(length, m_used + TrendWeight * (m_used - usedBefore), m_overflow);
     if (!m_overflow && m_limiter.calm() >= CalmTime) {
         m_limiter.setLimit(std::nullopt);
     }
@@ -414,7 +419,7 @@
     m_windowStart = now;
     m_limiter.endWindow(length);
     if (m_limiter.limit()) {
-        m_limiter.adjust(length, m_used / MaxLinkShare, MaxDemand);
+        m_limiter.adjust(length, m_used / MaxLinkShare, false);
         if (m_limiter.calm() >= CalmTime) {
             m_limiter.setLimit(std::nullopt);
         }
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -62,8 +62,8 @@
 // The fall is linear in what was measured, so that the noise of small windows averages out: with a threshold, 26 balancers that
 // share the targets drifted apart to 0.1 and 3 times their mean rate within 30 s. The rise that follows the demand brings them
 // together again.
-inline constexpr double LimitIncrease = 0.05;
-inline constexpr double LimitDecrease = 0.075;
+inline constexpr double LimitIncrease = 0.06;
+inline constexpr double LimitDecrease = 0.078;
 inline constexpr double IdleShare = 0.5;
 
 // Largest rise per window as a part of the limit, and the rise while less than IdleShare is used.
@@ -138,9 +138,8 @@
     // is large.
     void lower(double remaining);
 
-    // Moves an existing limit. `used`: 1 when the resource becomes overloaded. `maxDemand`: the demand counts at most this many
-    // times the limit.
-    void adjust(Duration length, double used, double maxDemand);
+    // Moves an existing limit. `used`: 1 when the resource becomes overloaded. `yields`: others use the resource first.
+    void adjust(Duration length, double used, bool yields);
 
     // How long the demand has been below CalmShare of the limit.
     Duration calm() const;
