--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -260,6 +260,7 @@
         m_window.rejectionSum += answerTime;
         return;
     }
+    m_window.lowest = smallestKnown(m_window.lowest, answerTime);
     m_window.answers++;
     m_window.sum += times.max > Duration{} ? std::min(answerTime, scaled(times.max, MaxAnswerExcess)) : answerTime;
 }
@@ -297,12 +298,15 @@
         m_overflow = false;
         m_growing = false;
     }
-    const WindowAnswers window = std::exchange(m_window, {});
+    WindowAnswers window = std::exchange(m_window, {});
     m_windowStart = now;
-    // At the least limit the pool has no load of this balancer. Without these windows, a service that became slower than
-    // OverloadedAnswerFactor times its usual time would be refused for good.
-    const bool atFloor = m_limiter.limit() && *m_limiter.limit() <= 2 * MinAdmittedRate;
-    return answers > 0 && ((!m_overloaded && !m_limiter.limit()) || atFloor) ? std::optional(window) : std::nullopt;
+    if (m_overloaded || m_limiter.limit()) {
+        // The mean contains waiting here, but some answers have not waited. If even the fastest one takes longer than usual, the
+        // service has become slower. Without these windows, it would be refused for good.
+        window.sum = window.answers * std::max(times.usual, window.lowest);
+        window.rejections = 0;
+    }
+    return window.answers + window.rejections > 0 && (times.usual > Duration{} || !m_overloaded) ? std::optional(window) : std::nullopt;
 }
 
 bool PoolAdmission::overloaded() const
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -91,7 +91,7 @@
 // Longest window, and the time without any answer after which a pool with admitted flows is overloaded.
 inline constexpr Duration MaxAdmissionWindow = std::chrono::seconds(1);
 
-// The usual answer time is the lowest mean of the samples of the last one to two periods. Small samples would make the lowest
+// The usual answer time is the lowest mean of the samples of the last one to two periods, so that it can also rise. Small samples would make the lowest
 // mean much lower than a typical one.
 inline constexpr Duration UsualTimePeriod = std::chrono::seconds(30);
 inline constexpr Duration UsualTimeSample = std::chrono::seconds(1);
@@ -190,6 +190,7 @@
     std::uint32_t rejections = 0;
     Duration sum{}; // Of `answers`.
     Duration rejectionSum{};
+    Duration lowest{}; // Of `answers`.
 };
 
 // The new flows that the targets of one service in one data centre can take.
