--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -572,53 +572,55 @@
     state.smallestLatency = smallestKnown(state.smallestLatency, latency);
 }
 
-AdmissionDecision AdmissionControl::chooseAmong(TimePoint now, std::uint16_t service, const AdmissionRequest &request, std::span<const DataCentreId> usable)
+void AdmissionControl::orderOthers(std::uint64_t callerHash, std::span<const DataCentreId> usable)
 {
     m_order.clear();
     for (const DataCentreId dataCentre : usable) {
         if (dataCentre != m_own) {
-            m_order.emplace_back(hashPair(request.callerHash, value(dataCentre)), dataCentre);
+            m_order.emplace_back(hashPair(callerHash, value(dataCentre)), dataCentre);
         }
     }
     std::ranges::sort(m_order);
-    if (m_order.size() < usable.size()) {
+}
+
+AdmissionDecision AdmissionControl::chooseAmong(TimePoint now, std::uint16_t service, const AdmissionRequest &request, std::span<const DataCentreId> usable)
+{
+    if (std::ranges::find(usable, m_own) != usable.end()) {
         PoolAdmission &home = pool({service, m_own});
         const bool admitted = home.allows(now, request);
         home.record(now, request, admitted);
         if (admitted) {
             return home.limiter().limit() ? AdmissionDecision{AdmissionVerdict::DataCentre, m_own} : AdmissionDecision{};
         }
+        orderOthers(request.callerHash, usable);
         return chooseOverflow(now, service, request, home);
     }
-    const bool limited = std::ranges::any_of(m_order, [&](const auto &each) {
-        return pool({service, each.second}).limiter().limit().has_value();
+    const bool limited = std::ranges::any_of(usable, [&](DataCentreId dataCentre) {
+        return pool({service, dataCentre}).limiter().limit().has_value();
     });
     if (!limited) {
         return {};
     }
-    for (const auto &each : m_order) {
-        PoolAdmission &candidate = pool({service, each.second});
-        const bool admitted = candidate.allows(now, request);
-        candidate.record(now, request, admitted);
-        if (admitted) {
-            return {AdmissionVerdict::DataCentre, each.second};
-        }
-    }
-    return {AdmissionVerdict::RefusedByPools, {}};
+    orderOthers(request.callerHash, usable);
+    return chooseElsewhere(now, service, request);
 }
 
 AdmissionDecision AdmissionControl::chooseOverflow(TimePoint now, std::uint16_t service, const AdmissionRequest &request, const PoolAdmission &home)
 {
-    if (m_order.empty()) {
-        return {AdmissionVerdict::RefusedByPools, {}};
-    }
     PriorityRates expected = home.limiter().refusedDemand();
     for (double &rate : expected) {
-        rate /= static_cast<double>(m_order.size());
+        rate /= static_cast<double>(std::max<std::size_t>(m_order.size(), 1));
     }
+    for (const auto &each : m_order) {
+        pool({service, each.second}).startOverflow(OverflowStartShare * home.limiter().admittedRate(), expected);
+    }
+    return chooseElsewhere(now, service, request);
+}
+
+AdmissionDecision AdmissionControl::chooseElsewhere(TimePoint now, std::uint16_t service, const AdmissionRequest &request)
+{
     for (const auto &each : m_order) {
         PoolAdmission &candidate = pool({service, each.second});
-        candidate.startOverflow(OverflowStartShare * home.limiter().admittedRate(), expected);
         const bool admitted = candidate.allows(now, request);
         candidate.record(now, request, admitted);
         if (admitted) {
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -54,7 +54,7 @@
 
 // The first limit of a pool or link, as a part of the admitted rate of the window that is overloaded, and the least part if the
 // excess is large.
-inline constexpr double FirstLimitShare = 0.9;
+inline constexpr double FirstLimitShare = 0.95;
 inline constexpr double MaxLimitDecrease = 0.5;
 
 // Steps of an existing limit per window. It rises by LimitIncrease of the geometric mean of limit and demand, and falls by
@@ -343,8 +343,11 @@
     PoolAdmission &pool(PoolKey key);
     AnswerTimes answerTimes(PoolKey key) const;
     void noteLatency(TimePoint now, std::uint16_t service, Duration latency);
+    // Sorts the usable data centres but the own one by the caller's hash into m_order.
+    void orderOthers(std::uint64_t callerHash, std::span<const DataCentreId> usable);
     AdmissionDecision chooseAmong(TimePoint now, std::uint16_t service, const AdmissionRequest &request, std::span<const DataCentreId> usable);
     AdmissionDecision chooseOverflow(TimePoint now, std::uint16_t service, const AdmissionRequest &request, const PoolAdmission &home);
+    AdmissionDecision chooseElsewhere(TimePoint now, std::uint16_t service, const AdmissionRequest &request);
 
     DataCentreId m_own;
     LinkLoad m_link;
