Copies of an opening packet stay with its first target

Cause: a copy of an opening packet went to another target after 200 ms. If the first target answered late, both answered: the flow opened at the target whose answer arrived first, and the caller echoed the token of the other one. Only the balancer that saw the flow's first packet knew where the flow was open.

Change: a copy goes to the first target unless that one has left or is gone, for 1.4 s, until the caller gives up. A copy without a sign of life from the target since the first copy makes it suspect and is reported, as unanswered data is. One such report is enough for a probe, unlike with data, and it is sent after the batch of packets instead of at the next tick: otherwise the probes could not end before the second copy at 600 ms (at worst 585 ms now). Suspicion excludes at most half of a service's usable targets in a data centre; those whose suspicion ends first are used again. Targets that are gone get new flows last. Where no target accepts connections, probes prove nothing and a dead target keeps the copies sent to it.

Why soak and tests missed it: no simulated target answered an opening packet late, and the only test of two answers sent all packets through one balancer.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -63,6 +63,11 @@
 for mutation in DIALLED_ONLY NO_STEP_BACK NO_FORWARD; do
     expect 1 joining.pml "joining-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 openings.pml openings
+expect 1 openings.pml openings-OTHER_TARGET-O1 -DMUTATE_OTHER_TARGET -DO1_ONLY
+for mutation in OTHER_TARGET EARLY_GONE MOVE_OPENING; do
+    expect 1 openings.pml "openings-$mutation" "-DMUTATE_$mutation"
+done
 expect 0 heard.pml heard
 for mutation in KEEP_WORD OTHER_LINK NO_WHOLE; do
     expect 1 heard.pml "heard-$mutation" "-DMUTATE_$mutation"
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -83,8 +83,8 @@
     return decision;
 }
 
-// Steers an opening packet. A duplicate goes to the same target. A retransmission means that the target has not answered for
-// 200 ms or more, or that a packet was lost; in both cases another target is more likely to answer.
+// Steers an opening packet. All copies go to the first target unless it is dead: if a second target answered as well, the
+// caller would echo the token of the later answer, and only this balancer would know at which target the flow is open.
 template<TargetSelectionPolicy Policy>
 SteeringDecision BasicFlowSteering<Policy>::steerOpening(TimePoint now, const FlowPacket &packet)
 {
@@ -98,27 +98,21 @@
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = findOrAdd(now, key);
     SteeringReason reason = SteeringReason::NewFlow;
-    FlowToken avoid{};
-    // A retransmission for an open flow must not open it at a second target. A first copy is a new flow that reuses the port.
-    const bool late = flow != nullptr && flow->open && packet.copy > 0;
-    if (late || (flow != nullptr && !flow->open && value(flow->target) != 0)) {
-        SteeredTarget *first = m_targets.find(flow->target);
-        const bool tooSoon = flow->sentAt.elapsed(now) < MinRetransmitInterval;
-        const bool stays = first != nullptr && acceptsNewFlows(*first);
-        if (late && first != nullptr && !stays) {
-            return drop(SteeringReason::LateOpening);
-        }
-        if ((late || packet.copy <= flow->copy || tooSoon) && stays) {
+    SteeredTarget *first = flow != nullptr ? m_targets.find(flow->target) : nullptr;
+    if (first != nullptr && flow->open && packet.copy > 0) {
+        // A retransmission for an open flow must not open it at a second target. A first copy is a new flow that reuses the port.
+        return acceptsNewFlows(*first) ? forward(SteeringReason::RepeatedOpening, *first) : drop(SteeringReason::LateOpening);
+    }
+    if (first != nullptr && !flow->open && flow->sentAt.elapsed(now) < MaxOpeningTime) {
+        if (first->record.phase != TargetPhase::Left && !first->isGone(now)) {
+            assign(*flow, *first);
+            observeRepeatedOpening(now, packet, *flow, *first);
             return forward(SteeringReason::RepeatedOpening, *first);
         }
-        if (packet.copy > flow->copy && first != nullptr) {
-            markSuspect(now, *first);
-            avoid = flow->target;
-            reason = SteeringReason::OtherTarget;
-        }
+        reason = SteeringReason::OtherTarget;
     }
     const SelectionContext context{now, detail::FlowKeyHash()(key), m_dataCentre};
-    SteeredTarget *target = choose(context, *route, avoid);
+    SteeredTarget *target = choose(context, *route);
     if (target == nullptr) {
         return m_informed ? reset(SteeringReason::NoTarget, packet) : hold(SteeringReason::NotInformed);
     }
@@ -132,6 +126,24 @@
     return forward(reason, *target);
 }
 
+// Suspects and reports a target that did not answer an opening packet before its retransmission, unless it showed a sign of
+// life since the first copy: then it is slow or full, or a packet was lost.
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::observeRepeatedOpening(TimePoint now, const FlowPacket &packet, Flow &flow, SteeredTarget &target)
+{
+    const Duration waited = flow.sentAt.elapsed(now);
+    if (packet.copy <= flow.copy || waited < MinRetransmitInterval) {
+        return;
+    }
+    flow.copy = packet.copy;
+    if (target.lastAlive + waited <= now) {
+        markSuspect(now, target);
+        // One retransmission is enough for a probe: copies are sent after 200 and 600 ms, and in between the probe of 300 ms must
+        // end, so there is no time to wait for a second one.
+        report(target, ReportsForProbe);
+    }
+}
+
 // Steers a packet of a flow that its target has answered; the token names the target.
 template<TargetSelectionPolicy Policy>
 SteeringDecision BasicFlowSteering<Policy>::steerEstablished(TimePoint now, const FlowPacket &packet)
@@ -196,9 +208,7 @@
         } else if (target.lastAlive + flow.sentAt.elapsed(now) <= now) {
             // The data is retransmitted, and no sign of life came from the target since its first transmission.
             markSuspect(now, target);
-            if (m_unanswered.size() < MaxReportsPerTick) {
-                m_unanswered.push_back(target.record.key);
-            }
+            report(target, 1);
         }
         setBusy(flow, true);
     }
@@ -210,31 +220,24 @@
 // ---- Target selection ----
 
 template<TargetSelectionPolicy Policy>
-SteeredTarget *BasicFlowSteering<Policy>::choose(const SelectionContext &context, const Route &route, FlowToken avoid)
+SteeredTarget *BasicFlowSteering<Policy>::choose(const SelectionContext &context, const Route &route)
 {
-    SteeredTarget *target = chooseFromService(context, serviceOf(route, context.flowHash), avoid);
+    SteeredTarget *target = chooseFromService(context, serviceOf(route, context.flowHash));
     for (std::size_t i = 0; target == nullptr && i < route.services.size(); ++i) {
         if (route.services[i].weight > 0) {
-            target = chooseFromService(context, route.services[i].service, avoid);
+            target = chooseFromService(context, route.services[i].service);
         }
     }
     return target;
 }
 
-// Selects among the unimpaired targets; if there are none, among suspect ones as well, then silent ones, then the avoided
-// one.
+// Selects among the unimpaired targets; if there are none, among the suspect ones, then the silent ones, then those that are gone.
 template<TargetSelectionPolicy Policy>
-SteeredTarget *BasicFlowSteering<Policy>::chooseFromService(const SelectionContext &context, std::uint16_t service, FlowToken avoid)
+SteeredTarget *BasicFlowSteering<Policy>::chooseFromService(const SelectionContext &context, std::uint16_t service)
 {
-    enum class Impairment : std::uint8_t {
-        None,
-        Suspect,
-        Silent,
-        Avoided,
-    };
     const auto impairmentOf = [&](const SteeredTarget &target) {
-        if (target.token == avoid) {
-            return Impairment::Avoided;
+        if (target.isGone(context.now)) {
+            return Impairment::Gone;
         }
         if (!m_targets.reportedAlive(target)) {
             return Impairment::Silent;
@@ -245,19 +248,29 @@
     const auto eligible = [&](const SteeredTarget &target) {
         return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd);
     };
-    const std::span<SteeredTarget *const> targets = m_targets.ofService(m_routes.table().services[service]);
-    for (const Impairment worst : {Impairment::None, Impairment::Suspect, Impairment::Silent, Impairment::Avoided}) {
-        m_candidates.clear();
-        std::copy_if(targets.begin(), targets.end(), std::back_inserter(m_candidates), [&](const SteeredTarget *target) {
-            return eligible(*target) && impairmentOf(*target) <= worst;
-        });
-        if (!m_candidates.empty()) {
-            return Policy::pick(m_candidates, context);
+    for (std::vector<SteeredTarget *> &candidates : m_candidates) {
+        candidates.clear();
+    }
+    for (SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
+        if (eligible(*target)) {
+            candidatesWith(impairmentOf(*target)).push_back(target);
+        }
+    }
+    limitSuspicion(candidatesWith(Impairment::None), candidatesWith(Impairment::Suspect));
+    for (const std::vector<SteeredTarget *> &candidates : m_candidates) {
+        if (!candidates.empty()) {
+            return Policy::pick(candidates, context);
         }
     }
     return nullptr;
 }
 
+template<TargetSelectionPolicy Policy>
+std::vector<SteeredTarget *> &BasicFlowSteering<Policy>::candidatesWith(Impairment impairment)
+{
+    return m_candidates[static_cast<std::size_t>(impairment)];
+}
+
 template<TargetSelectionPolicy Policy>
 bool BasicFlowSteering<Policy>::acceptsNewFlows(const SteeredTarget &target) const
 {
@@ -340,6 +353,14 @@
     }
 }
 
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::report(const SteeredTarget &target, int times)
+{
+    for (int i = 0; i < times && m_unanswered.size() < MaxReportsPerTick; ++i) {
+        m_unanswered.push_back(target.record.key);
+    }
+}
+
 template<TargetSelectionPolicy Policy>
 std::vector<TargetKey> BasicFlowSteering<Policy>::takeUnanswered()
 {
@@ -359,11 +380,11 @@
         if (target == nullptr || !target->resetPending || resets.size() >= MaxResetsPerTick) {
             return false;
         }
+        release(flow);
         if (flow.open) {
             resets.push_back({key, target->record.key, flow.acknowledged});
         }
-        release(flow);
-        return true;
+        return flow.open; // Further copies of an opening packet must still find its first target.
     });
     if (resets.size() < MaxResetsPerTick) {
         m_targets.clearResetPending();
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -31,6 +31,9 @@
 // network, and the later one is no evidence that the target did not answer the first.
 inline constexpr Duration MinRetransmitInterval = std::chrono::milliseconds(120);
 
+// A caller gives up an opening after 1.4 s. An opening packet for the same flow that arrives later belongs to a new flow.
+inline constexpr Duration MaxOpeningTime = std::chrono::milliseconds(1400);
+
 // Interval at which the flow table is searched for idle flows.
 inline constexpr Duration FlowSweepInterval = std::chrono::seconds(2);
 
@@ -43,8 +46,8 @@
 
 enum class SteeringReason : std::uint8_t {
     NewFlow,
-    RepeatedOpening, // A duplicate; goes to the same target.
-    OtherTarget, // A retransmission; the first target did not answer.
+    RepeatedOpening, // A duplicate or a retransmission; goes to the same target.
+    OtherTarget, // A retransmission; the first target has left or is gone.
     OpenFlow,
     PinnedFlow, // The token named another target than the one at which the flow is open.
     NoRoute,
@@ -85,10 +88,10 @@
 struct SteeredFlow {
     FlowToken target{};
     CoarseTime lastSeen;
-    CoarseTime sentAt; // When the newest data was forwarded; before any data, the newest copy of the opening packet.
+    CoarseTime sentAt; // When the newest data was forwarded first; before any data, the opening packet.
     std::uint32_t sequence = 0; // Of the newest data.
     std::uint32_t acknowledged = 0;
-    std::uint8_t copy = 0;
+    std::uint8_t copy = 0; // The newest copy of the opening packet.
     bool open = false;
     bool busy = false;
     bool counted = false; // Included in SteeredTarget::flows.
@@ -136,14 +139,16 @@
     // their next request. Call it at each tick.
     std::vector<FlowReset> takeResets();
 
-    // Targets that did not answer data of open flows before its retransmission; one entry per retransmission. To be reported.
+    // Targets that did not answer data or an opening packet before its retransmission, to be reported: one entry per
+    // retransmission of data, ReportsForProbe per retransmission of an opening packet.
     std::vector<TargetKey> takeUnanswered();
 
     std::size_t flowCount() const;
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
 
-    // From an opening packet to the caller's next packet; from a request's data to the first acknowledgement of its answer.
+    // From the first copy of an opening packet to the caller's next packet; from a request's data to the first acknowledgement
+    // of its answer.
     const LatencyHistogram &openTimes() const;
     const LatencyHistogram &answerTimes() const;
 
@@ -153,22 +158,34 @@
 private:
     using Flow = detail::SteeredFlow;
 
+    // Why a target is less likely to answer than others, in the order in which such targets are chosen.
+    enum class Impairment : std::uint8_t {
+        None,
+        Suspect,
+        Silent,
+        Gone,
+    };
+    static constexpr std::size_t ImpairmentCount = 4;
+
     SteeringDecision steerOpening(TimePoint now, const FlowPacket &packet);
     SteeringDecision steerEstablished(TimePoint now, const FlowPacket &packet);
     SteeringDecision forward(SteeringReason reason, const SteeredTarget &target);
     SteeringDecision reset(SteeringReason reason, const FlowPacket &packet);
     SteeringDecision drop(SteeringReason reason);
     SteeringDecision hold(SteeringReason reason);
-    SteeredTarget *choose(const SelectionContext &context, const Route &route, FlowToken avoid);
-    SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service, FlowToken avoid);
+    SteeredTarget *choose(const SelectionContext &context, const Route &route);
+    SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service);
+    std::vector<SteeredTarget *> &candidatesWith(Impairment impairment);
     static std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
     bool acceptsNewFlows(const SteeredTarget &target) const;
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
+    void observeRepeatedOpening(TimePoint now, const FlowPacket &packet, Flow &flow, SteeredTarget &target);
     Flow *findOrAdd(TimePoint now, const FlowKey &key);
     void assign(Flow &flow, SteeredTarget &target);
     void release(Flow &flow);
     void setBusy(Flow &flow, bool busy);
     void markSuspect(TimePoint now, SteeredTarget &target);
+    void report(const SteeredTarget &target, int times);
 
     DataCentreId m_dataCentre;
     bool m_informed = false;
@@ -176,7 +193,7 @@
     SteeringTargets m_targets;
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
-    std::vector<SteeredTarget *> m_candidates; // Reused between packets to avoid allocations.
+    std::array<std::vector<SteeredTarget *>, ImpairmentCount> m_candidates; // Reused between packets to avoid allocations.
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
     std::uint64_t m_suspicions = 0;
     std::vector<TargetKey> m_unanswered;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -96,7 +96,6 @@
     selectReplicas();
     m_links.tick(m_now);
     m_steering.tick(m_now);
-    reportUnanswered();
     resetFlows();
     requestTableIfBehind(m_now);
     updateReadiness();
@@ -125,6 +124,7 @@
     if (emptied) {
         m_stallDetector.queueEmptied();
     }
+    reportUnanswered();
 }
 
 SteeringDecision SteeringNode::steer(FlowPacket packet)
@@ -299,6 +299,8 @@
     resetFlows();
 }
 
+// Called after each batch of packets, as a target that does not answer opening packets must be found gone within 400 ms, of which
+// the probes take 300 ms: waiting for the timer would cost up to 50 ms.
 void SteeringNode::reportUnanswered()
 {
     const TargetsUnanswered unanswered{m_steering.takeUnanswered()};
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -16,7 +16,8 @@
 namespace Robinrail {
 
 // How long a target that did not answer gets no new flows: at first, and at most, as the time doubles with each further
-// failure. Each new attempt on a dead target costs one caller 200 ms, the time until it retransmits its opening packet.
+// failure. Each new attempt on a dead target that does not count as gone costs one caller up to 600 ms: the first
+// retransmission of its opening packet triggers the probes, and the second one goes to another target.
 inline constexpr Duration InitialSuspicion = std::chrono::seconds(1);
 inline constexpr Duration MaxSuspicion = std::chrono::seconds(8);
 
@@ -50,6 +51,13 @@
     }
 };
 
+// Suspicion alone excludes at most 1 / SuspectShare of a service's usable targets in a data centre from new flows, as Envoy's
+// panic threshold does. At a usual slot utilization of 20 to 50%, the other half can carry twice its load and no more.
+inline constexpr std::size_t SuspectShare = 2;
+
+// Moves those suspects whose suspicion ends first to the trusted targets, as long as there are too many in a data centre.
+void limitSuspicion(std::vector<SteeredTarget *> &trusted, std::vector<SteeredTarget *> &suspects);
+
 class SteeringTargets
 {
 public:
--- a/src/target_probe.h
+++ b/src/target_probe.h
@@ -6,10 +6,10 @@
 // need not be lost: once the target is known to be gone, its flows are reset, and the caller opens another one.
 //
 // Resetting a flow of a live target would break it, so all of the following must hold. Balancers saw data of open flows
-// retransmitted, twice or more (once if the target's announcement is overdue), without any sign of life since. Then one
-// more replica than could be wrong at the same time tried to connect to the target and got no answer within many round
-// trips. And the balancer that resets the flows has forwarded no packet meanwhile that shows the target to be alive. A
-// target that is slow or overloaded still accepts a connection, because its kernel does that.
+// retransmitted, twice or more (once if the target's announcement is overdue), or an opening packet once, without any sign of
+// life since. Then one more replica than could be wrong at the same time tried to connect to the target and got no answer
+// within many round trips. And the balancer that resets the flows has forwarded no packet meanwhile that shows the target to
+// be alive. A target that is slow or overloaded still accepts a connection, because its kernel does that.
 #pragma once
 
 #include "loss_tolerance.h"
@@ -24,7 +24,7 @@
 // A replica probes the same target at most once in this time.
 inline constexpr Duration MinProbeInterval = std::chrono::milliseconds(500);
 
-// Reports within MinProbeInterval that trigger a probe; a single lost packet causes one report.
+// Reports within MinProbeInterval that trigger a probe; a single lost packet of an open flow causes one report.
 inline constexpr int ReportsForProbe = 2;
 
 // Maximum number of reports that a balancer forwards per tick.
