--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -106,7 +106,6 @@
     m_links.tick(m_now);
     m_steering.tick(m_now);
     logAdmission();
-    reportUnanswered();
     resetFlows();
     requestTableIfBehind(m_now);
     updateReadiness();
@@ -135,6 +134,7 @@
     if (emptied) {
         m_stallDetector.queueEmptied();
     }
+    reportUnanswered();
 }
 
 SteeringDecision SteeringNode::steer(FlowPacket packet)
@@ -309,6 +309,8 @@
     resetFlows();
 }
 
+// Called after each batch of packets, as a target that does not answer opening packets must be found gone within 400 ms, of which
+// the probes take 300 ms: waiting for the timer would cost up to 50 ms.
 void SteeringNode::reportUnanswered()
 {
     const TargetsUnanswered unanswered{m_steering.takeUnanswered()};
