HTTP input no longer terminates a process

Cause: a path that is not valid UTF-8 was put into an error response, where nlohmann::json::dump() throws. Nothing between the handler and io_context::run() caught it, so the process ended with code 1. An exception in a callback that completes an answer later, after a commit or a confirmed read, ended it in the same way: GET /v1/... with such a path at the control daemon of the own interface throws out of completeRequest() (found by reading, not run).

Change: HttpResponder is a class. dispatch() in src/http.cpp passes each request to its handler through HttpResponder::guard(), which converts any exception into 500 and a rate-limited log line. Callbacks that answer later are made by later() or answered through answer(), which use the same guard, so an exception doesn't unwind through the replica's flush either. Only the first answer to a request counts. A response that can't be serialized also becomes 500. Requests that the parser rejects and over-long headers never ended the process, but the connection was closed without an answer; now 400, 413 or 431 is sent first. Error responses replace bytes that are not UTF-8. All listeners of src/http.cpp share this: both platform programs and both daemons of the own interface.

Why it was not found: the soak and the tests sent only well-formed paths. The fuzz targets called parsers, so neither a handler nor a serializer of responses ever saw input that isn't UTF-8.

--- a/src/api_json.cpp
+++ b/src/api_json.cpp
@@ -235,9 +235,10 @@
     return "unknown";
 }
 
+// The body may contain any bytes of a request: those that are not UTF-8 are replaced, as dump() throws on them by default.
 HttpResponse jsonResponse(const Json &body, unsigned status)
 {
-    return {status, "application/json", body.dump() + "\n"};
+    return {status, "application/json", body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
 }
 
 HttpResponse errorResponse(unsigned status, std::string_view error, std::string_view detail)
--- a/src/control_daemon_api.cpp
+++ b/src/control_daemon_api.cpp
@@ -61,7 +61,7 @@
         return respond(errorResponse(HttpBadRequest, "malformed-change", "see docs/API.md"));
     }
     change->receivedAt = wallClockSeconds();
-    m_pendingRequests[++m_lastTicket] = {respond, {}};
+    m_pendingRequests.emplace(++m_lastTicket, PendingRequest{respond, {}});
     m_driver.core().submit(monotonicNow(), m_lastTicket, *change);
     scheduleFlush();
 }
@@ -73,9 +73,10 @@
     if (queryValue(request.query, "stale") == "true") {
         return respond(readState(request));
     }
-    m_pendingRequests[++m_lastTicket] = {respond, [this, request] {
-                                             return readState(request);
-                                         }};
+    const auto read = [this, request] {
+        return readState(request);
+    };
+    m_pendingRequests.emplace(++m_lastTicket, PendingRequest{respond, read});
     m_driver.core().read(monotonicNow(), m_lastTicket);
     scheduleFlush();
 }
@@ -97,10 +98,12 @@
         break;
     }
     if (pending.read) {
-        return pending.respond(pending.read());
+        return pending.respond.answer(pending.read);
     }
-    const bool refused = reply.result.refusal != ChangeRefusal::None;
-    pending.respond(jsonResponse(toApi(reply.result), refused ? HttpConflict : 200));
+    pending.respond.answer([&reply] {
+        const bool refused = reply.result.refusal != ChangeRefusal::None;
+        return jsonResponse(toApi(reply.result), refused ? HttpConflict : 200);
+    });
 }
 
 HttpResponse ControlDaemon::notLeaderResponse() const
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -2,10 +2,18 @@
 // HTTP: implementation with Boost.Beast.
 #include "http.h"
 
+#include "log.h"
+#include "log_rate_limiter.h"
+#include "net.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <exception>
+#include <sstream>
+
 namespace Robinrail {
 
 namespace beast = boost::beast;
@@ -16,6 +24,9 @@
 
 constexpr std::string_view Bearer = "Bearer ";
 
+using RequestParser = http::request_parser<http::string_body>;
+using ResponseMessage = http::response<http::string_body>;
+
 Tcp::endpoint toTcp(Endpoint endpoint)
 {
     return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
@@ -37,8 +48,119 @@
     return request;
 }
 
+ResponseMessage toMessage(HttpResponse response, bool keepAlive)
+{
+    ResponseMessage message;
+    message.result(response.status);
+    message.set(http::field::content_type, response.contentType);
+    if (!response.location.empty()) {
+        message.set(http::field::location, response.location);
+    }
+    message.keep_alive(keepAlive && !response.closeConnection);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+// Response to a request that the parser rejected; empty if the connection ended or timed out, so that nobody waits for one.
+std::optional<HttpResponse> rejection(const beast::error_code &error)
+{
+    if (error.category() != make_error_code(http::error::bad_method).category() || error == http::error::end_of_stream
+        || error == http::error::partial_message) {
+        return std::nullopt;
+    }
+    http::status status = http::status::bad_request;
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        status = http::status::request_header_fields_too_large;
+    } else if (error == http::error::body_limit) {
+        status = http::status::payload_too_large;
+    }
+    HttpResponse response{static_cast<unsigned>(status), "application/json", R"({"error":"request rejected"})"};
+    response.closeConnection = true;
+    return response;
+}
+
+// Replaces bytes that are not printable ASCII and limits the length, so that input can't garble or flood the log.
+std::string printable(std::string_view text)
+{
+    constexpr std::size_t MaxLength = 200;
+    constexpr char FirstPrintable = ' ';
+    constexpr char LastPrintable = '~';
+    std::string result(text.substr(0, MaxLength));
+    std::replace_if(
+        result.begin(),
+        result.end(),
+        [](char character) {
+            return character < FirstPrintable || character > LastPrintable;
+        },
+        '?');
+    return result;
+}
+
+// The reason of the exception that is being handled.
+std::string currentExceptionText()
+{
+    try {
+        throw;
+    } catch (const std::exception &error) {
+        return error.what();
+    } catch (...) {
+        return "unknown exception";
+    }
+}
+
+void logFailedRequest(const std::string &request)
+{
+    static thread_local LogRateLimiter limiter;
+    if (const auto suppressed = limiter.take(monotonicNow())) {
+        LogLine(LogLevel::Error, "http-request-failed")
+            .with("request", printable(request))
+            .with("reason", printable(currentExceptionText()))
+            .with("left-out", *suppressed);
+    }
+}
+
+// Passes a parsed request to a handler, whose exceptions become an error response.
+void dispatch(const http::request<http::string_body> &message, const HttpHandler &handler, HttpResponder::Write write)
+{
+    const HttpResponder responder(std::move(write), std::string(message.method_string()) + " " + std::string(message.target()));
+    responder.guard([&] {
+        handler(toHttpRequest(message), responder);
+    });
+}
+
 } // namespace
 
+HttpResponder::HttpResponder(Write write, std::string request)
+    : m_answer(std::make_shared<Answer>(Answer{std::move(write), std::move(request)}))
+{
+}
+
+void HttpResponder::operator()(HttpResponse response) const noexcept
+{
+    if (!m_answer->write) {
+        return;
+    }
+    try {
+        m_answer->write(std::move(response));
+        m_answer->write = nullptr;
+    } catch (...) {
+        fail();
+    }
+}
+
+void HttpResponder::fail() const noexcept
+{
+    try {
+        logFailedRequest(m_answer->request);
+        if (const Write write = std::exchange(m_answer->write, nullptr)) {
+            write({static_cast<unsigned>(http::status::internal_server_error), "application/json", R"({"error":"internal error"})"});
+        }
+    } catch (...) {
+        // Memory is exhausted: the connection is closed without an answer, once the last copy of the responder is gone.
+    }
+}
+
 // A server connection. Reads requests and writes responses in turn, and keeps itself alive through its handlers. It
 // persists between requests, as opening a connection costs several times what a request does and targets send one
 // about every second.
@@ -72,6 +194,8 @@
             self->leaveIdle();
             if (!error) {
                 self->handle();
+            } else if (std::optional<HttpResponse> response = rejection(error)) {
+                self->writeResponse(std::move(*response));
             }
         });
     }
@@ -105,22 +229,14 @@
 
     void handle()
     {
-        m_handler(toHttpRequest(m_parser->get()), [self = shared_from_this()](HttpResponse response) {
+        dispatch(m_parser->get(), m_handler, [self = shared_from_this()](HttpResponse response) {
             self->writeResponse(std::move(response));
         });
     }
 
     void writeResponse(HttpResponse response)
     {
-        m_response = {};
-        m_response.result(response.status);
-        m_response.set(http::field::content_type, response.contentType);
-        if (!response.location.empty()) {
-            m_response.set(http::field::location, response.location);
-        }
-        m_response.keep_alive(m_parser->get().keep_alive() && !response.closeConnection);
-        m_response.body() = std::move(response.body);
-        m_response.prepare_payload();
+        m_response = toMessage(std::move(response), m_parser->get().keep_alive());
         m_stream.expires_after(HttpTimeout);
         http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
             if (!error && self->m_response.keep_alive()) {
@@ -133,8 +249,8 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser; // Parser of the current request.
-    http::response<http::string_body> m_response;
+    std::optional<RequestParser> m_parser; // Parser of the current request.
+    ResponseMessage m_response;
     const HttpHandler &m_handler;
     std::shared_ptr<HttpConnections> m_connections;
     std::optional<std::list<HttpConnection *>::iterator> m_idlePosition; // Position in HttpConnections::idle while idle.
@@ -199,7 +315,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
-    http::response<http::string_body> m_response;
+    ResponseMessage m_response;
     HttpCallback m_done;
 };
 
@@ -281,6 +397,31 @@
     return response;
 }
 
+std::string handleHttpBytes(std::string_view bytes, const HttpHandler &handler)
+{
+    const auto sent = std::make_shared<std::string>();
+    const auto write = [sent](const HttpResponse &response) {
+        std::ostringstream text;
+        text << toMessage(response, false);
+        *sent = text.str();
+    };
+    RequestParser parser;
+    parser.body_limit(MaxHttpBody);
+    parser.eager(true);
+    beast::error_code error;
+    while (!error && !bytes.empty() && !parser.is_done()) {
+        bytes.remove_prefix(parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error));
+    }
+    if (!error && parser.is_done()) {
+        dispatch(parser.get(), handler, write);
+    } else if (error == http::error::need_more) {
+        return {};
+    } else if (const std::optional<HttpResponse> response = rejection(error)) {
+        write(*response);
+    }
+    return *sent;
+}
+
 std::string queryValue(std::string_view query, std::string_view key)
 {
     while (!query.empty()) {
--- a/src/http.h
+++ b/src/http.h
@@ -45,8 +45,63 @@
     bool closeConnection = false; // Close the connection after this response, as the client sends its next request elsewhere.
 };
 
-using HttpResponder = std::function<void(HttpResponse)>;
-using HttpHandler = std::function<void(const HttpRequest &, HttpResponder)>;
+// Answers one request, now or later. Copies answer the same request, and only the first answer counts. A response that can't be
+// written, or an exception in a function passed to guard(), answer() or later(), becomes an error response (500) and a
+// rate-limited log line, so that no input terminates the process.
+class HttpResponder
+{
+public:
+    using Write = std::function<void(HttpResponse)>;
+
+    // `write` is called at most twice: again with an error response if the first call throws. `request` is for the log.
+    explicit HttpResponder(Write write, std::string request = {});
+
+    void operator()(HttpResponse response) const noexcept;
+
+    // Calls a function that answers through a copy of this responder, now or later.
+    template<typename Function>
+    void guard(Function function) const noexcept
+    {
+        try {
+            function();
+        } catch (...) {
+            fail();
+        }
+    }
+
+    // Answers with the result of a function.
+    template<typename Make>
+    void answer(Make make) const noexcept
+    {
+        guard([&] {
+            (*this)(make());
+        });
+    }
+
+    // Returns a callback that answers with the result of `make`, called with the arguments of the callback. Callbacks that
+    // complete an answer later must be made by this function: they are called from an event loop that catches nothing.
+    template<typename Make>
+    auto later(Make make) const
+    {
+        return [responder = *this, make = std::move(make)](const auto &...arguments) {
+            responder.answer([&] {
+                return make(arguments...);
+            });
+        };
+    }
+
+private:
+    struct Answer {
+        Write write; // Empty once the request is answered.
+        std::string request;
+    };
+
+    void fail() const noexcept; // Called in a catch block.
+
+    std::shared_ptr<Answer> m_answer;
+};
+
+using HttpHandler = std::function<void(const HttpRequest &, const HttpResponder &)>;
 
 namespace detail {
 
@@ -89,6 +144,10 @@
 // Sends one request and waits for the response; empty if the request failed or timed out.
 std::optional<HttpResponse> sendHttpRequest(Endpoint endpoint, const HttpRequest &request, std::chrono::milliseconds timeout);
 
+// Handles one request as a connection of HttpServer does, from the bytes received to those sent, but without a socket. Returns
+// the response; empty if the request is incomplete or not yet answered.
+std::string handleHttpBytes(std::string_view bytes, const HttpHandler &handler);
+
 // The value of a key in a query string, not percent-decoded; empty if the key is missing.
 std::string queryValue(std::string_view query, std::string_view key);
 
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -115,9 +115,10 @@
 mutate "links: secure links may fall silent for good" src/secure_links.cpp 'link.activity.timedOut(now) && (link.peerPings' \
     'link.activity.timedOut(now) && (link.tag == ~std::uint64_t{0}' '*secure link that falls silent*'
 mutate "links: every connection is closed after its answer" src/http.cpp \
-    'm_response.keep_alive(m_parser->get().keep_alive() && !response.closeConnection);' 'm_response.keep_alive(false);' '*keeps its connection*'
+    'message.keep_alive(keepAlive && !response.closeConnection);' 'message.keep_alive(false);' '*keeps its connection*'
 mutate "links: the longest open connection is closed, busy or not" src/http.cpp 'if (connection->closeIfIdle()) {' \
     'if (connection == nullptr) {' '*flood of connections*'
+mutate "http: exceptions of handlers are not converted" src/http.h 'fail();' 'throw;' '*exception in a*'
 mutate "directory: a page claims more changes than it holds" src/directory_log.cpp 'slice.upTo = std::prev(at)->first;' \
     'slice.upTo = m_newest;' '*changes after any number*,*follower converges*'
 mutate "directory: the removal of a target is ignored" src/directory_log.cpp 'return number >= m_forgotten;' \
