A replica syncs what it read back before it counts as durable

Cause: a process that is killed between the write and the sync of a log entry reads the entry back from the system's cache when it restarts. RaftStorage::load() handed it to the core as durable state without a sync, so the replica confirmed an entry that a power loss could still remove.

Why it was not found: the soak kills processes, not machines, so the system's cache always keeps what was written; the tests of the storage looked at contents only. tests/test_storage.cpp now replaces fsync() and fdatasync() in the test program, records what each file held at its last sync, and can make the syncs of one file fail.

Not covered: after a failed sync the kernel may count pages as clean, so a later sync of the same file can succeed without writing them.

--- a/src/durable_file.cpp
+++ b/src/durable_file.cpp
@@ -108,6 +108,21 @@
     return syncFolder(path.parent_path());
 }
 
+leaf::result<void> syncFile(const std::filesystem::path &path)
+{
+    const ScopedDescriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (file.number() < 0 && errno == ENOENT) {
+        return {};
+    }
+    if (file.number() < 0) {
+        return failure(FileError::Open, path);
+    }
+    if (::fsync(file.number()) != 0) {
+        return failure(FileError::Sync, path);
+    }
+    return {};
+}
+
 leaf::result<void> syncFolder(const std::filesystem::path &folder)
 {
     const ScopedDescriptor directory(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
--- a/src/durable_file.h
+++ b/src/durable_file.h
@@ -38,6 +38,9 @@
 // Appends all bytes to an open file and syncs its data. `path` is used for errors only.
 boost::leaf::result<void> appendAndSync(int descriptor, const std::filesystem::path &path, BytesView bytes);
 
+// Syncs the content of a file, whichever process wrote it; nothing is done if it does not exist.
+boost::leaf::result<void> syncFile(const std::filesystem::path &path);
+
 // Syncs a folder, so that files created or renamed in it survive a crash.
 boost::leaf::result<void> syncFolder(const std::filesystem::path &folder);
 
--- a/src/raft_storage.cpp
+++ b/src/raft_storage.cpp
@@ -251,7 +251,20 @@
         return failure(StorageError::DamagedSnapshot, snapshotPath, "checksum mismatch or invalid content");
     }
     BOOST_LEAF_CHECK(loadLog());
-    return openLog();
+    BOOST_LEAF_CHECK(openLog());
+    return syncFiles();
+}
+
+// A process that was killed between a write and its sync leaves data that only the cache of the system may hold. The core counts
+// what was read back as durable and confirms it to others, so it must survive a power loss from here on.
+leaf::result<void> RaftStorage::syncFiles()
+{
+    return mapFileErrors([&]() -> leaf::result<void> {
+        for (const char *const name : {IdentityFile, LogFile, SnapshotFile}) {
+            BOOST_LEAF_CHECK(syncFile(m_folder / name));
+        }
+        return {};
+    });
 }
 
 leaf::result<void> RaftStorage::loadLog()
--- a/src/raft_storage.h
+++ b/src/raft_storage.h
@@ -51,7 +51,7 @@
 {
 public:
     // Opens the data folder of a replica; an empty or missing one is initialized with the disk number `newDisk`.
-    // A torn record at the end of the log is truncated; see StorageError for the other failures.
+    // A torn record at the end of the log is truncated, and what was read is synced; see StorageError for the other failures.
     static boost::leaf::result<RaftStorage> open(const std::filesystem::path &folder, ReplicaId replica, std::uint64_t newDisk);
 
     RaftStorage(RaftStorage &&other) noexcept;
@@ -86,6 +86,7 @@
     boost::leaf::result<void> load();
     boost::leaf::result<void> loadLog();
     boost::leaf::result<void> openLog();
+    boost::leaf::result<void> syncFiles();
     boost::leaf::result<void> append(BytesView bytes);
 
     std::filesystem::path m_folder;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -159,6 +159,8 @@
 mutate "bundles go back" src/rollout.cpp 'if (offer.version <= m_version) {' 'if (offer.version == m_version) {' '*only upward*'
 mutate "a torn record is taken" src/raft_storage.cpp 'if (loadInteger<std::uint64_t>(bytes, at + 8) != checksum(length, payload)) {' \
     'if (length > MaxRecord) {' '*damaged record*,*torn record*'
+mutate "storage: what was read back is not synced" src/raft_storage.cpp 'BOOST_LEAF_CHECK(syncFile(m_folder / name));' \
+    'static_cast<void>(name);' '*has not synced*,*can not be synced*'
 mutate "raft: hearing the leader is enough" src/raft_replication.cpp 'if (m_commit >= request.commit) {' 'if (m_commit <= request.commit) {' \
     '*does not confirm its routing table before*'
 mutate "drains: a drained data centre gets new flows" src/flow_steering.cpp '&& !m_routes.isDrained(target.record.dataCentre)' '' '*drained data centre gets no new flows*'
--- a/tests/test_storage.cpp
+++ b/tests/test_storage.cpp
@@ -6,7 +6,12 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <doctest/doctest.h>
 
+#include <cerrno>
+#include <cstring>
 #include <fstream>
+#include <map>
+#include <mutex>
+#include <sys/syscall.h>
 
 using namespace Robinrail;
 namespace leaf = boost::leaf;
@@ -76,6 +81,75 @@
     });
 }
 
+std::string contentOf(const fs::path &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+// Records what a disk holds after each sync of this process, and can make the syncs of a file fail. There is one at a time.
+class SyncRecorder
+{
+public:
+    SyncRecorder()
+    {
+        const std::lock_guard lock(mutex());
+        current() = this;
+    }
+    SyncRecorder(const SyncRecorder &) = delete;
+    SyncRecorder &operator=(const SyncRecorder &) = delete;
+    ~SyncRecorder()
+    {
+        const std::lock_guard lock(mutex());
+        current() = nullptr;
+    }
+
+    // Content of a file at its last sync; empty if it was never synced.
+    std::optional<std::string> synced(const fs::path &file) const
+    {
+        const std::lock_guard lock(mutex());
+        const auto at = m_synced.find(file);
+        return at != m_synced.end() ? std::optional(at->second) : std::nullopt;
+    }
+
+    void failSyncsOf(const fs::path &file)
+    {
+        const std::lock_guard lock(mutex());
+        m_failing = file;
+    }
+
+    // Called in place of fsync() and fdatasync(), whose system call is `call`.
+    static int sync(long call, int descriptor)
+    {
+        const std::lock_guard lock(mutex());
+        if (current() != nullptr) {
+            std::error_code ignored;
+            const fs::path file = fs::read_symlink("/proc/self/fd/" + std::to_string(descriptor), ignored);
+            if (!file.empty() && file == current()->m_failing) {
+                errno = EIO;
+                return -1;
+            }
+            current()->m_synced[file] = fs::is_regular_file(file, ignored) ? contentOf(file) : std::string();
+        }
+        return static_cast<int>(::syscall(call, descriptor));
+    }
+
+private:
+    static std::mutex &mutex()
+    {
+        static std::mutex only;
+        return only;
+    }
+    static SyncRecorder *&current()
+    {
+        static SyncRecorder *only = nullptr;
+        return only;
+    }
+
+    std::map<fs::path, std::string> m_synced;
+    fs::path m_failing;
+};
+
 void damage(const fs::path &file, std::uintmax_t at)
 {
     std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
@@ -86,6 +160,17 @@
 
 } // namespace
 
+// Replace the functions of the C library in this program, so that a test sees which files are synced.
+extern "C" int fsync(int descriptor)
+{
+    return SyncRecorder::sync(SYS_fsync, descriptor);
+}
+
+extern "C" int fdatasync(int descriptor)
+{
+    return SyncRecorder::sync(SYS_fdatasync, descriptor);
+}
+
 TEST_CASE("persisted state is recovered, and later entries replace earlier ones")
 {
     const TemporaryFolder folder;
@@ -244,3 +329,49 @@
     fs::create_symlink("/dev/zero", folder.path() / "log");
     CHECK(openError(folder.path()) == StorageError::Io);
 }
+
+// Guards against the loss of an acknowledged entry: a process that is killed between the write and the sync of an entry reads
+// it back when it restarts and counts it as durable, and a later power loss removes it.
+TEST_CASE("data that a killed process has not synced is synced before it counts as durable")
+{
+    const TemporaryFolder folder;
+    writeThreeEntries(folder.path());
+    CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) {
+        Snapshot snapshot;
+        snapshot.index = LogIndex{1};
+        snapshot.term = Term{1};
+        const LogEntry rest[] = {entryOf(2, 2), entryOf(3, 3)};
+        return storage.compact(snapshot, HardState{Term{3}, {}}, rest);
+    }));
+    for (const bool torn : {false, true}) {
+        const TemporaryFolder killed;
+        fs::copy(folder.path(), killed.path(), fs::copy_options::recursive | fs::copy_options::overwrite_existing);
+        const std::string whole = contentOf(killed.path() / "log");
+        if (torn) {
+            std::ofstream(killed.path() / "log", std::ios::app | std::ios::binary) << whole.substr(0, whole.size() / 2);
+        }
+        const SyncRecorder disk;
+        CHECK(countEntries(killed.path()) == 2);
+        for (const std::string file : {"identity", "log", "snapshot"}) {
+            CAPTURE(file);
+            CHECK(disk.synced(killed.path() / file) == contentOf(folder.path() / file));
+        }
+        CHECK(disk.synced(killed.path())); // The folder, without which a replaced file may return to its former content.
+    }
+}
+
+TEST_CASE("a folder whose data can not be synced is not opened")
+{
+    const TemporaryFolder folder;
+    writeThreeEntries(folder.path());
+    CHECK_FALSE(withStorage(folder.path(), [](RaftStorage &storage) {
+        return storage.compact(Snapshot{}, HardState{Term{3}, {}}, {});
+    }));
+    for (const std::string file : {"identity", "log", "snapshot", ""}) {
+        CAPTURE(file);
+        SyncRecorder disk;
+        disk.failSyncsOf(file.empty() ? folder.path() : folder.path() / file);
+        CHECK(openError(folder.path()) == StorageError::Io);
+    }
+    CHECK_FALSE(openError(folder.path()));
+}
