Only targets of known services end a silent predecessor at their address

Cause: an announcement of an unknown id ended (TargetPhase::Left, final) every older lifetime at its address that was overdue by half the silence limit, whatever its service was. A replica that freezes for 3.5 s makes running targets overdue, so another system's writer on their hosts ended them, and the balancers reset their open flows.

Change: - The directory learns the services that the routing document names. A target of any other service ends no lifetime and occupies no address. It is still kept, as a later document may introduce its service; balancers ignore it as before. - A lifetime ends only after the whole silence limit, and only by one that was born later if both announce their birth. - A target that is new at an address is not registered (503) as long as a target of another known service announces itself there. The predecessor ends when its successor is registered, not after it, and a delayed announcement of the predecessor is kept out.

Tests missed it because every announcement in them had a service that some document names, and because the ends that they checked needed no silence of the whole limit. The soak missed it because only its targets announced themselves, each address had one service, and a paused replica alone ends nothing.

--- a/src/replica_calls.cpp
+++ b/src/replica_calls.cpp
@@ -11,6 +11,11 @@
 
 void ReplicaNode::announce(const TargetRecord &record, Respond respond)
 {
+    // Without storage no document is available; the services of the last one remain in force.
+    if (const RoutingTable &table = document().table; table.version > m_servicesVersion) {
+        m_servicesVersion = table.version;
+        m_targets.setServices(table.services);
+    }
     m_targets.announce(monotonicNow(), record, [respond = std::move(respond)](bool taken) {
         respond(taken ? CallOutcome::Done : CallOutcome::Unavailable);
     });
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -65,7 +65,8 @@
     void beginStop();
 
     // Handles the announcement of a target. Done: it is in the directory, and if it drains, the drain survives any
-    // loss of replicas that the deployment tolerates.
+    // loss of replicas that the deployment tolerates; or no routing document names its service. Unavailable also while a
+    // target of another service announces itself at its address.
     void announce(const TargetRecord &record, Respond respond);
 
     // Ends the lifetime of a target that began at `born`, or the current one if `born` is 0. Done: as for announce().
@@ -144,6 +145,7 @@
     TimePoint m_nextStorageAttempt;
     NodeLinks m_links;
     BasicTargetExchange<NodeLinks> m_targets;
+    std::uint64_t m_servicesVersion = 0; // Version of the document whose services m_targets knows.
     TargetProber m_prober;
     AsyncFileWriter m_notes;
     bool m_notesDue = false;
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -22,6 +22,16 @@
 {
 }
 
+void TargetDirectory::setServices(std::span<const std::string> services)
+{
+    m_services = {services.begin(), services.end()};
+}
+
+bool TargetDirectory::isKnownService(const std::string &service) const
+{
+    return m_services.contains(service);
+}
+
 std::vector<TargetStatus> TargetDirectory::announce(TimePoint now, const TargetRecord &record)
 {
     std::vector<TargetStatus> changes;
@@ -29,6 +39,13 @@
     if (known != nullptr && record.born < known->born) {
         return changes; // Delayed announcement of a lifetime that a later one has replaced.
     }
+    if (isAddressOccupied(now, record)) {
+        if (isKnownService(record.service) && m_waiting.size() < MaxDirectoryTargets) {
+            const TimePoint since = firstHeard(now, record);
+            m_waiting[record.key] = {record.born, since, now};
+        }
+        return changes;
+    }
     m_announcedHere.push_back(record.key);
     if (known == nullptr || known->phase != TargetPhase::Left || record.born > known->born) {
         changes = endOlderLifetimes(now, record);
@@ -36,24 +53,51 @@
     if (std::optional<TargetStatus> own = apply(now, {record, false, Duration{0}})) {
         changes.push_back(std::move(*own));
     }
+    m_waiting.erase(record.key);
     return changes;
 }
 
+// Whether a target of another service announces itself at the address at which this one is new. Balancers would otherwise send
+// flows of both services to the address: those of a predecessor that is not known to have ended, or those that a delayed
+// announcement of a predecessor attracts after its successor has registered. Targets of unknown services get no flows, so they
+// occupy no address.
+bool TargetDirectory::isAddressOccupied(TimePoint now, const TargetRecord &record) const
+{
+    const TargetRecord *known = find(record.key);
+    if (known != nullptr && known->address == record.address && known->born == record.born) {
+        return false;
+    }
+    const auto [first, last] = m_addresses.equal_range(record.address);
+    return std::any_of(first, last, [&](const auto &at) {
+        const Entry &entry = m_entries.at(at.second);
+        const bool running = entry.record.phase != TargetPhase::Left && !isSilent(now, entry);
+        return at.second != record.key && running && entry.record.service != record.service && isKnownService(entry.record.service);
+    });
+}
+
 // An address is reused only after its target has ended, so of two lifetimes at one address the older one is over. The order
 // in which their announcements arrive here does not tell which one that is: a delayed announcement may arrive after its
 // sender's end and after the first one of its successor. A lifetime therefore ends only those that were first heard before
-// it. Ending the wrong one would be irreversible and reset live flows, so the older one must also be overdue. A target that
-// restarts immediately announces itself before its former lifetime is overdue; the check is therefore made at each
+// it, and that were not born after it if both give their birth.
+//
+// Ending the wrong one would be irreversible and reset live flows. So the older one must also have been silent for the silence
+// limit: a replica that freezes delays announcements by more than one call. And a service that the routing document does not
+// name is no evidence at all: such an announcement may come from another system's writer at the address of a running target. A
+// target that restarts immediately announces itself before its former lifetime is silent; the check is therefore made at each
 // announcement and not only at the first.
 std::vector<TargetStatus> TargetDirectory::endOlderLifetimes(TimePoint now, const TargetRecord &record)
 {
     std::vector<TargetStatus> ended;
+    if (!isKnownService(record.service)) {
+        return ended;
+    }
     const TimePoint since = firstHeard(now, record);
     const auto [first, last] = m_addresses.equal_range(record.address);
     for (auto at = first; at != last; ++at) {
         Entry &entry = m_entries.at(at->second);
-        const bool older = at->second != record.key && entry.firstHeard < since && entry.record.phase != TargetPhase::Left;
-        if (older && isOverdue(now, entry)) {
+        const bool bornBefore = entry.record.born == 0 || record.born == 0 || entry.record.born < record.born;
+        const bool older = at->second != record.key && bornBefore && entry.firstHeard < since && entry.record.phase != TargetPhase::Left;
+        if (older && isSilent(now, entry)) {
             entry.record.phase = TargetPhase::Left;
             entry.lastHeard = now;
             ended.push_back(statusOf(entry, now));
@@ -62,15 +106,15 @@
     return ended;
 }
 
-bool TargetDirectory::isOverdue(TimePoint now, const Entry &entry) const
+bool TargetDirectory::isSilent(TimePoint now, const Entry &entry) const
 {
-    return now - entry.lastHeard >= m_silenceLimit / 2;
+    return now - entry.lastHeard >= m_silenceLimit;
 }
 
 bool TargetDirectory::isOverdue(TimePoint now, TargetKey key) const
 {
     const auto found = m_entries.find(key);
-    return found != m_entries.end() && isOverdue(now, found->second);
+    return found != m_entries.end() && now - found->second.lastHeard >= m_silenceLimit / 2;
 }
 
 // When a lifetime was first heard. For a lifetime that is new here this is estimated from its sequence number, at one
@@ -82,6 +126,10 @@
     if (found != m_entries.end() && record.born <= found->second.record.born) {
         return found->second.firstHeard;
     }
+    // A target that waits for its address may repeat its announcements more often than once per interval.
+    if (const auto waiting = m_waiting.find(record.key); waiting != m_waiting.end() && waiting->second.born == record.born) {
+        return waiting->second.firstHeard;
+    }
     const std::uint64_t before = record.sequence > 0 ? record.sequence - 1 : 0;
     return now - m_announceInterval * static_cast<std::int64_t>(std::min(before, MaxCountedIntervals));
 }
@@ -105,7 +153,7 @@
     const bool warmsUpAgain = restartsWarmup(status, entry, now);
     entry.lastHeard = std::max(entry.lastHeard, now - status.age);
     entry.firstHeard = std::min(entry.firstHeard, now - status.known);
-    const bool wasSilent = std::exchange(entry.silent, entry.silent && now - entry.lastHeard >= m_silenceLimit);
+    const bool wasSilent = std::exchange(entry.silent, entry.silent && isSilent(now, entry));
     if (!status.record.supersedes(entry.record)) {
         return wasSilent && !entry.silent ? std::optional(statusOf(entry, now)) : std::nullopt;
     }
@@ -192,7 +240,7 @@
     std::vector<TargetStatus> silent;
     for (auto &[key, entry] : m_entries) {
         const bool left = entry.record.phase == TargetPhase::Left;
-        if (!left && !entry.silent && now - entry.lastHeard >= m_silenceLimit) {
+        if (!left && !entry.silent && isSilent(now, entry)) {
             entry.silent = true;
             silent.push_back(statusOf(entry, now));
         }
@@ -206,6 +254,9 @@
         m_forgotten.push_back(each.first);
         return true;
     });
+    std::erase_if(m_waiting, [this, now](const auto &each) {
+        return now - each.second.lastHeard >= m_silenceLimit;
+    });
     return silent;
 }
 
--- a/src/target_directory.h
+++ b/src/target_directory.h
@@ -10,7 +10,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace Robinrail {
@@ -36,8 +38,14 @@
     // announcement at any replica.
     TargetDirectory(Duration announceInterval, Duration silenceLimit);
 
-    // Applies an announcement that was received here. Returns the changes to forward: that of the target itself, and the end
-    // of older, overdue lifetimes at its address.
+    // The services that the routing document names; none before the first document. A target of any other service is kept, as
+    // a document may still introduce its service, but it ends no lifetime and occupies no address.
+    void setServices(std::span<const std::string> services);
+    bool isKnownService(const std::string &service) const;
+
+    // Applies an announcement that was received here. Returns the changes to forward: the end of older lifetimes at its address
+    // that have been silent for the silence limit, and then that of the target itself. A target that is new at an address is
+    // not registered as long as a target of another service announces itself there.
     std::vector<TargetStatus> announce(TimePoint now, const TargetRecord &record);
 
     // Applies a status received from another replica. Returns the change to forward to balancers, if any.
@@ -82,7 +90,14 @@
         TimePoint firstHeard; // By any replica.
         bool silent = false;
     };
-    bool isOverdue(TimePoint now, const Entry &entry) const;
+    // A target that is not registered because its address is occupied.
+    struct WaitingTarget {
+        std::uint64_t born = 0;
+        TimePoint firstHeard;
+        TimePoint lastHeard;
+    };
+    bool isSilent(TimePoint now, const Entry &entry) const;
+    bool isAddressOccupied(TimePoint now, const TargetRecord &record) const;
     std::vector<TargetStatus> endOlderLifetimes(TimePoint now, const TargetRecord &record);
     TimePoint firstHeard(TimePoint now, const TargetRecord &record) const;
     TargetStatus beginLifetime(TimePoint now, Entry &entry, const TargetStatus &status);
@@ -93,7 +108,9 @@
 
     Duration m_announceInterval;
     Duration m_silenceLimit;
+    std::set<std::string> m_services; // That the routing document names.
     std::map<TargetKey, Entry> m_entries;
+    std::map<TargetKey, WaitingTarget> m_waiting;
     std::multimap<Endpoint, TargetKey> m_addresses; // Of all entries.
     std::vector<TargetKey> m_announcedHere;
     std::vector<TargetKey> m_forgotten;
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -52,7 +52,11 @@
     // The exchange of the replica `self`. Targets announce themselves once per `announceInterval`.
     BasicTargetExchange(Links &links, TimePoint now, const ReplicaLocation &self, Duration announceInterval, const LossTolerance &tolerance);
 
-    // Calls from targets.
+    // The services that the routing document names; see TargetDirectory.
+    void setServices(std::span<const std::string> services);
+
+    // Calls from targets. An announcement of a service that the document does not name is accepted even if it is not registered:
+    // nothing depends on it, and its sender would only repeat it sooner.
     void announce(TimePoint now, const TargetRecord &record, Respond respond);
     void leave(TimePoint now, TargetKey key, std::uint64_t born, Respond respond);
 
--- a/src/target_exchange_detail.h
+++ b/src/target_exchange_detail.h
@@ -41,6 +41,12 @@
 
 // ---- Calls ----
 
+template<ExchangeLinks Links>
+void BasicTargetExchange<Links>::setServices(std::span<const std::string> services)
+{
+    m_directory.setServices(services);
+}
+
 template<ExchangeLinks Links>
 void BasicTargetExchange<Links>::announce(TimePoint now, const TargetRecord &record, Respond respond)
 {
@@ -56,7 +62,7 @@
         return confirmDrain(now, *known, std::move(respond));
     }
     notifyReplicas(now);
-    respond(known != nullptr);
+    respond(known != nullptr || !m_directory.isKnownService(record.service));
 }
 
 template<ExchangeLinks Links>
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -86,6 +86,8 @@
     'std::min(before, MaxCountedIntervals / 100'"'"'000)' '*delayed announcement ends no successor*'
 mutate "steering: replicas do not share when a lifetime was first heard" src/target_directory.cpp \
     'std::min(entry.firstHeard, now - status.known)' 'entry.firstHeard' '*agree which one is older*'
+mutate "steering: a target of any service ends those at its address" src/target_directory.cpp 'if (!isKnownService(record.service)) {' \
+    'if (record.service.empty()) {' '*foreign writer ends no target*,*becomes known later*'
 mutate "steering: the result of one replica makes a target gone" src/target_probe.h 'return finders.size() >= m_needed;' \
     'return finders.size() + m_needed > 0;' '*enough different replicas*,*random faults no flow*'
 mutate "steering: signs of life do not speak against a target's end" src/steering_targets.cpp \
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -164,6 +164,25 @@
     CHECK_FALSE(parseTargetId("i-0"));
 }
 
+// Guards against targets that no balancer can use or reach, and against data centre 0, which no drain covers.
+TEST_CASE("an announcement with an impossible value is rejected")
+{
+    const auto isValid = [](const std::string &address, const std::string &dataCentre, const std::string &slots) {
+        std::string reason;
+        return parseAnnouncement(TargetKey{5},
+                                 R"({"service":"a","address":")" + address + R"(","zone":")" + dataCentre + R"(","capacity":)" + slots
+                                     + R"(,"state":"ready","warmup_left_ms":0,"sequence":4})",
+                                 steeringSettings(),
+                                 reason)
+            .has_value();
+    };
+    CHECK(isValid("10.0.0.9:80", "thamel", "2"));
+    CHECK_FALSE(isValid("10.0.0.9:0", "thamel", "2"));
+    CHECK_FALSE(isValid("10.0.0.9:80", "elsewhere", "2"));
+    CHECK_FALSE(isValid("10.0.0.9:80", "", "2"));
+    CHECK_FALSE(isValid("10.0.0.9:80", "thamel", "0"));
+}
+
 TEST_CASE("warm-up settings are parsed, and a rate of 0 means no limit")
 {
     const auto parseWarmup = [](const std::string &members) {
