--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -340,8 +340,8 @@
 // Prints a measured figure if ADMISSION_FIGURES is set.
 void printFigure(const std::string &name, double value)
 {
-    static const bool prints = std::getenv("ADMISSION_FIGURES") != nullptr;
-    if (prints) {
+    static const bool Prints = std::getenv("ADMISSION_FIGURES") != nullptr;
+    if (Prints) {
         std::cout << name << ": " << value << "\n";
     }
 }
@@ -781,6 +781,31 @@
     CHECK(balancer.run(seconds(4), kinds, 200, milliseconds(200))[Normal] < 150);
 }
 
+TEST_CASE("admission: overflow to a data centre that is cut off stays at a few flows")
+{
+    // Load: 200 flows/s whose own answers take 200 ms instead of 30 ms, while another data centre never answers. Guards against
+    // overflow that grows without answers.
+    SingleBalancer balancer;
+    const RequestObjective objective{Normal, milliseconds(400), seconds(4)};
+    balancer.run(seconds(3), {objective}, 200, milliseconds(30));
+    balancer.usable = {SingleBalancer::Here, SingleBalancer::There};
+    std::array<std::size_t, 10> lost{}; // Flows to the silent data centre, by second.
+    for (std::size_t i = 0; i < 2000; i++, balancer.now += milliseconds(5)) {
+        const AdmissionDecision decision = balancer.control.decide(balancer.now, Service, objective, hashPair(balancer.nextCaller++, 0), balancer.usable);
+        if (decision.verdict == AdmissionVerdict::DataCentre && decision.dataCentre == SingleBalancer::There) {
+            lost[i / 200]++;
+        } else if (decision.verdict != AdmissionVerdict::RefusedByPools) {
+            balancer.control.recordAnswer(balancer.now, {Service, SingleBalancer::Here}, milliseconds(200));
+        }
+        balancer.control.tick(balancer.now);
+    }
+    for (const std::size_t each : lost) {
+        printFigure("flows per second to a data centre that is cut off", static_cast<double>(each));
+    }
+    CHECK(std::ranges::max(lost) <= 60);
+    CHECK(lost[9] <= 4 * MinAdmittedRate);
+}
+
 TEST_CASE("admission: a service that becomes slower or faster is not refused for good")
 {
     // Load: unloaded targets whose answers take 4 times as long, and a fifth of the time, after a new release. Guards against a usual
