Admission control: the link keeps its reserve

The demand counted up to 8 times the limit for the link, too, so that a link at twice its capacity was used up to 0.946 in 2 s, beyond MaxLinkShare of 0.85. With a weight of 1.5 it is 0.77 to 0.88; the test's bound is now 0.9 instead of 0.95.

--- a/src/admission_control.cpp
+++ b/src/admission_control.cpp
@@ -27,9 +27,10 @@
 constexpr double FullLinkShare = 0.95;
 
 // The demand counts at most this many times the limit when the limit rises. With more, large overloads would be allowed longer
-// answers, and overflow would push the callers of another data centre aside.
+// answers, overflow would push the callers of another data centre aside, and the reserve of the link would be used.
 constexpr double MaxDemand = 8;
 constexpr double MaxOverflowDemand = 1.5;
+constexpr double MaxLinkDemand = 1.5;
 
 // Beyond the overload, overflow falls this many times faster than the limits of the data centre's own balancers.
 constexpr double OverflowDecrease = 3;
@@ -141,15 +142,14 @@
     setLimit(std::max(MinAdmittedRate, base * std::max(MaxLimitDecrease, FirstLimitShare * remaining)));
 }
 
-void RateLimiter::adjust(Duration length, double used, bool yields)
+void RateLimiter::adjust(Duration length, double used, double maxDemand, double overloadFactor)
 {
     if (!m_limit) {
         return;
     }
     m_calm = demand() < CalmShare * *m_limit ? m_calm + length : Duration{};
     const double limit = used > 1 ? std::min(*m_limit, std::max(demand(), MinAdmittedRate)) : *m_limit;
-    const double maxDemand = yields ? MaxOverflowDemand : MaxDemand;
-    const double decrease = LimitDecrease * (yields && used > 1 ? OverflowDecrease : 1);
+    const double decrease = LimitDecrease * (used > 1 ? overloadFactor : 1);
     const double pressure = std::max(used - IdleShare, 0.0) / (1 - IdleShare);
     const double step = used < IdleShare ? MaxIdleLimitIncrease * limit
                                          : LimitIncrease * limit * std::sqrt(std::min(demand() / limit, maxDemand)) - decrease * pressure * limit;
@@ -383,7 +383,7 @@
         m_limiter.setLimit(std::max(*m_limiter.limit(), std::min(*m_limiter.limit() * OverflowGrowth, 2 * m_limiter.demand())));
         return;
     }
-    m_limiter.adjust(length, m_used + TrendWeight * (m_used - usedBefore), m_overflow);
+    m_limiter.adjust(length, m_used + TrendWeight * (m_used - usedBefore), m_overflow ? MaxOverflowDemand : MaxDemand, m_overflow ? OverflowDecrease : 1);
     if (!m_overflow && m_limiter.calm() >= CalmTime) {
         m_limiter.setLimit(std::nullopt);
     }
@@ -423,7 +423,7 @@
     m_windowStart = now;
     m_limiter.endWindow(length);
     if (m_limiter.limit()) {
-        m_limiter.adjust(length, m_used / MaxLinkShare, false);
+        m_limiter.adjust(length, m_used / MaxLinkShare, MaxLinkDemand, 1);
         if (m_limiter.calm() >= CalmTime) {
             m_limiter.setLimit(std::nullopt);
         }
--- a/src/admission_control.h
+++ b/src/admission_control.h
@@ -91,8 +91,8 @@
 // Longest window, and the time without any answer after which a pool with admitted flows is overloaded.
 inline constexpr Duration MaxAdmissionWindow = std::chrono::seconds(1);
 
-// The usual answer time is the lowest mean of the samples of the last one to two periods, so that it can also rise. Small samples would make the lowest
-// mean much lower than a typical one.
+// The usual answer time is the lowest mean of the samples of the last one to two periods, so that it can also rise. Small samples
+// would make the lowest mean much lower than a typical one.
 inline constexpr Duration UsualTimePeriod = std::chrono::seconds(30);
 inline constexpr Duration UsualTimeSample = std::chrono::seconds(1);
 inline constexpr std::uint32_t UsualTimeAnswers = 4 * MinWindowAnswers;
@@ -138,8 +138,9 @@
     // is large.
     void lower(double remaining);
 
-    // Moves an existing limit. `used`: 1 when the resource becomes overloaded. `yields`: others use the resource first.
-    void adjust(Duration length, double used, bool yields);
+    // Moves an existing limit. `used`: 1 when the resource becomes overloaded. `maxDemand`: the demand counts at most this many
+    // times the limit. `overloadFactor`: how many times faster the limit falls beyond the overload.
+    void adjust(Duration length, double used, double maxDemand, double overloadFactor);
 
     // How long the demand has been below CalmShare of the limit.
     Duration calm() const;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -181,7 +181,7 @@
     'part > 0 ? m_admitted[i] / time / part : m_demand[i];' 'arrivals;' '*returns of refused callers*'
 mutate "admission: slow answers count in full" src/admission_control.cpp \
     'times.max > Duration{} ? std::min(answerTime, scaled(times.max, MaxAnswerExcess)) : answerTime;' 'answerTime;' '*few slow targets*'
-mutate "admission: overflow does not yield" src/admission_control.cpp 'yields && used > 1 ? OverflowDecrease : 1' 'yields && used < 0 ? OverflowDecrease : 1' \
+mutate "admission: overflow does not yield" src/admission_control.cpp 'm_overflow ? OverflowDecrease : 1' 'm_overflow ? 1 : 1' \
     '*yield to its own callers*'
 mutate "admission: the usual time is not learned while limited" src/admission_control.cpp \
     'std::max(times.usual, window.lowest)' 'times.usual' '*slower or faster*'
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -737,7 +737,7 @@
     for (int i = 0; i < 4; i++) {
         const double used = run(seconds(2), Rate).first;
         printFigure("link at twice its capacity, used share", used);
-        CHECK(used <= 0.95);
+        CHECK(used <= 0.9);
         CHECK(used >= 0.7);
     }
     printFigure("link at twice its capacity, admitted share of urgent flows", urgentAdmitted / urgentOffered);
