--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -54,6 +54,7 @@
         , m_drainOperator(m_io, options.topology, m_violations, streamSeed(options.seed, 6))
         , m_replicaVersions(m_io, options.topology, m_faults, m_violations)
         , m_restartRandom(streamSeed(options.seed, 7))
+        , m_lateAnswerRandom(streamSeed(options.seed, 8))
         , m_faultScheduler(options.topology, m_nodes, m_targets, m_routingOperator, m_faults, streamSeed(options.seed, 5))
         , m_timer(m_io)
     {
@@ -140,6 +141,31 @@
         }
     }
 
+    // A target answers opening packets late, and a balancer through which they pass is stopped meanwhile or shortly after.
+    void delayAnswers(TimePoint now)
+    {
+        constexpr milliseconds MinInterval{1000};
+        constexpr milliseconds MaxInterval{3000};
+        constexpr milliseconds MinDelay{250};
+        constexpr milliseconds MaxDelay{900};
+        constexpr milliseconds Lateness{1500};
+        if (m_options.seed < FirstRunWithLateAnswers) {
+            return;
+        }
+        if (now >= m_nextLateAnswersAt) {
+            m_nextLateAnswersAt = now + uniformDuration(m_lateAnswerRandom, MinInterval, MaxInterval);
+            m_targets.answerLate(now + Lateness, uniformDuration(m_lateAnswerRandom, MinDelay, MaxDelay));
+            m_nextStopAt = now + uniformDuration(m_lateAnswerRandom, milliseconds(0), Lateness);
+        }
+        if (m_nextStopAt && now >= *m_nextStopAt) {
+            m_nextStopAt.reset();
+            const std::size_t balancer = m_options.topology.replicas + uniformIndex(m_lateAnswerRandom, m_options.topology.balancers);
+            if (m_nodes.canInjectFault(balancer)) {
+                m_nodes.terminate(now, balancer, uniformDuration(m_lateAnswerRandom, MinDelay, MaxDelay));
+            }
+        }
+    }
+
     void advancePhase(TimePoint now)
     {
         const bool expired = now >= m_phaseDeadline;
@@ -152,6 +178,7 @@
         case Phase::InjectingFaults:
             m_faultScheduler.tick(now);
             restartTargets(now);
+            delayAnswers(now);
             if (expired) {
                 m_nodes.endAllFaults(now);
                 m_drainOperator.finish();
@@ -193,6 +220,9 @@
     ReplicaVersionChecker m_replicaVersions;
     Random m_restartRandom; // For restarts of targets under their previous keys.
     TimePoint m_nextRestartAt;
+    Random m_lateAnswerRandom;
+    TimePoint m_nextLateAnswersAt;
+    std::optional<TimePoint> m_nextStopAt; // Of a balancer.
     FaultScheduler m_faultScheduler;
     boost::asio::steady_timer m_timer;
     Phase m_phase = Phase::Starting;
--- a/soak/target_simulator.cpp
+++ b/soak/target_simulator.cpp
@@ -141,6 +141,16 @@
     }
 }
 
+void TargetSimulator::answerLate(TimePoint until, milliseconds delay)
+{
+    std::optional<Target> &target = m_hosts[uniformIndex(m_random, m_hosts.size())].target;
+    if (target) {
+        LogLine(LogLevel::Info, "target-answers-late").with("target", value(target->record.key)).with("delay-ms", delay.count());
+        target->lateUntil = until;
+        target->openingDelay = delay;
+    }
+}
+
 void TargetSimulator::leave(TimePoint now, Host &host)
 {
     const Endpoint replica{m_topology.replica(host.target->replica), Topology::ControlPort};
@@ -204,6 +214,7 @@
         }
         announce(now, host);
         advanceFlows(now, host);
+        sendLateAnswers(now, host);
         if (host.target->record.phase == TargetPhase::Draining && now >= host.target->leaveAt) {
             leave(now, host);
         }
@@ -267,7 +278,23 @@
     flow.acknowledged = flow.nextSequence;
     flow.expectedSequence = packet.sequence + 1;
     flow.token = packet.token;
-    reply(host, {packet.to, packet.from, flow.token, flow.firstSequence, flow.expectedSequence, true, true, false, false, {}});
+    const WirePacket answer{packet.to, packet.from, flow.token, flow.firstSequence, flow.expectedSequence, true, true, false, false, {}};
+    if (now < target.lateUntil) {
+        target.lateAnswers.push_back({now + target.openingDelay, {packet.from.address, Topology::PacketPort}, Platform::encodePacket(answer)});
+    } else {
+        reply(host, answer);
+    }
+}
+
+void TargetSimulator::sendLateAnswers(TimePoint now, Host &host)
+{
+    std::erase_if(host.target->lateAnswers, [now, &host](const LateAnswer &answer) {
+        if (now < answer.sendAt) {
+            return false;
+        }
+        host.socket->send(answer.to, BytesView(answer.packet));
+        return true;
+    });
 }
 
 void TargetSimulator::handleFlowPacket(TimePoint now, Host &host, const WirePacket &packet)
--- a/soak/target_simulator.h
+++ b/soak/target_simulator.h
@@ -38,6 +38,9 @@
     // Like a crash, but the new target has the key of the previous one, and its counters restart from zero.
     void restart(TimePoint now, milliseconds downtime);
 
+    // A randomly chosen target answers opening packets after `delay` until `until`.
+    void answerLate(TimePoint until, milliseconds delay);
+
     // Whether the flow is open at a running target.
     bool isFlowOpen(const FlowKey &flow) const;
 
@@ -64,6 +67,12 @@
         int resends = 0;
     };
     using FlowMap = std::map<std::pair<Endpoint, Endpoint>, Flow>;
+    // An answer to an opening packet that is sent late.
+    struct LateAnswer {
+        TimePoint sendAt;
+        Endpoint to;
+        Bytes packet;
+    };
     struct Target {
         TargetRecord record;
         std::size_t host = 0;
@@ -73,6 +82,9 @@
         bool callPending = false;
         std::optional<TimePoint> drainConfirmedAt;
         TimePoint leaveAt; // While draining.
+        TimePoint lateUntil; // Until then opening packets are answered after openingDelay.
+        milliseconds openingDelay{};
+        std::vector<LateAnswer> lateAnswers;
     };
     // An address at which targets run one after the other.
     struct Host {
@@ -94,6 +106,7 @@
     void execute(TimePoint now, Target &target, Flow &flow, const TargetRequest &request);
     void transmit(TimePoint now, Host &host, const FlowMap::key_type &key, Flow &flow);
     void advanceFlows(TimePoint now, Host &host);
+    static void sendLateAnswers(TimePoint now, Host &host);
     void reply(Host &host, const Platform::WirePacket &packet);
     // Whether the balancer must know the current routes, targets and drains.
     bool isExpectedCurrent(TimePoint now, std::uint32_t balancer) const;
--- a/src/target_probe.h
+++ b/src/target_probe.h
@@ -27,7 +27,7 @@
 // Reports within MinProbeInterval that trigger a probe; a single lost packet of an open flow causes one report.
 inline constexpr int ReportsForProbe = 2;
 
-// Maximum number of reports that a balancer forwards per tick.
+// Maximum number of reports that a balancer sends per batch of received packets.
 inline constexpr std::size_t MaxReportsPerTick = 64;
 
 // A target that has not accepted a connection after this time is unreachable from here. Data centres are up to 20 ms apart,
