Soak: a foreign writer announces ids at the targets' addresses

Seeds from 3000 on have one process of another system at each target's address. It announces ids of its own to random replicas, for a service that no document names; a tenth of the announcements each lacks a field, has one of the wrong type, or is unreadable. A process gets a new id every 2 to 8 s: only an id that is first heard after a target can be taken for its successor. Lower seeds keep their sequence of events.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 #include "caller_simulator.h"
 #include "drain_operator.h"
 #include "fault_scheduler.h"
+#include "foreign_writer.h"
 #include "log.h"
 #include "node_supervisor.h"
 #include "replica_version_checker.h"
@@ -53,6 +54,7 @@
         , m_routingOperator(m_io, options.topology, m_violations, streamSeed(options.seed, 4))
         , m_drainOperator(m_io, options.topology, m_violations, streamSeed(options.seed, 6))
         , m_replicaVersions(m_io, options.topology, m_faults, m_violations)
+        , m_foreignWriter(m_io, options.topology, streamSeed(options.seed, 8))
         , m_restartRandom(streamSeed(options.seed, 7))
         , m_faultScheduler(options.topology, m_nodes, m_targets, m_routingOperator, m_faults, streamSeed(options.seed, 5))
         , m_timer(m_io)
@@ -74,6 +76,7 @@
             .with("version", m_routingOperator.acknowledged())
             .with("reads", m_routingOperator.reads())
             .with("drain-orders", m_drainOperator.acceptedCommands())
+            .with("foreign-announcements", m_foreignWriter.announcements())
             .with("versions-judged", m_replicaVersions.checkedAnswers())
             .with("broken", m_violations.count());
         return m_violations.count() == 0;
@@ -107,6 +110,9 @@
             m_drainOperator.tick(now);
             m_targets.setDrainedSince(m_drainOperator.drainedSince());
         }
+        if (m_options.seed >= FirstRunWithForeignWriter) {
+            m_foreignWriter.tick(now);
+        }
         if (m_phase != Phase::Starting || m_callers.fabric().readyBalancers() == m_options.topology.balancers) {
             m_callers.tick(now);
         } else {
@@ -191,6 +197,7 @@
     RoutingOperator m_routingOperator;
     DrainOperator m_drainOperator;
     ReplicaVersionChecker m_replicaVersions;
+    ForeignWriter m_foreignWriter;
     Random m_restartRandom; // For restarts of targets under their previous keys.
     TimePoint m_nextRestartAt;
     FaultScheduler m_faultScheduler;
--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -101,6 +101,9 @@
 // replica with an empty disk may have to catch up from a leader that its settings don't list.
 inline constexpr std::uint64_t FirstRunWithPartialSeedNodes = 2000;
 
+// Runs with this seed or a higher one have a foreign writer, which announces ids of its own at the targets' addresses.
+inline constexpr std::uint64_t FirstRunWithForeignWriter = 3000;
+
 // Two fixed routes, one for each service, and one that operators add and remove.
 inline const std::vector<std::string> Services = {"quotes", "decks"};
 inline constexpr Endpoint FirstRoute{0xc6120001, 443};
