Soak: late answers from seed 4000 on

Cause: two new faults began at the same seed, so that the recorded seed of the foreign writer changed its events.

--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -102,7 +102,7 @@
 inline constexpr std::uint64_t FirstRunWithPartialSeedNodes = 2000;
 
 // In runs with this seed or a higher one, targets answer opening packets late while balancers are stopped.
-inline constexpr std::uint64_t FirstRunWithLateAnswers = 3000;
+inline constexpr std::uint64_t FirstRunWithLateAnswers = 4000;
 // Runs with this seed or a higher one have a foreign writer, which announces ids of its own at the targets' addresses.
 inline constexpr std::uint64_t FirstRunWithForeignWriter = 3000;
 
