--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -284,8 +284,7 @@
     };
     const bool excludeWarming = m_routes.table().warmupOf(service).limited;
     const auto eligible = [&](const SteeredTarget &target) {
-        return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd)
-            && (!context.only || target.record.dataCentre == *context.only);
+        return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd) && (!context.only || target.record.dataCentre == *context.only);
     };
     for (std::vector<SteeredTarget *> &candidates : m_candidates) {
         candidates.clear();
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -460,8 +460,7 @@
     const AdmissionControl &admission = m_steering.admission();
     text.gauge("robinrail_link_used", "Share of the own link in use", admission.link().used());
     for (const auto &[key, pool] : admission.pools()) {
-        const std::string label =
-            "service=\"" + m_steering.serviceName(key.service) + "\",data_centre=\"" + std::to_string(value(key.dataCentre)) + "\"";
+        const std::string label = "service=\"" + m_steering.serviceName(key.service) + "\",data_centre=\"" + std::to_string(value(key.dataCentre)) + "\"";
         text.gauge("robinrail_pool_limit", "New flows per second that the pool is given; -1: unlimited", pool.limiter().limit().value_or(-1), label);
         text.gauge("robinrail_pool_arrivals", "New flows per second that asked for the pool", pool.limiter().arrivalRate(), label);
         text.gauge("robinrail_pool_answer_seconds", "Mean answer time of the pool", std::chrono::duration<double>(pool.meanAnswerTime()).count(), label);
