Replicas hand their vote over before a planned stop

Cause: a replica that was stopped for good kept its vote until a silent voter is replaced, 1.5 s later. The soak and the tests missed it because a planned stop was the same to them as a crash: the test cluster had no step for it, and no schedule lost a disk between a removal and the replacement of its vote.

Change: a voter that gets SIGTERM sends StopNotice to the leader. If a learner has caught up, the leader promotes it and then demotes the stopping voter, which counts for both commits and ends when StopReply says that nothing is left to hand over. A leader that stops takes no more changes, has the learner promoted and passes the leadership on with LeaderStop; its successor demotes it. Nothing is handed over if fewer than half of the voters would stay, as in a shutdown of everything. Without a caught-up learner the replica ends at once as before. The new messages are at the end of the variant; the earlier ones are unchanged. A leader of an earlier release drops the notice, so the replica waits for the limit then. Ruled out: a flag in VoteRequest for the successor's election. Earlier releases refuse a message with more members, so a candidate of this release would get no votes from them during an upgrade.

Not run: tests/mutations.sh, the scenario with the real programs. The handover is not modelled in spec/ (docs/PROOFS.md).

--- a/src/raft_core.cpp
+++ b/src/raft_core.cpp
@@ -78,11 +78,18 @@
                 onAppendReply(now, from, typed);
             } else if constexpr (std::is_same_v<Typed, InstallSnapshot>) {
                 onSnapshot(now, from, typed);
-            } else {
+            } else if constexpr (std::is_same_v<Typed, JoinRequest>) {
                 onJoin(now, typed);
+            } else if constexpr (std::is_same_v<Typed, StopNotice>) {
+                onStopNotice(now, from);
+            } else if constexpr (std::is_same_v<Typed, StopReply>) {
+                onStopReply(from, typed);
+            } else {
+                onLeaderStop(now, from, typed);
             }
         },
         message);
+    continueStop(now);
 }
 
 void RaftCore::onJoin(TimePoint now, const JoinRequest &request)
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -48,6 +48,14 @@
 // membership. Longer than any restart, so that a restarted replica need not join again.
 inline constexpr Duration LearnerRemovalTimeout = std::chrono::seconds(20);
 
+// A stopping replica waits at most this long for the handover of its vote: several elections, and half of the shortest
+// grace period of a deployment (6 s).
+inline constexpr Duration VoteHandoverLimit = std::chrono::seconds(3);
+
+// A voter counts as stopping for this long after its last notice. Longer than RaftPolicy::voterTimeout of the deployments (1.5 s),
+// so that a voter that was killed meanwhile is the one that is replaced.
+inline constexpr Duration StopNoticeLifetime = std::chrono::seconds(2);
+
 // Upper bound of the election time-out of a replica that has just started. It is short because there is no
 // leader after a power loss; if there is one, the pre-vote keeps the early election from disturbing it.
 inline constexpr Duration FirstElectionTimeout = std::chrono::milliseconds(150);
@@ -131,6 +139,12 @@
     // Replaces the log up to `index`, which must be applied, by a snapshot of the state machine.
     void compact(LogIndex index, Bytes state);
 
+    // Starts a planned stop: a voter has its vote passed to a caught-up learner, and a leader passes the leadership on before.
+    // The replica goes on working until stopCompleted(), which holds after `longest` at the latest, and at once if there is no
+    // such learner.
+    void beginStop(TimePoint now, Duration longest);
+    bool stopCompleted(TimePoint now) const;
+
     RaftOutput takeOutput();
 
     RaftRole role() const;
@@ -187,6 +201,9 @@
     void onAppendReply(TimePoint now, ReplicaKey from, const AppendReply &reply);
     void onSnapshot(TimePoint now, ReplicaKey from, const InstallSnapshot &install);
     void onJoin(TimePoint now, const JoinRequest &request);
+    void onStopNotice(TimePoint now, ReplicaKey from);
+    void onStopReply(ReplicaKey from, const StopReply &reply);
+    void onLeaderStop(TimePoint now, ReplicaKey from, const LeaderStop &stop);
 
     void campaign(TimePoint now, bool preVote);
     void becomeFollower(TimePoint now, Term term, ReplicaKey leader);
@@ -211,7 +228,16 @@
     bool removeLearner(TimePoint now, ClusterConfig &config) const;
     bool readyForPromotion(TimePoint now, const ReplicaMember &member) const;
     bool voterTimedOut(TimePoint now, const ReplicaMember &member) const;
+    bool voterLeaves(TimePoint now, const ReplicaMember &member) const;
     std::size_t otherVotersInDataCentre(const ReplicaMember &member) const;
+    void continueStop(TimePoint now);
+    void passLeadership(TimePoint now);
+    bool handsOverVote(TimePoint now, ReplicaKey stopping) const;
+    bool awaitsFirstReply(TimePoint now, const ReplicaMember &member) const;
+    bool canReplaceStoppingVoters(TimePoint now) const;
+    bool staysVoter(TimePoint now, const ReplicaMember &member) const;
+    bool isStopping(TimePoint now, ReplicaKey key) const;
+    bool changesVoters() const;
     void proposeConfig(TimePoint now, const ClusterConfig &config);
     bool configPending() const;
     std::size_t voterCount() const;
@@ -236,11 +262,17 @@
     TimePoint m_lastTick;
     TimePoint m_electionDeadline;
     TimePoint m_nextHeartbeat;
+    TimePoint m_leaderSince; // When this replica last became the leader.
     TimePoint m_leaderLastHeard;
     TimePoint m_lastCaughtUp; // When the commit index last reached that of an append from the leader.
     std::set<ReplicaKey> m_votes;
     std::map<ReplicaKey, Progress> m_progress;
     std::map<ReplicaKey, TimePoint> m_joiners; // Replicas that asked to join, with the time of their last request.
+    std::map<ReplicaKey, TimePoint> m_stoppingMembers; // Members that are about to stop, with the time of their last notice.
+    bool m_stopping = false;
+    bool m_stopRefused = false; // The leader has no learner for the vote of this stopping replica, or has passed it on.
+    TimePoint m_stopDeadline;
+    TimePoint m_nextStopNotice;
     std::uint64_t m_round = 0;
     std::vector<PendingRead> m_reads;
     RaftOutput m_output;
--- a/src/raft_election.cpp
+++ b/src/raft_election.cpp
@@ -22,8 +22,10 @@
             broadcast(now);
         }
         updateMembership(now);
+        continueStop(now);
         return;
     }
+    continueStop(now);
     if (now < m_electionDeadline) {
         return;
     }
@@ -114,6 +116,7 @@
 {
     m_role = RaftRole::Leader;
     m_leader = m_self;
+    m_leaderSince = now;
     m_progress.clear();
     m_reads.clear();
     for (const ReplicaMember &member : config().members) {
--- a/src/raft_members.cpp
+++ b/src/raft_members.cpp
@@ -42,6 +42,9 @@
     std::erase_if(m_joiners, [now](const auto &joiner) {
         return now - joiner.second >= JoinRequestLifetime;
     });
+    std::erase_if(m_stoppingMembers, [now](const auto &stopping) {
+        return now - stopping.second >= StopNoticeLifetime;
+    });
     ClusterConfig changed = config();
     if (addJoiningLearners(now, changed) || demoteVoter(now, changed) || replaceOrAddVoter(now, changed) || removeLearner(now, changed)) {
         proposeConfig(now, changed);
@@ -65,7 +68,8 @@
 
 // The vote of a lost disk is gone for good, so that voter is removed before its successor is promoted. A voter
 // that timed out may return, so there a spare is promoted before the voter is demoted: with four voters, the
-// return of the one that timed out still gives a majority if another voter is lost at that moment.
+// return of the one that timed out still gives a majority if another voter is lost at that moment. A voter that
+// is about to stop is replaced like one that timed out, while it still counts for the commits of both changes.
 bool RaftCore::replaceOrAddVoter(TimePoint now, ClusterConfig &config) const
 {
     ReplicaMember *spare = nullptr;
@@ -85,16 +89,18 @@
         }
     }
     const bool voterLost = std::any_of(config.members.begin(), config.members.end(), [&](const ReplicaMember &member) {
-        return member.voter && voterTimedOut(now, member);
+        return member.voter && (voterTimedOut(now, member) || (voterLeaves(now, member) && canReplaceStoppingVoters(now)));
     });
-    if (spare == nullptr || (voterCount() >= m_policy.desiredVoters && !voterLost)) {
+    const bool wanted = voterCount() < m_policy.desiredVoters || (voterCount() == m_policy.desiredVoters && voterLost);
+    if (spare == nullptr || !wanted) {
         return false;
     }
     spare->voter = true;
     return true;
 }
 
-// Demotes a surplus voter to learner: one that timed out if there is one, else one from the data centre with the most voters.
+// Demotes a surplus voter to learner: one that timed out or is about to stop if there is one, else one from the data centre with the
+// most voters. A leader that is about to stop is the surplus one itself, which its successor demotes.
 bool RaftCore::demoteVoter(TimePoint now, ClusterConfig &config) const
 {
     if (voterCount() <= m_policy.desiredVoters) {
@@ -102,7 +108,7 @@
     }
     ReplicaMember *retired = nullptr;
     const auto rank = [&](const ReplicaMember &member) {
-        return std::pair(voterTimedOut(now, member), otherVotersInDataCentre(member));
+        return std::pair(voterLeaves(now, member), otherVotersInDataCentre(member));
     };
     for (ReplicaMember &member : config.members) {
         const bool eligible = member.voter && member.key != m_self;
@@ -110,6 +116,9 @@
             retired = &member;
         }
     }
+    if (m_stopping && !voterLeaves(now, *retired)) {
+        return false;
+    }
     retired->voter = false;
     return true;
 }
@@ -143,7 +152,7 @@
         return false;
     }
     const bool caughtUp = value(progress->second.match) + MaxPromotionLag >= value(lastIndex()) && progress->second.match > LogIndex{0};
-    return caughtUp && now - progress->second.lastHeard < ElectionTimeout;
+    return caughtUp && now - progress->second.lastHeard < ElectionTimeout && !isStopping(now, member.key);
 }
 
 bool RaftCore::voterTimedOut(TimePoint now, const ReplicaMember &member) const
@@ -152,6 +161,11 @@
     return m_policy.voterTimeout > Duration{0} && progress != m_progress.end() && now - progress->second.lastHeard >= m_policy.voterTimeout;
 }
 
+bool RaftCore::voterLeaves(TimePoint now, const ReplicaMember &member) const
+{
+    return voterTimedOut(now, member) || (changesVoters() && isStopping(now, member.key));
+}
+
 // Number of other voters in the data centre of a member.
 std::size_t RaftCore::otherVotersInDataCentre(const ReplicaMember &member) const
 {
--- a/src/raft_message.h
+++ b/src/raft_message.h
@@ -182,6 +182,39 @@
     }
 };
 
-using RaftMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, InstallSnapshot, JoinRequest>;
+// From a replica that is about to stop to the leader: asks it to pass its vote to a learner.
+struct StopNotice {
+    Term term{};
+
+    auto fields()
+    {
+        return std::tie(term);
+    }
+};
+
+// Answer of the leader. If it does not hand over the vote, or has done so, the replica may stop.
+struct StopReply {
+    Term term{};
+    bool handsOver = false;
+
+    auto fields()
+    {
+        return std::tie(term, handsOver);
+    }
+};
+
+// From a leader that is about to stop to the voters: it no longer leads the term, and `successor` starts an election at once.
+struct LeaderStop {
+    Term term{};
+    ReplicaKey successor;
+
+    auto fields()
+    {
+        return std::tie(term, successor);
+    }
+};
+
+// New types go at the end: the index of a type is part of the encoding, and an earlier release drops the types that it does not know.
+using RaftMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, InstallSnapshot, JoinRequest, StopNotice, StopReply, LeaderStop>;
 
 } // namespace Robinrail
--- a/src/raft_replication.cpp
+++ b/src/raft_replication.cpp
@@ -130,7 +130,8 @@
 
 std::optional<LogIndex> RaftCore::propose(TimePoint now, Bytes command)
 {
-    if (m_role != RaftRole::Leader) {
+    // A stopping leader takes no more changes: the log of its successor would never be complete.
+    if (m_role != RaftRole::Leader || m_stopping) {
         return std::nullopt;
     }
     const LogIndex index = append(EntryKind::Command, std::move(command));
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -81,10 +81,31 @@
     LogLine(LogLevel::Info, "settings-reloaded").with("seeds", m_file.seeds.size());
 }
 
-void ReplicaNode::beginStop()
+void ReplicaNode::beginStop(std::function<void()> stopped)
 {
     LogLine(LogLevel::Info, "stopping").with("targets", m_targets.size()).with("followers", m_targets.followers());
     m_links.logTraffic();
+    m_stopped = std::move(stopped);
+    m_stopBegan = monotonicNow();
+    if (m_driver) {
+        m_driver->core().beginStop(m_stopBegan, std::min(VoteHandoverLimit, m_file.stopGracePeriod / 2));
+        flush();
+    }
+    endStopIfCompleted();
+}
+
+// A replica whose storage failed acknowledges nothing, so it can't hand over its vote.
+void ReplicaNode::endStopIfCompleted()
+{
+    const TimePoint now = monotonicNow();
+    if (!m_stopped || (m_driver && !raft().stopCompleted(now))) {
+        return;
+    }
+    // By the log of this replica, which may not have received its own demotion yet.
+    LogLine(LogLevel::Info, "stopped")
+        .with("voter", m_driver && raft().isVoter(raft().self()))
+        .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_stopBegan).count());
+    std::exchange(m_stopped, {})();
 }
 
 // ---- Storage ----
@@ -142,6 +163,7 @@
     for (const auto &[ticket, respond] : std::exchange(m_pendingCalls, {})) {
         respond(CallOutcome::Unavailable);
     }
+    endStopIfCompleted();
 }
 
 // ---- Driver loop: tick, persist, send, apply ----
@@ -204,6 +226,7 @@
     updateMembers();
     publishRoutingOffer();
     logLeaderChange();
+    endStopIfCompleted();
 }
 
 void ReplicaNode::completeCall(const Driver::Core::Reply &reply)
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -61,8 +61,9 @@
     // Applies changed settings; only the seeds can be changed at run time.
     void reload(const SteeringSettings &file);
 
-    // Logs that the process is stopping, and the link traffic so far.
-    void beginStop();
+    // Starts a planned stop and logs it. The replica goes on working until it calls `stopped`: when its vote is handed over, or at
+    // once if it can't be, and within half of the grace period.
+    void beginStop(std::function<void()> stopped);
 
     // Handles the announcement of a target. Done: it is in the directory, and if it drains, the drain survives any
     // loss of replicas that the deployment tolerates.
@@ -106,6 +107,7 @@
     void scheduleFlush();
     void flush();
     void onStorageFailure(TimePoint now);
+    void endStopIfCompleted();
     const RaftCore &raft() const;
     void sendRaft(const RaftSend &send);
     LinkHandle linkFor(ReplicaId replica);
@@ -151,6 +153,8 @@
     std::map<std::uint64_t, Respond> m_pendingCalls; // By ticket.
     std::uint64_t m_lastTicket = 0;
     bool m_flushScheduled = false;
+    std::function<void()> m_stopped; // Empty unless a stop is in progress.
+    TimePoint m_stopBegan;
     TimePoint m_nextJoinRequest;
     TimePoint m_nextUpdate;
     TimePoint m_nextReplicaList;
--- a/src/replicated_core.h
+++ b/src/replicated_core.h
@@ -73,6 +73,13 @@
         failPendingRequests();
     }
 
+    // Starts a planned stop; see RaftCore::beginStop().
+    void beginStop(TimePoint now, Duration longest)
+    {
+        m_raft.beginStop(now, longest);
+        failPendingRequests();
+    }
+
     // Proposes a change; takeReplies() returns the reply with this ticket.
     void submit(TimePoint now, std::uint64_t ticket, const typename Machine::Change &change)
     {
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -59,6 +59,7 @@
     node.up = true;
     node.frozen = false;
     node.failSync = false;
+    node.stopping = false;
     node.deferredActions.clear();
     node.tickets.clear();
     ++node.run;
@@ -165,6 +166,14 @@
             m_acknowledged = std::max(m_acknowledged, reply.result.version);
         }
     }
+    endIfStopped(node);
+}
+
+void ControlCluster::endIfStopped(Node &node)
+{
+    if (node.stopping && node.core->raft().stopCompleted(clockOf(node))) {
+        node.up = false;
+    }
 }
 
 void ControlCluster::send(Node &from, const RaftSend &message)
@@ -256,6 +265,15 @@
     node(number).up = false;
 }
 
+void ControlCluster::stop(int number)
+{
+    Node &stopped = node(number);
+    runOnNode(stopped, [this, &stopped] {
+        stopped.stopping = true;
+        stopped.core->beginStop(clockOf(stopped), VoteHandoverLimit);
+    });
+}
+
 void ControlCluster::failNextSync(int number)
 {
     node(number).failSync = true;
@@ -284,11 +302,16 @@
     if (!allIntact || !committed || members.size() != m_nodes.size() || !converged()) {
         return false;
     }
+    loseDisk(number);
+    return true;
+}
+
+void ControlCluster::loseDisk(int number)
+{
     Node &lost = node(number);
     lost.disk = {};
     lost.key.disk = ++m_lastDisk;
     start(lost);
-    return true;
 }
 
 void ControlCluster::freeze(int number)
--- a/tests/control_cluster.h
+++ b/tests/control_cluster.h
@@ -43,10 +43,14 @@
     void crash(int number);
     // Makes the next sync of the replica fail: it crashes, keeping only what it had synced before.
     void failNextSync(int number);
+    // Starts a planned stop (SIGTERM): the replica goes on until its core says that it may end.
+    void stop(int number);
     void restart(int number);
     // Loses the disk of a replica and restarts it with an empty one. Returns false and does nothing if that could lose
     // committed entries, that is unless the cluster has converged with all members on their current disks.
     bool wipe(int number);
+    // Loses the disk of a replica and restarts it with an empty one, whatever that loses.
+    void loseDisk(int number);
     void freeze(int number);
     void thaw(int number);
     // Partitions the replicas in the set (bit n - 1 for replica n) from the others.
@@ -82,6 +86,7 @@
         bool up = false;
         bool frozen = false;
         bool failSync = false;
+        bool stopping = false;
         double clockRate = 1;
         std::uint64_t run = 0; // Number of the current start; timers of earlier runs are ignored.
         std::vector<std::function<void()>> deferredActions;
@@ -103,6 +108,7 @@
     void start(Node &node);
     void after(Duration delay, std::function<void()> action);
     void tick(Node &node, std::uint64_t run);
+    void endIfStopped(Node &node);
     void runOnNode(Node &node, const std::function<void()> &action);
     void flush(Node &node);
     void send(Node &from, const RaftSend &send);
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -158,6 +158,9 @@
 mutate "bundles go back" src/rollout.cpp 'if (offer.version <= m_version) {' 'if (offer.version == m_version) {' '*only upward*'
 mutate "a torn record is taken" src/raft_storage.cpp 'if (loadInteger<std::uint64_t>(bytes, at + 8) != checksum(length, payload)) {' \
     'if (length > MaxRecord) {' '*damaged record*,*torn record*'
+mutate "raft: a voter that is about to stop is not replaced" src/raft_members.cpp \
+    '(voterLeaves(now, member) && canReplaceStoppingVoters(now))' '(voterLeaves(now, member) && !canReplaceStoppingVoters(now))' \
+    '*hands its vote to a learner before*'
 mutate "raft: hearing the leader is enough" src/raft_replication.cpp 'if (m_commit >= request.commit) {' 'if (m_commit <= request.commit) {' \
     '*does not confirm its routing table before*'
 mutate "drains: a drained data centre gets new flows" src/flow_steering.cpp '&& !m_routes.isDrained(target.record.dataCentre)' '' '*drained data centre gets no new flows*'
--- a/tests/test_replica_node.cpp
+++ b/tests/test_replica_node.cpp
@@ -76,6 +76,7 @@
         file.firstStart = firstStart;
         file.announceInterval = seconds(1);
         file.maxLostReplicas = 1;
+        file.stopGracePeriod = seconds(6);
         file.dataFolder = m_folder.path() / file.node;
         Process &process = *m_processes.emplace_back(std::make_unique<Process>(file));
         REQUIRE(process.node.start());
@@ -139,6 +140,15 @@
     return node->metricsText().find("\nrobinrail_replica_leader 1") != std::string::npos;
 }
 
+// The value of a metric, with its labels in the name; empty if there is none.
+std::string metricOf(const ReplicaNode *node, const std::string &name)
+{
+    const std::string text = node->metricsText();
+    const std::size_t at = text.find("\n" + name + " ");
+    const std::size_t start = at + name.size() + 2;
+    return at != std::string::npos ? text.substr(start, text.find('\n', start) - start) : "";
+}
+
 RoutingDocument documentOf(std::uint64_t version)
 {
     RoutingDocument document;
@@ -192,6 +202,17 @@
         return voters[leader]->metricsText().find(line) != std::string::npos;
     }
 
+    // Whether the leader knows that the joiner holds the whole log, and all replicas know what is committed.
+    bool joinerCaughtUp() const
+    {
+        const std::string last = metricOf(voters[leader], "robinrail_replica_last");
+        const auto commits = [&last](const ReplicaNode *node) {
+            return metricOf(node, "robinrail_replica_commit") == last;
+        };
+        const std::string match = metricOf(voters[leader], "robinrail_member_match{replica=\"" + addressText(Replicas::addressOf(Voters)) + "\"}");
+        return match == last && std::all_of(voters.begin(), voters.end(), commits) && commits(joiner);
+    }
+
     bool joinerHasDocument() const
     {
         return joiner->document().table.version == Version;
@@ -204,6 +225,44 @@
     Replicas replicas{Voters + 1};
 };
 
+// Stops a voter after the joining replica has caught up, then loses another voter at once. The remaining voter and the former
+// learner are a quorum only if the vote was handed over.
+void checkVoteHandover(bool stopsLeader)
+{
+    bool stopped = false;
+    bool pending = false;
+    bool accepted = false;
+    JoiningReplica cluster;
+    REQUIRE(cluster.replicas.waitFor([&cluster] {
+        return cluster.joinerCaughtUp();
+    }));
+    const std::size_t stopping = stopsLeader ? cluster.leader : (cluster.leader + 1) % Voters;
+    const std::size_t lost = (cluster.leader + 2) % Voters;
+    const std::size_t remaining = 3 - stopping - lost; // The indices of the three voters add up to 3.
+    const TimePoint began = monotonicNow();
+    cluster.voters[stopping]->beginStop([&stopped] {
+        stopped = true;
+    });
+    REQUIRE(cluster.replicas.waitFor([&stopped] {
+        return stopped;
+    }));
+    CHECK(monotonicNow() - began < VoteHandoverLimit);
+    cluster.replicas.freeze(stopping);
+    cluster.replicas.freeze(lost);
+    CHECK(cluster.replicas.waitFor([&] {
+        for (ReplicaNode *node : {cluster.voters[remaining], cluster.joiner}) {
+            if (!pending && leads(node)) {
+                pending = true;
+                node->submit(documentOf(Version + 1), [&](CallOutcome answer) {
+                    pending = false;
+                    accepted = accepted || answer == CallOutcome::Done;
+                });
+            }
+        }
+        return accepted;
+    }));
+}
+
 } // namespace
 
 TEST_CASE("a replica with an empty disk learns the document from a leader that is not a seed, although the leader's first append is lost")
@@ -227,3 +286,13 @@
         return cluster.joinerHasDocument();
     }));
 }
+
+TEST_CASE("a follower that is stopped hands its vote to a learner, so that the loss of another voter leaves a quorum")
+{
+    checkVoteHandover(false);
+}
+
+TEST_CASE("a leader that is stopped hands its vote to a learner, so that the loss of another voter leaves a quorum")
+{
+    checkVoteHandover(true);
+}
