--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -7,6 +7,7 @@
 #include "fault_scheduler.h"
 #include "foreign_writer.h"
 #include "log.h"
+#include "malformed_request_sender.h"
 #include "node_supervisor.h"
 #include "replica_version_checker.h"
 #include "routing_operator.h"
@@ -56,7 +57,8 @@
         , m_replicaVersions(m_io, options.topology, m_faults, m_violations)
         , m_foreignWriter(m_io, options.topology, streamSeed(options.seed, 8))
         , m_restartRandom(streamSeed(options.seed, 7))
-        , m_lateAnswerRandom(streamSeed(options.seed, 8))
+        , m_lateAnswerRandom(streamSeed(options.seed, 9))
+        , m_malformedRequests(m_io, options.topology, streamSeed(options.seed, 10))
         , m_faultScheduler(options.topology, m_nodes, m_targets, m_routingOperator, m_faults, streamSeed(options.seed, 5))
         , m_timer(m_io)
     {
@@ -78,6 +80,7 @@
             .with("reads", m_routingOperator.reads())
             .with("drain-orders", m_drainOperator.acceptedCommands())
             .with("foreign-announcements", m_foreignWriter.announcements())
+            .with("malformed-requests", m_malformedRequests.sentRequests())
             .with("versions-judged", m_replicaVersions.checkedAnswers())
             .with("broken", m_violations.count());
         return m_violations.count() == 0;
@@ -113,6 +116,7 @@
         }
         if (m_options.seed >= FirstRunWithForeignWriter) {
             m_foreignWriter.tick(now);
+            m_malformedRequests.tick(now);
         }
         if (m_phase != Phase::Starting || m_callers.fabric().readyBalancers() == m_options.topology.balancers) {
             m_callers.tick(now);
@@ -228,6 +232,7 @@
     Random m_restartRandom; // For restarts of targets under their previous keys.
     TimePoint m_nextRestartAt;
     Random m_lateAnswerRandom;
+    MalformedRequestSender m_malformedRequests;
     TimePoint m_nextLateAnswersAt;
     std::optional<TimePoint> m_nextStopAt; // Of a balancer.
     FaultScheduler m_faultScheduler;
--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -103,7 +103,8 @@
 
 // In runs with this seed or a higher one, targets answer opening packets late while balancers are stopped.
 inline constexpr std::uint64_t FirstRunWithLateAnswers = 4000;
-// Runs with this seed or a higher one have a foreign writer, which announces ids of its own at the targets' addresses.
+// Runs with this seed or a higher one have a foreign writer, which announces ids of its own at the targets' addresses, and a
+// client that sends malformed requests to each HTTP listener.
 inline constexpr std::uint64_t FirstRunWithForeignWriter = 3000;
 
 // Two fixed routes, one for each service, and one that operators add and remove.
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -168,6 +168,9 @@
     'if (length > MaxRecord) {' '*damaged record*,*torn record*'
 mutate "storage: what was read back is not synced" src/raft_storage.cpp 'BOOST_LEAF_CHECK(syncFile(m_folder / name));' \
     'static_cast<void>(name);' '*has not synced*,*can not be synced*'
+mutate "raft: a voter that is about to stop is not replaced" src/raft_members.cpp \
+    '(voterLeaves(now, member) && canReplaceStoppingVoters(now))' '(voterLeaves(now, member) && !canReplaceStoppingVoters(now))' \
+    '*hands its vote to a learner before*'
 mutate "raft: hearing the leader is enough" src/raft_replication.cpp 'if (m_commit >= request.commit) {' 'if (m_commit <= request.commit) {' \
     '*does not confirm its routing table before*'
 mutate "drains: a drained data centre gets new flows" src/flow_steering.cpp '&& !m_routes.isDrained(target.record.dataCentre)' '' '*drained data centre gets no new flows*'
