Simulated operators write a route's priority and times if it has them

Cause: the soak's serializer wrote a fixed time-out, which the table did not hold; since routes carry their times, the document read back differed from the one written. The test reads them back for one route of two.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -89,7 +89,9 @@
 TEST_CASE("a replica reads the documents and announcements that simulated operators and targets write")
 {
     std::string reason;
-    const RoutingTable table = twoServiceTable();
+    RoutingTable table = twoServiceTable();
+    REQUIRE(table.routes.size() >= 2);
+    table.objectives = {{}, {2, std::chrono::milliseconds(400), std::chrono::seconds(4)}}; // Only the second route has one.
     const std::optional<RoutingDocument> document = Platform::parseRoutingDocument(Platform::serializeRoutingDocument(table), reason);
     REQUIRE_MESSAGE(document, reason);
     CHECK(document->table == table);
