A flow that opened through another balancer is not refused any more

Cause: a balancer kept the mark of its refusal although the flow had opened through another one, so a late copy of the opening packet reset an open flow. Change: any other packet of the flow removes the mark.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -231,6 +231,7 @@
         recordAnswer(now, target, flow.sentAt.elapsed(now));
     }
     flow.open = true;
+    flow.refused = false; // A later copy of the opening packet was admitted by another balancer.
     if (answered) {
         flow.acknowledged = packet.acknowledged;
         setBusy(flow, false);
--- a/tests/test_steering_admission.cpp
+++ b/tests/test_steering_admission.cpp
@@ -127,6 +127,17 @@
     CHECK(balancer.open(caller, 2).reason == SteeringReason::Overloaded);
 }
 
+// Guards against a reset of an open flow: the reset of the refusal was lost, and the next copy went through another balancer.
+TEST_CASE("a flow that opened through another balancer after its refusal here is not refused any more")
+{
+    LoadedBalancer balancer;
+    balancer.run(seconds(3), milliseconds(300));
+    const std::uint32_t caller = balancer.refusedCaller();
+    const FlowToken token = SteeringTargets::tokenOf(TargetKey{101});
+    REQUIRE(balancer.sendPacket(caller, token, 1, 1).action == SteeringAction::Forward);
+    CHECK(balancer.open(caller, 2).action == SteeringAction::Forward);
+}
+
 // Guards against refusals where the document does not ask for admission control.
 TEST_CASE("a route without latency objective is never refused")
 {
