Admission control: one module for each of limiter, pool and link

Change: priority_rate_limiter, pool_admission, link_load and duration_math; no behaviour. RateLimiter is PriorityRateLimiter, and the order of targets in flow_steering.h is TargetHealth.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -270,18 +270,18 @@
     return target;
 }
 
-// Selects among the unimpaired targets; if there are none, among the suspect ones, then the silent ones, then those that are gone.
+// Selects among the healthy targets; if there are none, among the suspect ones, then the silent ones, then those that are gone.
 template<TargetSelectionPolicy Policy>
 SteeredTarget *BasicFlowSteering<Policy>::chooseFromService(const SelectionContext &context, std::uint16_t service)
 {
-    const auto impairmentOf = [&](const SteeredTarget &target) {
+    const auto healthOf = [&](const SteeredTarget &target) {
         if (target.isGone(context.now)) {
-            return Impairment::Gone;
+            return TargetHealth::Gone;
         }
         if (!m_targets.reportedAlive(target)) {
-            return Impairment::Silent;
+            return TargetHealth::Silent;
         }
-        return target.isSuspect(context.now) ? Impairment::Suspect : Impairment::None;
+        return target.isSuspect(context.now) ? TargetHealth::Suspect : TargetHealth::Healthy;
     };
     const bool excludeWarming = m_routes.table().warmupOf(service).limited;
     const auto eligible = [&](const SteeredTarget &target) {
@@ -292,10 +292,10 @@
     }
     for (SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
         if (eligible(*target)) {
-            candidatesWith(impairmentOf(*target)).push_back(target);
+            candidatesWith(healthOf(*target)).push_back(target);
         }
     }
-    limitSuspicion(candidatesWith(Impairment::None), candidatesWith(Impairment::Suspect));
+    limitSuspicion(candidatesWith(TargetHealth::Healthy), candidatesWith(TargetHealth::Suspect));
     for (const std::vector<SteeredTarget *> &candidates : m_candidates) {
         if (!candidates.empty()) {
             return Policy::pick(candidates, context);
@@ -305,9 +305,9 @@
 }
 
 template<TargetSelectionPolicy Policy>
-std::vector<SteeredTarget *> &BasicFlowSteering<Policy>::candidatesWith(Impairment impairment)
+std::vector<SteeredTarget *> &BasicFlowSteering<Policy>::candidatesWith(TargetHealth health)
 {
-    return m_candidates[static_cast<std::size_t>(impairment)];
+    return m_candidates[static_cast<std::size_t>(health)];
 }
 
 template<TargetSelectionPolicy Policy>
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -170,14 +170,14 @@
 private:
     using Flow = detail::SteeredFlow;
 
-    // Why a target is less likely to answer than others, in the order in which such targets are chosen.
-    enum class Impairment : std::uint8_t {
-        None,
+    // How likely a target is to answer, in the order in which targets are chosen.
+    enum class TargetHealth : std::uint8_t {
+        Healthy,
         Suspect,
         Silent,
         Gone,
     };
-    static constexpr std::size_t ImpairmentCount = 4;
+    static constexpr std::size_t TargetHealthCount = 4;
 
     SteeringDecision steerOpening(TimePoint now, const FlowPacket &packet);
     SteeringDecision steerEstablished(TimePoint now, const FlowPacket &packet);
@@ -189,7 +189,7 @@
     SteeringDecision refuse(TimePoint now, const FlowPacket &packet, Flow &flow);
     SteeredTarget *choose(const SelectionContext &context, const Route &route);
     SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service);
-    std::vector<SteeredTarget *> &candidatesWith(Impairment impairment);
+    std::vector<SteeredTarget *> &candidatesWith(TargetHealth health);
     std::span<const DataCentreId> usableDataCentres(TimePoint now, std::uint16_t service);
     void recordAnswer(TimePoint now, const SteeredTarget &target, Duration answerTime);
     void indexServices();
@@ -213,7 +213,7 @@
     boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
-    std::array<std::vector<SteeredTarget *>, ImpairmentCount> m_candidates; // Reused between packets to avoid allocations.
+    std::array<std::vector<SteeredTarget *>, TargetHealthCount> m_candidates; // Reused between packets to avoid allocations.
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
     std::uint64_t m_suspicions = 0;
     std::vector<TargetKey> m_unanswered;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -2,6 +2,7 @@
 // Steering node: implementation.
 #include "steering_node.h"
 
+#include "duration_math.h"
 #include "log.h"
 #include "metrics.h"
 #include "net.h"
@@ -10,14 +11,7 @@
 
 namespace Robinrail {
 
-namespace {
-
-double toMilliseconds(Duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
-} // namespace
+using detail::toMilliseconds;
 
 SteeringNode::SteeringNode(boost::asio::io_context &io, SteeringSettings file)
     : m_file(std::move(file))
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -190,13 +190,13 @@
 mutate "gone: data of a flow opened elsewhere is a sign of life" src/flow_steering.cpp 'if (answered && !openedElsewhere) {' 'if (answered || openedElsewhere) {' '*its data began elsewhere*'
 mutate "target selection: the least loaded by own counts" src/flow_steering.h 'using FlowSteering = BasicFlowSteering<PowerOfTwoSelection>;' \
     'using FlowSteering = BasicFlowSteering<LeastLoadedSelection>;' '*gets at most twice its share*'
-mutate "admission: returns count as demand" src/admission_control.cpp \
+mutate "admission: returns count as demand" src/priority_rate_limiter.cpp \
     'part > 0 ? m_admitted[i] / time / part : m_demand[i];' 'arrivals;' '*returns of refused callers*'
-mutate "admission: slow answers count in full" src/admission_control.cpp \
+mutate "admission: slow answers count in full" src/pool_admission.cpp \
     'times.max > Duration{} ? std::min(answerTime, scaled(times.max, MaxAnswerExcess)) : answerTime;' 'answerTime;' '*few slow targets*'
-mutate "admission: overflow does not yield" src/admission_control.cpp 'm_overflow ? OverflowDecrease : 1' 'm_overflow ? 1 : 1' \
+mutate "admission: overflow does not yield" src/pool_admission.cpp 'm_overflow ? OverflowDecrease : 1' 'm_overflow ? 1 : 1' \
     '*yield to its own callers*'
-mutate "admission: the usual time is not learned while limited" src/admission_control.cpp \
+mutate "admission: the usual time is not learned while limited" src/pool_admission.cpp \
     'std::max(times.usual, window.lowest)' 'times.usual' '*slower or faster*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -646,7 +646,7 @@
 {
     // Load: a limit of half of the demand. Guards against returns that are admitted by their number, and against callers whose hash
     // is always beyond the limit.
-    RateLimiter limiter;
+    PriorityRateLimiter limiter;
     PriorityRates demand{};
     demand[Normal] = 100;
     limiter.setLimit(50);
@@ -675,7 +675,7 @@
 {
     // Load: 1.2 times the limit, where each refused caller returns twice within its period. Guards against a share that is computed
     // from the arrivals with their returns: it would admit less than half of the limit.
-    RateLimiter limiter;
+    PriorityRateLimiter limiter;
     const TimePoint start(std::chrono::hours(1));
     limiter.setLimit(1000);
     double admitted = 0;
