Flow steering: candidates and the calls of admission control are modules of their own

Change: target_candidates groups a service's targets by health and bounds suspicion; flow_admission holds the services of the table and the usable data centres of a tick. No behaviour.

--- /dev/null
+++ b/src/flow_admission.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+// Flow admission: asks admission control about new flows, in the terms of the routing table and the targets in force.
+#pragma once
+
+#include "admission_control.h"
+#include "target_record.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <string>
+#include <vector>
+
+namespace Robinrail {
+
+class FlowAdmission
+{
+public:
+    // `linkBytesPerSecond`: capacity of the balancer's link in each direction, 0 if it is not known.
+    FlowAdmission(DataCentreId own, double linkBytesPerSecond);
+
+    // The services of the table in force. Pools are identified by the index of their service, so they start again when the
+    // services change.
+    void setServices(std::span<const std::string> services);
+
+    // Name of a service by its index; empty if there is none.
+    std::string serviceName(std::uint16_t service) const;
+
+    // Decides on a new flow of this caller. `findUsable` returns the data centres with targets of the service that may get new
+    // flows; it is called once per service and tick, as the answer is needed for each new flow.
+    template<typename FindUsable>
+    AdmissionDecision decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, Endpoint caller, FindUsable findUsable)
+    {
+        const auto [at, added] = m_usableDataCentres.try_emplace(service);
+        if (added) {
+            at->second = findUsable();
+        }
+        return m_control.decide(now, service, objective, callerHash(caller), at->second);
+    }
+
+    // The targets that may get new flows have changed.
+    void forgetUsable();
+
+    // A request was answered by this target.
+    void recordAnswer(TimePoint now, const TargetRecord &target, Duration answerTime);
+
+    void recordBytes(std::size_t received, std::size_t sent);
+
+    void tick(TimePoint now);
+
+    const AdmissionControl &control() const;
+
+private:
+    static std::uint64_t callerHash(Endpoint caller);
+
+    AdmissionControl m_control;
+    std::vector<std::string> m_services;
+    boost::unordered_flat_map<std::string, std::uint16_t> m_serviceIndices;
+    boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
+};
+
+} // namespace Robinrail
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -53,34 +53,13 @@
 template<TargetSelectionPolicy Policy>
 bool BasicFlowSteering<Policy>::apply(const RoutingTable &table)
 {
-    const std::vector<std::string> services = m_routes.table().services;
     if (!m_routes.apply(table)) {
         return false;
     }
-    m_usableDataCentres.clear();
-    if (m_routes.table().services != services) {
-        indexServices();
-    }
+    m_admission.setServices(m_routes.table().services);
     return true;
 }
 
-// Pools are identified by the index of their service, so they start again when the services change.
-template<TargetSelectionPolicy Policy>
-void BasicFlowSteering<Policy>::indexServices()
-{
-    m_admission.reset();
-    m_serviceIndices.clear();
-    for (const std::string &service : m_routes.table().services) {
-        m_serviceIndices.emplace(service, static_cast<std::uint16_t>(m_serviceIndices.size()));
-    }
-}
-
-template<TargetSelectionPolicy Policy>
-std::string BasicFlowSteering<Policy>::serviceName(std::uint16_t service) const
-{
-    return service < m_routes.table().services.size() ? m_routes.table().services[service] : std::string();
-}
-
 template<TargetSelectionPolicy Policy>
 std::uint64_t BasicFlowSteering<Policy>::version() const
 {
@@ -90,7 +69,7 @@
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::setDrained(TimePoint now, std::span<const DataCentreId> drained)
 {
-    m_usableDataCentres.clear();
+    m_admission.forgetUsable();
     for (const DataCentreId dataCentre : m_routes.setDrained(drained)) {
         m_targets.startWarmup(dataCentre, now + m_routes.longestWarmup());
     }
@@ -228,7 +207,7 @@
     }
     if (answered && flow.busy) {
         m_answerTimes.record(flow.sentAt.elapsed(now));
-        recordAnswer(now, target, flow.sentAt.elapsed(now));
+        m_admission.recordAnswer(now, target.record, flow.sentAt.elapsed(now));
     }
     flow.open = true;
     flow.refused = false; // A later copy of the opening packet was admitted by another balancer.
@@ -274,40 +253,19 @@
 template<TargetSelectionPolicy Policy>
 SteeredTarget *BasicFlowSteering<Policy>::chooseFromService(const SelectionContext &context, std::uint16_t service)
 {
-    const auto healthOf = [&](const SteeredTarget &target) {
-        if (target.isGone(context.now)) {
-            return TargetHealth::Gone;
-        }
-        if (!m_targets.reportedAlive(target)) {
-            return TargetHealth::Silent;
-        }
-        return target.isSuspect(context.now) ? TargetHealth::Suspect : TargetHealth::Healthy;
-    };
-    const bool excludeWarming = m_routes.table().warmupOf(service).limited;
-    const auto eligible = [&](const SteeredTarget &target) {
-        return acceptsNewFlows(target) && !(excludeWarming && context.now < target.warmupEnd) && (!context.only || target.record.dataCentre == *context.only);
-    };
-    for (std::vector<SteeredTarget *> &candidates : m_candidates) {
-        candidates.clear();
-    }
-    for (SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
-        if (eligible(*target)) {
-            candidatesWith(healthOf(*target)).push_back(target);
-        }
-    }
-    limitSuspicion(candidatesWith(TargetHealth::Healthy), candidatesWith(TargetHealth::Suspect));
-    for (const std::vector<SteeredTarget *> &candidates : m_candidates) {
-        if (!candidates.empty()) {
-            return Policy::pick(candidates, context);
-        }
-    }
-    return nullptr;
+    m_candidates.assign(context.now, m_targets, m_targets.ofService(m_routes.table().services[service]), [&](const SteeredTarget &target) {
+        return isEligible(context.now, service, target) && (!context.only || target.record.dataCentre == *context.only);
+    });
+    const std::span<SteeredTarget *const> candidates = m_candidates.best();
+    return candidates.empty() ? nullptr : Policy::pick(candidates, context);
 }
 
+// Whether a target may get new flows of this service.
 template<TargetSelectionPolicy Policy>
-std::vector<SteeredTarget *> &BasicFlowSteering<Policy>::candidatesWith(TargetHealth health)
+bool BasicFlowSteering<Policy>::isEligible(TimePoint now, std::uint16_t service, const SteeredTarget &target) const
 {
-    return m_candidates[static_cast<std::size_t>(health)];
+    const bool cold = m_routes.table().warmupOf(service).limited && now < target.warmupEnd;
+    return acceptsNewFlows(target) && !cold;
 }
 
 template<TargetSelectionPolicy Policy>
@@ -342,8 +300,9 @@
 {
     const std::uint16_t service = serviceOf(route, context.flowHash);
     const RequestObjective objective = m_routes.table().objectiveOf(route);
-    const std::uint64_t callerHash = hashPair(packet.caller.address, 0);
-    const AdmissionDecision decision = m_admission.decide(context.now, service, objective, callerHash, usableDataCentres(context.now, service));
+    const AdmissionDecision decision = m_admission.decide(context.now, service, objective, packet.caller, [&] {
+        return usableDataCentres(context.now, service);
+    });
     switch (decision.verdict) {
     case AdmissionVerdict::Anywhere:
         break;
@@ -368,30 +327,18 @@
     return {SteeringAction::Reset, SteeringReason::Overloaded, {}, {}, {}, packet.opening ? 0 : packet.acknowledged};
 }
 
-// The data centres with targets of a service that may get new flows; computed once per tick, as it is needed for each new flow.
+// The data centres with live targets of a service that may get new flows.
 template<TargetSelectionPolicy Policy>
-std::span<const DataCentreId> BasicFlowSteering<Policy>::usableDataCentres(TimePoint now, std::uint16_t service)
+std::vector<DataCentreId> BasicFlowSteering<Policy>::usableDataCentres(TimePoint now, std::uint16_t service) const
 {
-    const auto [at, added] = m_usableDataCentres.try_emplace(service);
-    if (added) {
-        const bool excludeWarming = m_routes.table().warmupOf(service).limited;
-        for (const SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
-            const bool usable = acceptsNewFlows(*target) && m_targets.reportedAlive(*target) && !(excludeWarming && now < target->warmupEnd);
-            if (usable && std::find(at->second.begin(), at->second.end(), target->record.dataCentre) == at->second.end()) {
-                at->second.push_back(target->record.dataCentre);
-            }
+    std::vector<DataCentreId> usable;
+    for (const SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
+        const bool known = std::find(usable.begin(), usable.end(), target->record.dataCentre) != usable.end();
+        if (!known && isEligible(now, service, *target) && m_targets.reportedAlive(*target)) {
+            usable.push_back(target->record.dataCentre);
         }
     }
-    return at->second;
-}
-
-template<TargetSelectionPolicy Policy>
-void BasicFlowSteering<Policy>::recordAnswer(TimePoint now, const SteeredTarget &target, Duration answerTime)
-{
-    const auto service = m_serviceIndices.find(target.record.service);
-    if (service != m_serviceIndices.end()) {
-        m_admission.recordAnswer(now, {service->second, target.record.dataCentre}, answerTime);
-    }
+    return usable;
 }
 
 template<TargetSelectionPolicy Policy>
@@ -401,7 +348,7 @@
 }
 
 template<TargetSelectionPolicy Policy>
-const AdmissionControl &BasicFlowSteering<Policy>::admission() const
+const FlowAdmission &BasicFlowSteering<Policy>::admission() const
 {
     return m_admission;
 }
@@ -507,7 +454,6 @@
 void BasicFlowSteering<Policy>::tick(TimePoint now)
 {
     m_admission.tick(now);
-    m_usableDataCentres.clear();
     if (now < m_sweepDue) {
         return;
     }
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -5,9 +5,10 @@
 // choice of targets for new flows. Related: Cheetah (Barbette et al., NSDI 2020) and QUIC-LB.
 #pragma once
 
-#include "admission_control.h"
+#include "flow_admission.h"
 #include "metrics.h"
 #include "steering_routes.h"
+#include "target_candidates.h"
 #include "target_selection.h"
 
 #include <array>
@@ -151,10 +152,7 @@
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
 
-    const AdmissionControl &admission() const;
-
-    // Name of a service by its index in the table in force; empty if there is none.
-    std::string serviceName(std::uint16_t service) const;
+    const FlowAdmission &admission() const;
 
     // Counts the bytes that this balancer received and sent on its link.
     void recordBytes(std::size_t received, std::size_t sent);
@@ -170,15 +168,6 @@
 private:
     using Flow = detail::SteeredFlow;
 
-    // How likely a target is to answer, in the order in which targets are chosen.
-    enum class TargetHealth : std::uint8_t {
-        Healthy,
-        Suspect,
-        Silent,
-        Gone,
-    };
-    static constexpr std::size_t TargetHealthCount = 4;
-
     SteeringDecision steerOpening(TimePoint now, const FlowPacket &packet);
     SteeringDecision steerEstablished(TimePoint now, const FlowPacket &packet);
     SteeringDecision forward(SteeringReason reason, const SteeredTarget &target);
@@ -186,13 +175,11 @@
     SteeringDecision drop(SteeringReason reason);
     SteeringDecision hold(SteeringReason reason);
     bool admit(const FlowPacket &packet, const Route &route, SelectionContext &context);
+    std::vector<DataCentreId> usableDataCentres(TimePoint now, std::uint16_t service) const;
+    bool isEligible(TimePoint now, std::uint16_t service, const SteeredTarget &target) const;
     SteeringDecision refuse(TimePoint now, const FlowPacket &packet, Flow &flow);
     SteeredTarget *choose(const SelectionContext &context, const Route &route);
     SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service);
-    std::vector<SteeredTarget *> &candidatesWith(TargetHealth health);
-    std::span<const DataCentreId> usableDataCentres(TimePoint now, std::uint16_t service);
-    void recordAnswer(TimePoint now, const SteeredTarget &target, Duration answerTime);
-    void indexServices();
     static std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
     bool acceptsNewFlows(const SteeredTarget &target) const;
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
@@ -208,12 +195,10 @@
     bool m_informed = false;
     SteeringRoutes m_routes;
     SteeringTargets m_targets;
-    AdmissionControl m_admission;
-    boost::unordered_flat_map<std::string, std::uint16_t> m_serviceIndices; // Of the table in force.
-    boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
+    FlowAdmission m_admission;
     boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
     TimePoint m_sweepDue;
-    std::array<std::vector<SteeredTarget *>, TargetHealthCount> m_candidates; // Reused between packets to avoid allocations.
+    TargetCandidates m_candidates;
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
     std::uint64_t m_suspicions = 0;
     std::vector<TargetKey> m_unanswered;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -402,7 +402,7 @@
 // Logs when the limit on the new flows of a pool or of the link begins and ends, with the measurements that it follows from.
 void SteeringNode::logAdmission()
 {
-    const AdmissionControl &admission = m_steering.admission();
+    const AdmissionControl &admission = m_steering.admission().control();
     for (const auto &[key, pool] : admission.pools()) {
         const bool limited = pool.limiting();
         if (limited == m_limitedPools.contains(key)) {
@@ -411,7 +411,7 @@
         limited ? static_cast<void>(m_limitedPools.insert(key)) : static_cast<void>(m_limitedPools.erase(key));
         if (const auto leftOut = m_admissionLog.take(m_now)) {
             LogLine(LogLevel::Info, limited ? "admission-limited" : "admission-unlimited")
-                .with("service", m_steering.serviceName(key.service))
+                .with("service", m_steering.admission().serviceName(key.service))
                 .with("data-centre", static_cast<int>(value(key.dataCentre)))
                 .with("limit", pool.limiter().limit().value_or(0))
                 .with("arrivals", pool.limiter().arrivalRate())
@@ -451,10 +451,11 @@
 
 void SteeringNode::writeAdmissionMetrics(PrometheusWriter &text) const
 {
-    const AdmissionControl &admission = m_steering.admission();
+    const AdmissionControl &admission = m_steering.admission().control();
     text.gauge("robinrail_link_used", "Share of the own link in use", admission.link().used());
     for (const auto &[key, pool] : admission.pools()) {
-        const std::string label = "service=\"" + m_steering.serviceName(key.service) + "\",data_centre=\"" + std::to_string(value(key.dataCentre)) + "\"";
+        const std::string label = "service=\"" + m_steering.admission().serviceName(key.service) + "\",data_centre=\"" + std::to_string(value(key.dataCentre))
+            + "\"";
         text.gauge("robinrail_pool_limit", "New flows per second that the pool is given; -1: unlimited", pool.limiter().limit().value_or(-1), label);
         text.gauge("robinrail_pool_arrivals", "New flows per second that asked for the pool", pool.limiter().arrivalRate(), label);
         text.gauge("robinrail_pool_answer_seconds", "Mean answer time of the pool", std::chrono::duration<double>(pool.meanAnswerTime()).count(), label);
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -11,31 +11,6 @@
 
 namespace Robinrail {
 
-void limitSuspicion(std::vector<SteeredTarget *> &trusted, std::vector<SteeredTarget *> &suspects)
-{
-    std::size_t kept = 0; // Suspects of the data centres that were processed.
-    while (kept < suspects.size()) {
-        const DataCentreId dataCentre = suspects[kept]->record.dataCentre;
-        const auto inDataCentre = [dataCentre](const SteeredTarget *target) {
-            return target->record.dataCentre == dataCentre;
-        };
-        const auto begin = suspects.begin() + static_cast<std::ptrdiff_t>(kept);
-        const auto end = std::partition(begin, suspects.end(), inDataCentre);
-        const auto count = static_cast<std::size_t>(end - begin);
-        const std::size_t usable = count + static_cast<std::size_t>(std::count_if(trusted.begin(), trusted.end(), inDataCentre));
-        const std::size_t excess = count - std::min(count, usable / SuspectShare);
-        const auto excessEnd = begin + static_cast<std::ptrdiff_t>(excess);
-        if (excess > 0) {
-            std::nth_element(begin, excessEnd - 1, end, [](const SteeredTarget *one, const SteeredTarget *other) {
-                return one->suspectUntil < other->suspectUntil;
-            });
-        }
-        trusted.insert(trusted.end(), begin, excessEnd);
-        suspects.erase(begin, excessEnd);
-        kept += count - excess;
-    }
-}
-
 FlowToken SteeringTargets::tokenOf(TargetKey key)
 {
     const auto hash = static_cast<std::uint32_t>(hashPair(value(key), 0));
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -51,13 +51,6 @@
     }
 };
 
-// Suspicion alone excludes at most 1 / SuspectShare of a service's usable targets in a data centre from new flows, as Envoy's
-// panic threshold does. At a usual slot utilization of 20 to 50%, the other half can carry twice its load and no more.
-inline constexpr std::size_t SuspectShare = 2;
-
-// Moves those suspects whose suspicion ends first to the trusted targets, as long as there are too many in a data centre.
-void limitSuspicion(std::vector<SteeredTarget *> &trusted, std::vector<SteeredTarget *> &suspects);
-
 class SteeringTargets
 {
 public:
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -79,8 +79,8 @@
 mutate "steering: a retransmitted opening goes to another target" src/flow_steering.cpp 'if (first->record.phase != TargetPhase::Left && !first->isGone(now)) {' \
     'if (first->record.phase != TargetPhase::Left && !first->isGone(now) && packet.copy <= flow->copy) {' \
     '*retransmitted opening goes to the same target*'
-mutate "steering: suspicion excludes any number of targets" src/flow_steering.cpp \
-    'limitSuspicion(candidatesWith(Impairment::None), candidatesWith(Impairment::Suspect));' '' '*excludes at most half*'
+mutate "steering: suspicion excludes any number of targets" src/target_candidates.cpp \
+    'count - std::min(count, usable / SuspectShare)' '0' '*excludes at most half*'
 mutate "steering: packets of unknown routes are dropped before the node is informed" src/flow_steering.cpp \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed)' \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed)' '*holds packets of unknown routes*'
