The result of a probe counts for the lifetime that was probed

Change: results carry the birth of the lifetime, and count for that one only. Results of an earlier release have none and are not used. After a first report at once, further ones wait for the timer, 50 ms.

--- a/src/node_message.h
+++ b/src/node_message.h
@@ -154,13 +154,18 @@
 
 // Reports that the reporter has just failed to connect to these targets. A replica sends it to the other replicas, and each
 // replica to its balancers.
+// `births`: of the lifetimes that were probed, by index. A message of an earlier release has none; it names no lifetime, so
+// it is not used.
 struct TargetsUnreachable {
     ReplicaLocation reporter;
     std::vector<TargetKey> keys;
+    std::vector<std::uint64_t> births;
+
+    static constexpr std::size_t OldestFields = 2;
 
     auto fields()
     {
-        return std::tie(reporter, keys);
+        return std::tie(reporter, keys, births);
     }
 };
 
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -300,7 +300,11 @@
 void ReplicaNode::reportUnreachableTargets(TimePoint now)
 {
     m_prober.tick(now);
-    const TargetsUnreachable found{ownPlace(), m_prober.takeUnreachable()};
+    TargetsUnreachable found{ownPlace(), {}, {}};
+    for (const TargetLifetime &lifetime : m_prober.takeUnreachable()) {
+        found.keys.push_back(lifetime.key);
+        found.births.push_back(lifetime.born);
+    }
     if (!found.keys.empty()) {
         m_links.sendAll(m_links.dialled(), found);
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -100,6 +100,7 @@
     m_links.tick(m_now);
     m_steering.tick(m_now);
     logAdmission();
+    reportUnanswered(m_now);
     resetFlows();
     requestTableIfBehind(m_now);
     updateReadiness();
@@ -128,7 +129,7 @@
     if (emptied) {
         m_stallDetector.queueEmptied();
     }
-    reportUnanswered();
+    reportUnanswered(monotonicNow());
 }
 
 SteeringDecision SteeringNode::steer(FlowPacket packet)
@@ -295,20 +296,26 @@
 void SteeringNode::onUnreachable(const TargetsUnreachable &list)
 {
     const TimePoint now = monotonicNow();
-    for (const TargetKey key : list.keys) {
-        if (m_probeFindings.unreachable(now, list.reporter, key) && m_steering.targets().declareGone(now, key)) {
-            LogLine(LogLevel::Info, "target-gone").with("target", value(key)).with("replica", toText(list.reporter.replica));
+    for (std::size_t i = 0; i < std::min(list.keys.size(), list.births.size()); ++i) {
+        const TargetLifetime lifetime{list.keys[i], list.births[i]};
+        if (m_probeFindings.unreachable(now, list.reporter, lifetime) && m_steering.targets().declareGone(now, lifetime)) {
+            LogLine(LogLevel::Info, "target-gone").with("target", value(lifetime.key)).with("replica", toText(list.reporter.replica));
         }
     }
     resetFlows();
 }
 
 // Called after each batch of packets, as a target that does not answer opening packets must be found gone within 400 ms, of which
-// the probes take 300 ms: waiting for the timer would cost up to 50 ms.
-void SteeringNode::reportUnanswered()
+// the probes take 300 ms: waiting for the timer would cost up to 50 ms. Reports that follow wait for the timer: during an overload
+// a message for each batch was 140 a second for a link of 2 Mbit/s.
+void SteeringNode::reportUnanswered(TimePoint now)
 {
+    if (now < m_reportDue) {
+        return;
+    }
     const TargetsUnanswered unanswered{m_steering.takeUnanswered()};
     if (!unanswered.keys.empty() && m_replicaSelector.source()) {
+        m_reportDue = now + SteeringTickInterval;
         m_links.send(m_links.linkTo(*m_replicaSelector.source()), unanswered);
     }
 }
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -85,7 +85,7 @@
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onPage(LinkHandle link, ReplicaId replica, const DirectoryPage &page);
     void onUnreachable(const TargetsUnreachable &list);
-    void reportUnanswered();
+    void reportUnanswered(TimePoint now);
     void resetFlows();
     void logReset(TimePoint now, const FlowReset &reset);
     void onOffer(LinkHandle link, const RoutingOffer &offer);
@@ -119,6 +119,7 @@
     bool m_confirmed = false; // Whether a table of at least the confirmed version has been applied.
     bool m_informed = false;
     std::function<void()> m_onRoutingData;
+    TimePoint m_reportDue; // Earliest time of the next report of unanswered targets.
     ProbeResults m_probeFindings;
     std::function<void(std::span<const FlowReset>)> m_sendResets;
     std::uint64_t m_flowsReset = 0;
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -140,15 +140,15 @@
     target.suspectUntil = {};
 }
 
-bool SteeringTargets::declareGone(TimePoint now, TargetKey key)
+bool SteeringTargets::declareGone(TimePoint now, const TargetLifetime &lifetime)
 {
-    const auto at = m_targets.find(key);
-    if (at == m_targets.end() || now - at->second.lastAlive < RecentActivityWindow) {
+    const auto at = m_targets.find(lifetime.key);
+    if (at == m_targets.end() || at->second.record.born != lifetime.born || now - at->second.lastAlive < RecentActivityWindow) {
         return false;
     }
     at->second.resetPending = true;
     at->second.goneUntil = now + GoneDuration;
-    m_resetPending.push_back(key);
+    m_resetPending.push_back(lifetime.key);
     markSuspect(now, at->second);
     return true;
 }
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -81,7 +81,7 @@
     void markAlive(TimePoint now, SteeredTarget &target);
 
     // Marks a target as gone unless it showed a sign of life through this balancer within RecentActivityWindow; returns whether it was marked.
-    bool declareGone(TimePoint now, TargetKey key);
+    bool declareGone(TimePoint now, const TargetLifetime &lifetime);
 
     // Whether flows of any target are still to be reset; clears that once they were.
     bool anyResetPending() const;
--- a/src/target_exchange.h
+++ b/src/target_exchange.h
@@ -67,7 +67,7 @@
         for (const TargetKey key : list.keys) {
             const TargetRecord *record = m_directory.find(key);
             if (record != nullptr && record->phase != TargetPhase::Left) {
-                probe(ReportedTarget{key, record->address, m_directory.isOverdue(now, key)});
+                probe(ReportedTarget{key, record->born, record->address, m_directory.isOverdue(now, key)});
             }
         }
     }
--- a/src/target_probe.h
+++ b/src/target_probe.h
@@ -48,6 +48,7 @@
 // A target whose open flows got no answer, with what the replica knows about it.
 struct ReportedTarget {
     TargetKey key{};
+    std::uint64_t born = 0; // See TargetRecord.
     Endpoint address;
     bool overdue = false; // Its announcement is overdue as well. Then one report is enough: where hundreds of balancers share
                           // the load, a target has too few flows for a second report in time.
@@ -103,14 +104,15 @@
     {
     }
 
-    // A replica found the target unreachable. Returns whether the target now counts as gone.
-    bool unreachable(TimePoint now, const ReplicaLocation &prober, TargetKey key)
+    // A replica found a lifetime of a target unreachable. Returns whether that now counts as gone. Results for different lifetimes
+    // are not added up: the target may have been down between them.
+    bool unreachable(TimePoint now, const ReplicaLocation &prober, const TargetLifetime &lifetime)
     {
         removeOld(now);
-        if (m_results.size() >= MaxTargetProbes && !m_results.contains(key)) {
+        if (m_results.size() >= MaxTargetProbes && !m_results.contains(lifetime)) {
             return false;
         }
-        std::map<ReplicaId, Result> &results = m_results[key];
+        std::map<ReplicaId, Result> &results = m_results[lifetime];
         results[prober.replica] = {now, prober.dataCentre};
         ReplicaLocations holders;
         for (const auto &[replica, result] : results) {
@@ -138,7 +140,7 @@
     }
 
     LossTolerance m_tolerance;
-    std::map<TargetKey, std::map<ReplicaId, Result>> m_results;
+    std::map<TargetLifetime, std::map<ReplicaId, Result>> m_results;
 };
 
 } // namespace Robinrail
--- a/src/target_prober.cpp
+++ b/src/target_prober.cpp
@@ -25,10 +25,11 @@
     ++m_probes;
     const auto stream = std::make_shared<boost::beast::tcp_stream>(m_io);
     stream->expires_after(ProbeTimeout);
-    stream->async_connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(target.address.address), target.address.port),
-                          [this, stream, key = target.key, standstills = m_standstills](const boost::system::error_code &error) {
-                              ended(key, standstills, !error);
-                          });
+    stream->async_connect(
+        boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4(target.address.address), target.address.port),
+        [this, stream, lifetime = TargetLifetime{target.key, target.born}, standstills = m_standstills](const boost::system::error_code &error) {
+            ended(lifetime, standstills, !error);
+        });
 }
 
 void TargetProber::tick(TimePoint now)
@@ -38,17 +39,17 @@
     }
 }
 
-void TargetProber::ended(TargetKey key, std::uint64_t standstills, bool answered)
+void TargetProber::ended(const TargetLifetime &lifetime, std::uint64_t standstills, bool answered)
 {
     tick(monotonicNow());
-    m_schedule.ended(key);
+    m_schedule.ended(lifetime.key);
     m_anyAnswered = m_anyAnswered || answered;
     if (!answered && m_anyAnswered && standstills == m_standstills) {
-        m_unreachable.push_back(key);
+        m_unreachable.push_back(lifetime);
     }
 }
 
-std::vector<TargetKey> TargetProber::takeUnreachable()
+std::vector<TargetLifetime> TargetProber::takeUnreachable()
 {
     return std::exchange(m_unreachable, {});
 }
--- a/src/target_prober.h
+++ b/src/target_prober.h
@@ -25,19 +25,19 @@
 
     // The targets that were found unreachable since the last call. Empty until a target has answered a probe of this process:
     // where targets accept no connections at all, a failed probe means nothing.
-    std::vector<TargetKey> takeUnreachable();
+    std::vector<TargetLifetime> takeUnreachable();
 
     std::uint64_t probes() const;
 
 private:
-    void ended(TargetKey key, std::uint64_t standstills, bool answered);
+    void ended(const TargetLifetime &lifetime, std::uint64_t standstills, bool answered);
 
     boost::asio::io_context &m_io;
     ProbeSchedule m_schedule;
     TimePoint m_lastTick;
     std::uint64_t m_standstills = 0;
     bool m_anyAnswered = false; // At least one target has accepted a connection.
-    std::vector<TargetKey> m_unreachable;
+    std::vector<TargetLifetime> m_unreachable;
     std::uint64_t m_probes = 0;
 };
 
--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -88,7 +88,7 @@
     gone.now += milliseconds(200);
     CHECK(gone.open(1, 1).target == first.target);
     gone.now += milliseconds(300);
-    REQUIRE(gone.steering.targets().declareGone(gone.now, first.target));
+    REQUIRE(gone.steering.targets().declareGone(gone.now, {first.target}));
     CHECK(gone.steering.takeResets().empty());
     gone.now += milliseconds(100);
     const SteeringDecision second = gone.open(1, 2);
@@ -180,7 +180,7 @@
     SUBCASE("targets that are gone carry no load and do not count")
     {
         balancer.now += RecentActivityWindow;
-        REQUIRE(targets.declareGone(balancer.now, TargetKey{301}));
+        REQUIRE(targets.declareGone(balancer.now, {TargetKey{301}}));
         --usable;
     }
     std::size_t suspects = 0;
@@ -338,7 +338,7 @@
     Balancer balancer;
     const SteeringDecision first = balancer.open(1);
     balancer.now += RecentActivityWindow;
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, first.target));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {first.target}));
     balancer.now += milliseconds(200);
     const SteeringDecision second = balancer.open(1, 2);
     REQUIRE(second.target != first.target);
--- a/tests/test_target_probe.cpp
+++ b/tests/test_target_probe.cpp
@@ -40,9 +40,11 @@
     return record;
 }
 
+constexpr std::uint64_t ProbedBirth = 1'000'000; // Of targets that a real prober connects to.
+
 ReportedTarget reported(TargetKey key)
 {
-    return {key, {}, false};
+    return {key, 0, {}, false};
 }
 
 // A balancer with two targets and callers with long-lived flows to them.
@@ -98,7 +100,7 @@
         balancer.acknowledge(caller, caller % 2 == 0 ? Silent : Living, 50);
     }
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     const std::vector<FlowReset> resets = balancer.steering.takeResets();
     CHECK(resets.size() == 10);
     for (const FlowReset &each : resets) {
@@ -116,7 +118,7 @@
         balancer.request(caller, Silent, 100, 1);
     }
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
     CHECK(balancer.steering.takeResets().size() == 10);
     CHECK(balancer.steering.takeResets().empty());
@@ -129,7 +131,7 @@
         balancer.request(caller, Silent, 100, 1);
     }
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
     balancer.acknowledge(MaxResetsPerTick + 11, Silent, 50);
     CHECK(balancer.steering.takeResets().empty());
@@ -142,11 +144,11 @@
     balancer.now += seconds(1);
     balancer.acknowledge(1, Silent, 50);
     balancer.now += RecentActivityWindow - milliseconds(1);
-    CHECK_FALSE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    CHECK_FALSE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     CHECK(balancer.steering.takeResets().empty());
     balancer.now += milliseconds(1);
-    CHECK(balancer.steering.targets().declareGone(balancer.now, Silent));
-    CHECK_FALSE(balancer.steering.targets().declareGone(balancer.now, TargetKey{999}));
+    CHECK(balancer.steering.targets().declareGone(balancer.now, {Silent}));
+    CHECK_FALSE(balancer.steering.targets().declareGone(balancer.now, {TargetKey{999}}));
 }
 
 TEST_CASE("retransmitted data on an open flow is reported each time, unless there was a sign of life since")
@@ -168,6 +170,24 @@
     CHECK(balancer.steering.takeUnanswered().size() == MaxReportsPerTick);
 }
 
+// Guards against the reset of flows that opened after a restart: probes failed while the target restarted under its key, and their
+// results arrived a second later (soak seed 3121).
+TEST_CASE("the result of a probe counts for the lifetime that was probed only")
+{
+    Balancer balancer;
+    TargetRecord restarted = feedTarget(Silent);
+    const std::uint64_t former = restarted.born;
+    restarted.born += 1000;
+    balancer.steering.targets().take(balancer.now, FirstReplica, {restarted, false, Duration{0}, Duration{0}});
+    balancer.now += RecentActivityWindow;
+    CHECK_FALSE(balancer.steering.targets().declareGone(balancer.now, {Silent, former}));
+    ProbeResults results(OneReplica);
+    CHECK_FALSE(results.unreachable(balancer.now, FirstProber, {Silent, former}));
+    CHECK_FALSE(results.unreachable(balancer.now, SecondProber, {Silent, restarted.born}));
+    CHECK(results.unreachable(balancer.now, FirstProber, {Silent, restarted.born}));
+    CHECK(balancer.steering.targets().declareGone(balancer.now, {Silent, restarted.born}));
+}
+
 // An overloaded target does not answer opening packets either: it is reported, and its kernel accepts the probes' connections.
 TEST_CASE("one balancer's report of an unanswered opening packet starts a probe, and a dead target is gone before the second copy")
 {
@@ -193,9 +213,9 @@
         CHECK(probes == 1);
         balancer.now += ProbeTimeout + ReplicaTick + LongestDelay;
         if (dead) {
-            CHECK_FALSE(results.unreachable(balancer.now, FirstProber, first));
-            REQUIRE(results.unreachable(balancer.now, SecondProber, first));
-            CHECK(balancer.steering.targets().declareGone(balancer.now, first));
+            CHECK_FALSE(results.unreachable(balancer.now, FirstProber, {first}));
+            REQUIRE(results.unreachable(balancer.now, SecondProber, {first}));
+            CHECK(balancer.steering.targets().declareGone(balancer.now, {first}));
         }
         REQUIRE(balancer.now < openedAt + milliseconds(600));
         balancer.now = openedAt + milliseconds(600);
@@ -209,14 +229,14 @@
     Balancer balancer;
     balancer.now += RecentActivityWindow;
     balancer.request(1, Silent, 100, 1); // Sent and retransmitted through a balancer that has failed.
-    CHECK(balancer.steering.targets().declareGone(balancer.now, Silent));
+    CHECK(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     Balancer other;
     other.now += RecentActivityWindow;
     FlowPacket opening = Balancer::packet(1, Silent, 0, 0);
     opening.opening = true;
     const SteeringDecision decision = other.steering.steer(other.now, opening);
     other.request(1, decision.target, 100, 1);
-    CHECK_FALSE(other.steering.targets().declareGone(other.now, decision.target));
+    CHECK_FALSE(other.steering.targets().declareGone(other.now, {decision.target}));
 }
 
 // Half of the balancers fail together with the targets of their data centre and return first: the flows of these targets
@@ -225,7 +245,7 @@
 {
     Balancer balancer;
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     balancer.steering.takeResets();
     balancer.now += milliseconds(300);
     const SteeringDecision late = balancer.request(1, Silent, 100, 1);
@@ -237,12 +257,12 @@
     CHECK(balancer.request(4, Silent, 100, 1).action == SteeringAction::Forward);
     // The target counts as gone only for a limited time.
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     balancer.now += GoneDuration;
     CHECK(balancer.request(5, Silent, 100, 1).action == SteeringAction::Forward);
     // It no longer counts as gone once a replica has received an announcement.
     balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, Silent));
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
     TargetRecord heard = feedTarget(Silent);
     heard.sequence = 2;
     balancer.steering.targets().take(balancer.now, FirstReplica, {heard, false, Duration{0}, Duration{0}});
@@ -252,24 +272,24 @@
 TEST_CASE("a target is gone when enough different replicas find it unreachable at the same time")
 {
     ProbeResults results(OneReplica);
-    CHECK_FALSE(results.unreachable(Start, FirstProber, Silent));
-    CHECK_FALSE(results.unreachable(Start, FirstProber, Silent));
-    CHECK_FALSE(results.unreachable(Start, SecondProber, Living));
-    CHECK(results.unreachable(Start + ProbeResultLifetime - milliseconds(1), SecondProber, Silent));
+    CHECK_FALSE(results.unreachable(Start, FirstProber, {Silent}));
+    CHECK_FALSE(results.unreachable(Start, FirstProber, {Silent}));
+    CHECK_FALSE(results.unreachable(Start, SecondProber, {Living}));
+    CHECK(results.unreachable(Start + ProbeResultLifetime - milliseconds(1), SecondProber, {Silent}));
     // Results that have expired do not count.
     ProbeResults old(OneReplica);
-    old.unreachable(Start, FirstProber, Silent);
-    CHECK_FALSE(old.unreachable(Start + ProbeResultLifetime, SecondProber, Silent));
+    old.unreachable(Start, FirstProber, {Silent});
+    CHECK_FALSE(old.unreachable(Start + ProbeResultLifetime, SecondProber, {Silent}));
 }
 
 TEST_CASE("floods of probe results and reports use bounded memory and probes")
 {
     ProbeResults results(OneReplica);
     for (std::uint64_t key = 1; key <= 2 * MaxTargetProbes; ++key) {
-        results.unreachable(Start, FirstProber, TargetKey{key});
+        results.unreachable(Start, FirstProber, {TargetKey{key}});
     }
-    CHECK(results.unreachable(Start, SecondProber, TargetKey{1}));
-    CHECK_FALSE(results.unreachable(Start, SecondProber, TargetKey{2 * MaxTargetProbes}));
+    CHECK(results.unreachable(Start, SecondProber, {TargetKey{1}}));
+    CHECK_FALSE(results.unreachable(Start, SecondProber, {TargetKey{2 * MaxTargetProbes}}));
     ProbeSchedule schedule;
     std::size_t begun = 0;
     for (std::uint64_t key = 1; key <= 2 * MaxTargetProbes; ++key) {
@@ -298,23 +318,23 @@
 TEST_CASE("one report is enough for a target whose announcement is overdue")
 {
     ProbeSchedule schedule;
-    CHECK(schedule.reported(Start, {Silent, {}, true}));
-    CHECK_FALSE(schedule.reported(Start, {Silent, {}, true}));
+    CHECK(schedule.reported(Start, {Silent, 0, {}, true}));
+    CHECK_FALSE(schedule.reported(Start, {Silent, 0, {}, true}));
     schedule.ended(Silent);
-    CHECK(schedule.reported(Start + MinProbeInterval, {Silent, {}, true}));
+    CHECK(schedule.reported(Start + MinProbeInterval, {Silent, 0, {}, true}));
 }
 
 TEST_CASE("results from all replicas of one data centre do not make a target gone, because they lose connectivity together")
 {
     ProbeResults results(LossTolerance{2, 1});
     for (std::uint32_t replica = 1; replica <= 5; ++replica) {
-        CHECK_FALSE(results.unreachable(Start, {ReplicaId{replica}, Here}, Silent));
+        CHECK_FALSE(results.unreachable(Start, {ReplicaId{replica}, Here}, {Silent}));
     }
-    CHECK(results.unreachable(Start, {ReplicaId{6}, DataCentreId{2}}, Silent));
+    CHECK(results.unreachable(Start, {ReplicaId{6}, DataCentreId{2}}, {Silent}));
     ProbeResults few(LossTolerance{2, 1});
-    CHECK_FALSE(few.unreachable(Start, {ReplicaId{1}, Here}, Silent));
-    CHECK_FALSE(few.unreachable(Start, {ReplicaId{6}, DataCentreId{2}}, Silent));
-    CHECK(few.unreachable(Start, {ReplicaId{7}, DataCentreId{2}}, Silent));
+    CHECK_FALSE(few.unreachable(Start, {ReplicaId{1}, Here}, {Silent}));
+    CHECK_FALSE(few.unreachable(Start, {ReplicaId{6}, DataCentreId{2}}, {Silent}));
+    CHECK(few.unreachable(Start, {ReplicaId{7}, DataCentreId{2}}, {Silent}));
 }
 
 // Replicas in `dataCentres` data centres with `each` replicas per data centre.
@@ -379,7 +399,7 @@
     {
         const TimePoint now = monotonicNow();
         for (int i = 0; i < ReportsForProbe + 1; ++i) {
-            prober.reported(now, {key, {boost::asio::ip::address_v4::loopback().to_uint(), port}});
+            prober.reported(now, {key, ProbedBirth, {boost::asio::ip::address_v4::loopback().to_uint(), port}});
         }
     }
 
@@ -398,7 +418,7 @@
     ports.report(Silent, ports.refusingPort);
     CHECK(ports.prober.probes() == 2);
     ports.run();
-    CHECK(ports.prober.takeUnreachable() == std::vector<TargetKey>{Silent});
+    CHECK(ports.prober.takeUnreachable() == std::vector<TargetLifetime>{{Silent, ProbedBirth}});
     CHECK(ports.prober.takeUnreachable().empty());
 }
 
@@ -478,8 +498,8 @@
                 for (std::size_t replica = 0; end == step && replica < Replicas; ++replica) {
                     const bool cutOff = replica == 0 && oneReplicaIsCutOff;
                     const bool unreachable = cutOff || (key == Silent && dead);
-                    if (unreachable && results.unreachable(balancer.now, {ReplicaId{static_cast<std::uint32_t>(replica + 1)}, Here}, key)) {
-                        balancer.steering.targets().declareGone(balancer.now, key);
+                    if (unreachable && results.unreachable(balancer.now, {ReplicaId{static_cast<std::uint32_t>(replica + 1)}, Here}, {key})) {
+                        balancer.steering.targets().declareGone(balancer.now, {key});
                     }
                 }
             }
