--- a/tests/control_cluster.h
+++ b/tests/control_cluster.h
@@ -29,6 +29,17 @@
     Duration linkTime = {};
 };
 
+// Options of a cluster that chooses its voters automatically and tolerates the loss of `losses` disks.
+inline ClusterOptions automaticVoters(std::size_t losses)
+{
+    ClusterOptions options;
+    options.seeds = 3;
+    options.policy.desiredVoters = 2 * losses + 1;
+    options.policy.minCopies = losses + 1;
+    options.policy.voterTimeout = std::chrono::milliseconds(1500);
+    return options;
+}
+
 class ControlCluster
 {
 public:
