--- a/tests/test_steering.cpp
+++ b/tests/test_steering.cpp
@@ -1,13 +1,16 @@
 // SPDX-License-Identifier: MIT
-// Flow steering: where packets go, and when targets become suspect. Stall detection and held packets.
-#include "packet_hold_queue.h"
-#include "stall_detector.h"
+// Flow steering: which targets new flows go to, when targets become suspect, and what happens without a route or a target.
 #include "steering_balancer.h"
 #include "target_directory.h"
 #include "target_probe.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
+#include <set>
+#include <vector>
+
 using namespace Robinrail;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -46,7 +49,7 @@
     }
 }
 
-// With copies at two targets, both answered: see the two test cases on late answers below.
+// With copies at two targets, both answered: see the test cases on late answers in test_steering_flows.cpp.
 TEST_CASE("a retransmitted opening goes to the same target, and that one gets no new flows until it shows a sign of life")
 {
     Balancer balancer;
@@ -219,195 +222,6 @@
     CHECK_FALSE(balancer.steering.takeUnanswered().empty());
 }
 
-TEST_CASE("an opening packet that was queued until its retransmission is due is dropped, other packets are not")
-{
-    Balancer balancer;
-    FlowPacket opening = Balancer::packet(1);
-    opening.opening = true;
-    opening.maxQueueTime = milliseconds(200);
-    const SteeringDecision dropped = balancer.steering.steer(balancer.now, opening);
-    CHECK(dropped.action == SteeringAction::Drop);
-    CHECK(dropped.reason == SteeringReason::LateOpening);
-    // The caller waits longer after the second transmission than after the first.
-    opening.copy = 1;
-    CHECK(balancer.steering.steer(balancer.now, opening).action == SteeringAction::Forward);
-    opening.maxQueueTime = milliseconds(400);
-    CHECK(balancer.steering.steer(balancer.now, opening).reason == SteeringReason::LateOpening);
-    FlowPacket later = Balancer::packet(1);
-    later.token = SteeringTargets::tokenOf(TargetKey{101});
-    later.maxQueueTime = seconds(3);
-    CHECK(balancer.steering.steer(balancer.now, later).target == TargetKey{101});
-}
-
-TEST_CASE("a stall bounds the queue time of packets until the queue is empty")
-{
-    StallDetector detector(Start);
-    detector.tick(Start + milliseconds(50));
-    CHECK(detector.maxQueueTime() == Duration{0});
-    detector.tick(Start + milliseconds(350));
-    CHECK(detector.maxQueueTime() == milliseconds(300));
-    detector.tick(Start + milliseconds(360));
-    CHECK(detector.maxQueueTime() == milliseconds(300));
-    detector.queueEmptied();
-    CHECK(detector.maxQueueTime() == Duration{0});
-}
-
-TEST_CASE("an opening packet is held no longer than until its retransmission")
-{
-    FlowPacket packet = Balancer::packet(1);
-    CHECK(holdTime(packet) == MaxHoldTime);
-    packet.opening = true;
-    CHECK(holdTime(packet) < milliseconds(200));
-    packet.copy = 1;
-    CHECK(holdTime(packet) < milliseconds(400));
-    packet.copy = 2;
-    CHECK(holdTime(packet) == MaxHoldTime);
-}
-
-TEST_CASE("a balancer measures how long flows take to open and requests to be answered")
-{
-    Balancer balancer;
-    const SteeringDecision opened = balancer.open(1);
-    balancer.now += milliseconds(10);
-    balancer.sendPacket(1, opened.token, 100, 500);
-    CHECK(balancer.steering.openTimes().count() == 1);
-    CHECK(balancer.steering.answerTimes().count() == 0);
-    balancer.now += milliseconds(30);
-    balancer.sendPacket(1, opened.token, 200, 900, 0);
-    REQUIRE(balancer.steering.answerTimes().count() == 1);
-    CHECK(balancer.steering.openTimes().quantile(1) >= milliseconds(10));
-    CHECK(balancer.steering.openTimes().quantile(1) < milliseconds(12));
-    CHECK(balancer.steering.answerTimes().quantile(1) >= milliseconds(30));
-    CHECK(balancer.steering.answerTimes().quantile(1) < milliseconds(33));
-    // Without its opening packet, a flow adds no opening time.
-    balancer.sendPacket(2, opened.token, 100, 500);
-    CHECK(balancer.steering.openTimes().count() == 1);
-}
-
-TEST_CASE("a removed route is forgotten once its flows are forgotten")
-{
-    Balancer balancer;
-    balancer.steering.apply(tableOf(2, false));
-    FlowPacket later = Balancer::packet(1, DeckRoute);
-    later.token = SteeringTargets::tokenOf(TargetKey{201});
-    CHECK(balancer.steering.steer(balancer.now, later).reason == SteeringReason::RouteDropped);
-    CHECK(balancer.steering.droppedRoutes() == 1);
-    balancer.steering.tick(balancer.now);
-    balancer.steering.tick(balancer.now + LeftTargetRetention - seconds(1));
-    CHECK(balancer.steering.droppedRoutes() == 1);
-    balancer.steering.tick(balancer.now + LeftTargetRetention + seconds(2));
-    CHECK(balancer.steering.droppedRoutes() == 0);
-}
-
-// The case of review/3: the caller echoes the token of the answer that arrived last, and the flow's next balancer knows nothing else.
-TEST_CASE("a flow whose target answers its opening packet late stays there when its balancer is replaced")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.now += milliseconds(200);
-    const SteeringDecision copy = balancer.open(1, 1);
-    balancer.now += milliseconds(20);
-    // The answer to the copy arrives first, and the flow opens; then the answer to the first packet arrives.
-    const SteeringDecision opened = balancer.sendPacket(1, copy.token, 1, 1, 0);
-    Balancer successor;
-    successor.now = balancer.now + seconds(10);
-    const SteeringDecision later = successor.sendPacket(1, first.token, 1, 1);
-    CHECK(later.action == SteeringAction::Forward);
-    CHECK(later.target == opened.target);
-    CHECK(later.token == opened.token);
-}
-
-TEST_CASE("a flow whose first packet after the opening is lost while a late answer arrives stays at the target where it is open")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.now += milliseconds(200);
-    const SteeringDecision copy = balancer.open(1, 1);
-    // The flow opens with the answer to the copy, but the caller's packet is lost. When it is retransmitted, it carries the
-    // token of the answer to the first packet.
-    balancer.now += milliseconds(400);
-    const SteeringDecision data = balancer.sendPacket(1, first.token, 1, 1);
-    CHECK(data.action == SteeringAction::Forward);
-    CHECK(data.target == copy.target);
-    CHECK(balancer.sendPacket(1, copy.token, 101, 1).target == data.target);
-}
-
-// Two targets may still answer if one was wrongly found gone: the balancer that saw the flow's first packet keeps it together.
-TEST_CASE("a flow that two targets answered stays at the target where it is open")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.now += RecentActivityWindow;
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {first.target}));
-    balancer.now += milliseconds(200);
-    const SteeringDecision second = balancer.open(1, 2);
-    REQUIRE(second.target != first.target);
-    // The first target's answer is late but arrives before the second one's, which then changes the token.
-    CHECK(balancer.sendPacket(1, first.token, 1, 1, 0).target == first.target);
-    const SteeringDecision data = balancer.sendPacket(1, second.token, 1, 1);
-    CHECK(data.target == first.target);
-    CHECK(data.token == first.token);
-    CHECK(data.reason == SteeringReason::PinnedFlow);
-}
-
-TEST_CASE("a late retransmission of an opening packet does not move an open flow")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.sendPacket(1, first.token, 1, 1, 0);
-    CHECK(balancer.open(1, 1).target == first.target);
-    CHECK(balancer.sendPacket(1, first.token, 1, 1).target == first.target);
-}
-
-TEST_CASE("a balancer that never saw a flow routes it by its token")
-{
-    Balancer balancer;
-    const SteeringDecision decision = balancer.sendPacket(7, SteeringTargets::tokenOf(TargetKey{103}), 5, 6);
-    CHECK(decision.action == SteeringAction::Forward);
-    CHECK(decision.target == TargetKey{103});
-    CHECK(balancer.sendPacket(8, FlowToken{12345}, 5, 6).action == SteeringAction::Drop);
-}
-
-TEST_CASE("retransmitted data without a sign of life makes the target suspect, and resets no flow")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.sendPacket(1, first.token, 1, 1);
-    balancer.now += milliseconds(200);
-    CHECK(balancer.sendPacket(1, first.token, 1, 1).action == SteeringAction::Forward);
-    CHECK(balancer.steering.suspicions() == 1);
-    for (std::uint32_t caller = 2; caller < 10; ++caller) {
-        CHECK(balancer.open(caller).target != first.target);
-    }
-}
-
-TEST_CASE("a draining target keeps its flows and gets no new ones; flows of a target that left are reset")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.sendPacket(1, first.token, 1, 1);
-    TargetRecord record = targetOf(value(first.target), "quotes");
-    record.phase = TargetPhase::Draining;
-    record.sequence = 2;
-    balancer.take(record);
-    CHECK(balancer.sendPacket(1, first.token, 2, 2).target == first.target);
-    for (std::uint32_t caller = 2; caller < 10; ++caller) {
-        CHECK(balancer.open(caller).target != first.target);
-    }
-    record.phase = TargetPhase::Left;
-    balancer.take(record);
-    CHECK(balancer.sendPacket(1, first.token, 3, 3).action == SteeringAction::Forward);
-    balancer.now += LeftTargetGrace;
-    const SteeringDecision over = balancer.sendPacket(1, first.token, 4, 77);
-    CHECK(over.action == SteeringAction::Reset);
-    CHECK(over.resetSequence == 77);
-    // A late announcement does not bring a target back that left.
-    record.phase = TargetPhase::Serving;
-    record.sequence = 9;
-    balancer.take(record);
-    CHECK(balancer.sendPacket(2, first.token, 4, 77).action == SteeringAction::Reset);
-}
-
 TEST_CASE("targets that no replica reports as alive are chosen last, and losing the only replica changes nothing")
 {
     Balancer balancer;
@@ -438,58 +252,19 @@
     CHECK(balancer.steering.steer(balancer.now, newer).action == SteeringAction::Forward);
 }
 
-TEST_CASE("a balancer that has just started holds packets of unknown routes and targets")
-{
-    FlowSteering steering(LocalDataCentre);
-    FlowPacket opening = Balancer::packet(1);
-    opening.opening = true;
-    FlowPacket later = Balancer::packet(2);
-    later.token = FlowToken{77};
-    CHECK(steering.steer(Start, opening).action == SteeringAction::Hold);
-    CHECK(steering.steer(Start, later).action == SteeringAction::Hold);
-    steering.apply(tableOf(1));
-    CHECK(steering.steer(Start, opening).reason == SteeringReason::NotInformed);
-    steering.setInformed();
-    CHECK(steering.steer(Start, opening).reason == SteeringReason::NoTarget);
-    CHECK(steering.steer(Start, later).action == SteeringAction::Drop);
-}
-
-TEST_CASE("held packets are released in order, except expired ones and those beyond the capacity")
-{
-    PacketHoldQueue held;
-    const auto packet = [](std::size_t number) {
-        return Bytes{static_cast<std::uint8_t>(number), static_cast<std::uint8_t>(number >> 8U)};
-    };
-    held.hold({Start + MaxHoldTime, packet(0)});
-    held.hold({Start + MaxHoldTime + milliseconds(1), packet(1)});
-    held.hold({Start + MaxHoldTime + milliseconds(2), packet(2)});
-    const std::vector<HeldPacket> young = held.release(Start + MaxHoldTime);
-    REQUIRE(young.size() == 2);
-    CHECK(young[0].bytes == packet(1));
-    CHECK(young[1].bytes == packet(2));
-    CHECK(held.empty());
-    CHECK(held.takeDropped() == 1);
-    for (std::size_t i = 0; i < MaxHeldPackets + 3; ++i) {
-        held.hold({Start + MaxHoldTime, packet(i)});
-    }
-    const std::vector<HeldPacket> released = held.release(Start);
-    REQUIRE(released.size() == MaxHeldPackets);
-    CHECK(released.front().bytes == packet(3));
-    CHECK(held.takeDropped() == 3);
-}
-
-TEST_CASE("a packet that is held again keeps its expiry")
+TEST_CASE("a removed route is forgotten once its flows are forgotten")
 {
-    PacketHoldQueue held;
-    held.hold({Start + milliseconds(100), Bytes{1}});
-    for (int i = 0; i < 10; ++i) {
-        for (HeldPacket &packet : held.release(Start + milliseconds(10 * i))) {
-            held.hold(std::move(packet));
-        }
-    }
-    CHECK_FALSE(held.empty());
-    CHECK(held.release(Start + milliseconds(100)).empty());
-    CHECK(held.takeDropped() == 1);
+    Balancer balancer;
+    balancer.steering.apply(tableOf(2, false));
+    FlowPacket later = Balancer::packet(1, DeckRoute);
+    later.token = SteeringTargets::tokenOf(TargetKey{201});
+    CHECK(balancer.steering.steer(balancer.now, later).reason == SteeringReason::RouteDropped);
+    CHECK(balancer.steering.droppedRoutes() == 1);
+    balancer.steering.tick(balancer.now);
+    balancer.steering.tick(balancer.now + LeftTargetRetention - seconds(1));
+    CHECK(balancer.steering.droppedRoutes() == 1);
+    balancer.steering.tick(balancer.now + LeftTargetRetention + seconds(2));
+    CHECK(balancer.steering.droppedRoutes() == 0);
 }
 
 TEST_CASE("a reset is never answered with a reset")
@@ -500,24 +275,3 @@
     reset.reset = true;
     CHECK(balancer.steering.steer(balancer.now, reset).action == SteeringAction::Drop);
 }
-
-TEST_CASE("flows that are closed or idle do not count as load")
-{
-    Balancer balancer;
-    const SteeringDecision first = balancer.open(1);
-    balancer.sendPacket(1, first.token, 1, 1);
-    const SteeredTarget *target = balancer.steering.targets().find(first.token);
-    CHECK(target->flows == 1);
-    CHECK(target->busy == 1);
-    balancer.sendPacket(1, first.token, 101, 50, 0);
-    CHECK(target->busy == 0);
-    FlowPacket closing = Balancer::packet(1);
-    closing.token = first.token;
-    closing.closing = true;
-    balancer.steering.steer(balancer.now, closing);
-    CHECK(target->flows == 0);
-    balancer.open(2);
-    balancer.now += DefaultIdleTimeout + FlowSweepInterval;
-    balancer.steering.tick(balancer.now);
-    CHECK(balancer.steering.flowCount() == 0);
-}
