--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,7 +2,8 @@
 // Another writer sends heartbeats for a service that the manifest doesn't have, with the addresses of hosts. A core machine
 // freezes for 3.5 s. Checks rule FLOW: once all machines are in touch again, no reset reaches a requester on an open flow
 // that the flow's host didn't send.
-#include "flows.h"
+#include "host.h"
+#include "requesters.h"
 
 #include <memory>
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -2,7 +2,8 @@
 // Heartbeats of another writer whose bytes can't be read: one byte of the call's path is damaged. The writer keeps to the
 // protocol: a heartbeat every heartbeat_ms, and after a failure the next node is called. Checks rule Fault: processes don't
 // end by themselves, and orders of the operator keep being acknowledged.
-#include "flows.h"
+#include "host.h"
+#include "requesters.h"
 
 #include <memory>
 
