Link limit: a larger reserve, and a limit that follows the measured use

Cause: at 1.5 times all slots, VMs of one data centre reached 85 to 113% of a link of 2 Mbit/s in the first second. Readiness probes were lost, the fabric took VMs out and sent their flows to the others, and the limit, which moves by the rule for queues, stayed at half of what the link could carry for seconds. Requests that the link lost counted as slow answers and as silent targets. Change: the share of the link that new flows may use is 0.7 (0.85): the bytes of a window vary by a sixth. The limit moves in proportion to the measured use; it falls by three tenths per window while two windows in a row are full. While the link may have lost packets, an unanswered target is neither suspect nor reported, and answers to retransmitted requests are not measured.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -143,7 +143,7 @@
 }
 
 // Suspects and reports a target that did not answer an opening packet before its retransmission, unless it showed a sign of
-// life since the first copy: then it is slow or full, or a packet was lost.
+// life since the first copy, or the own link was full: then it is slow or full, or a packet was lost.
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::observeRepeatedOpening(TimePoint now, const FlowPacket &packet, Flow &flow, SteeredTarget &target)
 {
@@ -152,7 +152,7 @@
         return;
     }
     flow.copy = packet.copy;
-    if (target.lastAlive + waited <= now) {
+    if (target.lastAlive + waited <= now && !m_admission.control().link().mayHaveLost(now)) {
         markSuspect(now, target);
         // One retransmission is enough for a probe: copies are sent after 200 and 600 ms, and in between the probe of 300 ms must
         // end, so there is no time to wait for a second one.
@@ -207,7 +207,10 @@
     }
     if (answered && flow.busy) {
         m_answerTimes.record(flow.sentAt.elapsed(now));
-        m_admission.recordAnswer(now, target.record, flow.sentAt.elapsed(now));
+        // A retransmission through a full link took its time there, not at the target.
+        if (!flow.retransmitted || !m_admission.control().link().mayHaveLost(now)) {
+            m_admission.recordAnswer(now, target.record, flow.sentAt.elapsed(now));
+        }
     }
     flow.open = true;
     flow.refused = false; // A later copy of the opening packet was admitted by another balancer.
@@ -219,11 +222,11 @@
         m_targets.markAlive(now, target);
     }
     if (packet.dataBytes > 0) {
-        const bool retransmitted = flow.busy && !precedes(flow.sequence, packet.sequence);
-        if (!retransmitted) {
+        flow.retransmitted = flow.busy && !precedes(flow.sequence, packet.sequence);
+        if (!flow.retransmitted) {
             flow.sequence = packet.sequence;
             flow.sentAt = CoarseTime(now);
-        } else if (target.lastAlive + flow.sentAt.elapsed(now) <= now) {
+        } else if (target.lastAlive + flow.sentAt.elapsed(now) <= now && !m_admission.control().link().mayHaveLost(now)) {
             // The data is retransmitted, and no sign of life came from the target since its first transmission.
             markSuspect(now, target);
             report(target, 1);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -97,6 +97,7 @@
     std::uint8_t copy = 0; // The newest copy of the opening packet.
     bool open = false;
     bool busy = false;
+    bool retransmitted = false; // The newest data was sent more than once.
     bool counted = false; // Included in SteeredTarget::flows.
     bool refused = false; // Its opening packet was refused before any target has seen it.
     bool openingSeenHere = false; // Its opening packet came through here, at sentAt, and no other packet has since.
--- a/src/link_load.cpp
+++ b/src/link_load.cpp
@@ -5,16 +5,18 @@
 #include "duration_math.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Robinrail {
 
 namespace {
 
-// A link this full limits new flows after a single window.
-constexpr double FullLinkShare = 0.95;
+// Largest steps of a limit per window, as parts of it.
+constexpr double MaxLinkIncrease = 1.15;
+constexpr double MaxLinkDecrease = 0.85;
 
-// The demand counts at most this many times the limit when the limit rises. With more, the reserve of the link would be used.
-constexpr double MaxLinkDemand = 1.5;
+// Least use that is told apart; without a bound, an idle link would divide by zero.
+constexpr double MinLinkShare = 0.01;
 
 } // namespace
 
@@ -45,22 +47,42 @@
     if (m_capacity <= 0 || length < AdmissionWindow) {
         return;
     }
-    const bool wasFull = m_used > MaxLinkShare;
+    const double usedBefore = m_used;
     m_used = static_cast<double>(std::max(m_received, m_sent)) / (m_capacity * detail::toSeconds(length));
     m_received = 0;
     m_sent = 0;
     m_windowStart = now;
     m_limiter.endWindow(length);
+    if (m_used > FullLinkShare) {
+        m_lossUntil = now + LinkLossMemory;
+    }
     if (m_limiter.limit()) {
-        m_limiter.adjust(length, m_used / MaxLinkShare, MaxLinkDemand, 1);
-        if (m_limiter.calm() >= CalmTime) {
-            m_limiter.setLimit(std::nullopt);
-        }
-    } else if (m_used > MaxLinkShare && (wasFull || m_used > FullLinkShare)) {
+        moveLimit(length, usedBefore);
+    } else if (m_used > MaxLinkShare && (usedBefore > MaxLinkShare || m_used > FullLinkShare)) {
         m_limiter.lower(MaxLinkShare / m_used);
     }
 }
 
+// Unlike the queues of targets, the use of the link is measured, so a limit moves in proportion to it. It rises by half of the way per
+// window, as some of the bytes are of flows that were admitted before, and falls at once, as lost packets cost more than refusals.
+void LinkLoad::moveLimit(Duration length, double usedBefore)
+{
+    if (std::min(m_used, usedBefore) > FullLinkShare) {
+        m_limiter.lower(FullLinkDecrease / FirstLimitShare);
+        return;
+    }
+    const double room = MaxLinkShare / std::max(m_used, MinLinkShare);
+    m_limiter.scale(length, room < 1 ? std::max(room, MaxLinkDecrease) : std::min(std::sqrt(room), MaxLinkIncrease));
+    if (m_limiter.calm() >= CalmTime) {
+        m_limiter.setLimit(std::nullopt);
+    }
+}
+
+bool LinkLoad::mayHaveLost(TimePoint now) const
+{
+    return now < m_lossUntil;
+}
+
 double LinkLoad::used() const
 {
     return m_used;
--- a/src/link_load.h
+++ b/src/link_load.h
@@ -8,9 +8,20 @@
 
 namespace Robinrail {
 
-// Share of the own link from which on new flows are refused. The rest is for packets of open flows and for bursts within a
-// window, as packets beyond the capacity of the link are lost.
-inline constexpr double MaxLinkShare = 0.85;
+// Share of the own link from which on new flows are refused. The rest is for packets of open flows and for bursts: at 2 Mbit/s the
+// bytes of a window vary by a sixth, as it holds some 30 flows. With 0.85, a tenth of the windows of an overloaded link lost
+// packets, readiness probes among them, so that the fabric took the balancer out and sent its flows to the others.
+inline constexpr double MaxLinkShare = 0.7;
+
+// From this share on packets may be lost in bursts within the window.
+inline constexpr double FullLinkShare = 0.85;
+
+// While the link is full, the bytes that were lost before it are not known, so a limit falls to this part per window instead of in
+// proportion to the excess.
+inline constexpr double FullLinkDecrease = 0.7;
+
+// Packets that a full link lost are retransmitted after 0.2 to 1.6 s.
+inline constexpr Duration LinkLossMemory = std::chrono::milliseconds(1600);
 
 // Measures the bytes on the own link against its capacity.
 class LinkLoad
@@ -27,17 +38,23 @@
 
     void tick(TimePoint now);
 
+    // Whether packets may have been lost on the link lately, so that a missing answer says nothing about its target.
+    bool mayHaveLost(TimePoint now) const;
+
     // Larger of the shares used in both directions in the last window.
     double used() const;
     const PriorityRateLimiter &limiter() const;
 
 private:
+    void moveLimit(Duration length, double usedBefore);
+
     double m_capacity;
     PriorityRateLimiter m_limiter;
     TimePoint m_windowStart;
     std::size_t m_received = 0;
     std::size_t m_sent = 0;
     double m_used = 0;
+    TimePoint m_lossUntil;
 };
 
 } // namespace Robinrail
--- a/src/priority_rate_limiter.cpp
+++ b/src/priority_rate_limiter.cpp
@@ -105,7 +105,7 @@
     if (!m_limit) {
         return;
     }
-    m_calm = demand() < CalmShare * *m_limit ? m_calm + length : Duration{};
+    updateCalm(length);
     const double limit = used > 1 ? std::min(*m_limit, std::max(demand(), MinAdmittedRate)) : *m_limit;
     const double decrease = LimitDecrease * (used > 1 ? overloadFactor : 1);
     const double pressure = std::max(used - IdleShare, 0.0) / (1 - IdleShare);
@@ -113,9 +113,27 @@
                                          : LimitIncrease * limit * std::sqrt(std::min(demand() / limit, maxDemand)) - decrease * pressure * limit;
     const double highest = used < IdleShare ? MaxIdleLimitIncrease : MaxLimitIncrease;
     const double windows = toSeconds(length) / toSeconds(AdmissionWindow);
-    const double next = limit + windows * std::clamp(step, -MaxLimitDecrease * limit / windows, highest * limit);
-    // A limit far above the demand would take long to fall when the demand rises again.
-    m_limit = std::max(MinAdmittedRate, next > limit ? std::max(limit, std::min(next, 2 * demand())) : next);
+    m_limit = limit;
+    changeLimit(limit + windows * std::clamp(step, -MaxLimitDecrease * limit / windows, highest * limit));
+}
+
+void PriorityRateLimiter::scale(Duration length, double factor)
+{
+    if (m_limit) {
+        updateCalm(length);
+        changeLimit(*m_limit * factor);
+    }
+}
+
+void PriorityRateLimiter::updateCalm(Duration length)
+{
+    m_calm = demand() < CalmShare * *m_limit ? m_calm + length : Duration{};
+}
+
+// Changes an existing limit. One far above the demand would take long to fall when the demand rises again.
+void PriorityRateLimiter::changeLimit(double limit)
+{
+    m_limit = std::max(MinAdmittedRate, limit > *m_limit ? std::max(*m_limit, std::min(limit, 2 * demand())) : limit);
     updateShares();
 }
 
--- a/src/priority_rate_limiter.h
+++ b/src/priority_rate_limiter.h
@@ -84,6 +84,9 @@
     // times the limit. `overloadFactor`: how many times faster the limit falls beyond the overload.
     void adjust(Duration length, double used, double maxDemand, double overloadFactor);
 
+    // Multiplies an existing limit by a factor; it rises to twice the demand at most.
+    void scale(Duration length, double factor);
+
     // How long the demand has been below CalmShare of the limit.
     Duration calm() const;
 
@@ -107,6 +110,8 @@
 
 private:
     double share(std::uint8_t priority) const;
+    void updateCalm(Duration length);
+    void changeLimit(double limit);
     void updateShares();
 
     std::uint64_t m_salt;
