--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -98,7 +98,6 @@
     void logAdmission();
     void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
     void updateReadiness();
-    void writeAdmissionMetrics(PrometheusWriter &text) const;
 
     SteeringSettings m_file;
     NodeLinks m_links;
