robinrail load: which service lacks capacity and where, who is refused, and which targets are excluded

Cause: an operator had to sum the metrics of all balancers of a data centre by hand, and could not see excluded targets. The access to arguments moved to a module of its own. Refusals and limits are shown by unit tests only: no process test has an overload.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -50,6 +50,7 @@
 step model spec/check.sh
 step fuzz-corpus tests/fuzz_corpus.sh
 step daemons tests/daemons.sh
+step load-command tests/load_command.sh
 step soak scripts/soak.sh --regressions
 step sanitizers tests/sanitizers.sh
 
--- a/src/main_robinrail.cpp
+++ b/src/main_robinrail.cpp
@@ -25,6 +25,7 @@
   robinrail operator list [--config=FILE] [--json]
   robinrail status [--config=FILE] [--json]
   robinrail targets [--config=FILE] [--json]
+  robinrail load [BALANCER...] [--over=SECONDS] [--config=FILE] [--json]
   robinrail flows explain ID [--config=FILE] [--json]
   robinrail audit tail [--after=NUMBER] [--config=FILE] [--json]
   robinrail audit verify [--config=FILE] [--json]
@@ -41,6 +42,7 @@
   --at=VERSION       Show this version instead of the newest.
   --after=NUMBER     Only audit records after this number.
   --timeout=SECONDS  How long to watch [default: 30].
+  --over=SECONDS     Count new flows for this time; 0: since the balancers' starts [default: 2].
   --revoked          Revoke the key of the operator.
   --json             Print JSON.
   -h --help          Show this text.
--- a/src/operator_commands.cpp
+++ b/src/operator_commands.cpp
@@ -4,6 +4,8 @@
 
 #include "api_json.h"
 #include "bundle.h"
+#include "command_arguments.h"
+#include "load_command.h"
 #include "operator_client.h"
 #include "standin.h"
 #include "standin_verify.h"
@@ -24,38 +26,6 @@
 
 constexpr std::chrono::milliseconds WatchInterval{200};
 
-leaf::error_id badInput(std::string text)
-{
-    return leaf::new_error(ClientError::BadInput, ClientErrorMessage{std::move(text)});
-}
-
-bool hasArgument(const CommandArguments &arguments, const std::string &name)
-{
-    const auto at = arguments.find(name);
-    return at != arguments.end() && at->second && (!at->second.isBool() || at->second.asBool());
-}
-
-std::string stringArgument(const CommandArguments &arguments, const std::string &name, const std::string &fallback = {})
-{
-    return hasArgument(arguments, name) ? arguments.at(name).asString() : fallback;
-}
-
-leaf::result<std::uint64_t> numberArgument(const CommandArguments &arguments, const std::string &name)
-{
-    const std::string text = stringArgument(arguments, name);
-    std::size_t used = 0;
-    std::uint64_t number = 0;
-    try {
-        number = std::stoull(text, &used);
-    } catch (const std::exception &) {
-        used = 0;
-    }
-    if (text.empty() || used != text.size()) {
-        return badInput(name + ": found \"" + text + "\", expected a number");
-    }
-    return number;
-}
-
 leaf::result<std::string> readInputFile(const std::string &path)
 {
     std::ifstream file(path);
@@ -437,6 +407,9 @@
     if (hasArgument(arguments, "drain")) {
         return drain(arguments);
     }
+    if (hasArgument(arguments, "load")) {
+        return runLoadCommand(arguments);
+    }
     return hasArgument(arguments, "status") ? status(arguments)
         : hasArgument(arguments, "targets") ? targets(arguments)
         : hasArgument(arguments, "flows")   ? flowsExplain(arguments)
