--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -77,6 +77,7 @@
 
     const SteeringSettings &settings() const;
     std::string metricsText() const;
+    std::string excludedTargetsText() const;
 
 private:
     void tick();
@@ -98,7 +99,6 @@
     void logAdmission();
     void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
     void updateReadiness();
-    void writeAdmissionMetrics(PrometheusWriter &text) const;
 
     SteeringSettings m_file;
     NodeLinks m_links;
