Soak: overload, and checks of admission, recovery and targets declared gone

Cause: the soak played no overload, so admission control was never checked while nodes and targets fail.

Change: from seed 5000 on, callers multiply their rate by 5 to 8 for 2 to 4 s again and again, targets have 2 slots and a queue of 4 and answer 503 when both are full, single targets are 5 to 10 times slower for 1 to 3 s, documents specify priorities, latency objectives and timeouts, balancers have a link of 1 Mbit/s, and callers have 64 addresses, as admission control tells them apart by these. Overloads and slow times draw from a random stream of their own; runs with lower seeds draw the same numbers in the same order as before.

--- a/soak/caller_simulator.cpp
+++ b/soak/caller_simulator.cpp
@@ -30,20 +30,25 @@
 constexpr double SecondRouteProbability = 0.3;
 constexpr double ChangingRouteProbability = 0.2;
 
+// Runs with overload: shorter flows, since admission control limits new ones only, and the share of less urgent flows.
+constexpr std::size_t MaxRequestsUnderOverload = 3;
+constexpr double BulkProbability = 0.3;
+
 // Source ports of flows, assigned in turn, so that none is reused during the lifetime of a flow.
 constexpr std::uint16_t FirstPort = 1024;
 constexpr std::uint16_t LastPort = 60000;
 
-// Requests that recentSuccessRate() counts: old enough to have been answered or to have timed out, but not much older.
-constexpr Duration OutcomeMinAge = milliseconds(3500);
-constexpr Duration OutcomeWindow = milliseconds(2000);
-
 } // namespace
 
-CallerSimulator::CallerSimulator(
-    boost::asio::io_context &io, const Topology &topology, const TargetSimulator &targets, Violations &violations, std::uint64_t seed)
+CallerSimulator::CallerSimulator(boost::asio::io_context &io,
+                                 const Topology &topology,
+                                 const TargetSimulator &targets,
+                                 AdmissionOrderChecker &admissionOrder,
+                                 Violations &violations,
+                                 std::uint64_t seed)
     : m_topology(topology)
     , m_targets(targets)
+    , m_admissionOrder(admissionOrder)
     , m_violations(violations)
     , m_random(seed)
     , m_fabric(io,
@@ -52,7 +57,8 @@
                [this](Endpoint from, BytesView datagram) {
                    receive(datagram, from);
                })
-    , m_callers(topology.callers)
+    , m_callers(topology.overload ? topology.callers * MaxRateFactor : topology.callers)
+    , m_activeCallers(topology.callers)
 {
 }
 
@@ -71,9 +77,12 @@
     const Endpoint fixedRoute = chance(m_random, SecondRouteProbability) ? SecondRoute : FirstRoute;
     caller = {};
     caller.idle = false;
-    caller.flow = {{m_topology.caller(), m_lastPort}, useChangingRoute ? ChangingRoute : fixedRoute};
+    caller.flow = {{m_topology.caller(index), m_lastPort}, useChangingRoute ? ChangingRoute : fixedRoute};
     caller.nextSequence = static_cast<std::uint32_t>(m_random());
-    caller.requestsLeft = static_cast<int>(1 + uniformIndex(m_random, MaxRequests));
+    caller.requestsLeft = static_cast<int>(1 + uniformIndex(m_random, m_topology.overload ? MaxRequestsUnderOverload : MaxRequests));
+    if (m_topology.overload && caller.flow.route == FirstRoute && chance(m_random, BulkProbability)) {
+        caller.flow.route = BulkRoute;
+    }
     caller.startedAt = now;
     m_callerByPort[m_lastPort] = index;
     sendOpening(now, caller);
@@ -152,9 +161,23 @@
                             toText(caller.flow.caller) + " to " + toText(caller.flow.route) + " reset by " + toText(sender)
                                 + (m_targets.isTargetAddress(sender) ? ", another target" : ", a balancer"));
     }
+    if (!caller.open && !routeMayChange && !m_targets.isTargetAddress(sender)) {
+        checkRefusal(now, caller, sender.address);
+    }
     endFlow(now, caller, false);
 }
 
+// A flow whose first copy has reached a target may have opened there, and must not be refused. Later copies are no evidence: one
+// may have been sent before the reset that refused the first copy arrived.
+void CallerSimulator::checkRefusal(TimePoint now, const Caller &caller, std::uint32_t balancer)
+{
+    ++m_refusedFlows;
+    m_admissionOrder.recordRefusal(now, balancer, caller.flow.route);
+    if (m_targets.hasSeenFirstCopy(caller.flow)) {
+        m_violations.report("a refused flow has not reached a target", toText(caller.flow.caller) + " to " + toText(caller.flow.route));
+    }
+}
+
 void CallerSimulator::handleAnswerData(TimePoint now, Caller &caller, const WirePacket &packet)
 {
     if (packet.data.empty()) {
@@ -176,11 +199,17 @@
     std::istringstream text(caller.answer);
     std::uint64_t number = 0;
     std::string service;
-    text >> number >> service;
+    std::string filler;
+    text >> number >> service >> filler;
     if (number != caller.request->number || service != serviceForRoute(caller.flow.route)) {
         m_violations.report("answers belong to their request", caller.answer.substr(0, 30) + " to " + std::to_string(caller.request->number));
     }
-    m_outcomes.push_back({caller.startedAt, true});
+    if (filler == "503") {
+        m_outcomes.push_back({caller.startedAt, false, {}});
+        acknowledge(now, caller, true);
+        return endFlow(now, caller, true);
+    }
+    m_outcomes.push_back({caller.startedAt, true, now - caller.startedAt});
     ++m_completedRequests;
     m_completedOnChangingRoute += caller.flow.route == ChangingRoute ? 1 : 0;
     caller.request.reset();
@@ -192,7 +221,7 @@
     // A request on the changing route may fail at any time. TargetSimulator checks that a removed route gets no new flow.
     if (!succeeded && caller.flow.route != ChangingRoute && (caller.request || !caller.open)) {
         LogLine(LogLevel::Info, "request-failed").with("caller", toText(caller.flow.caller)).with("open", caller.open).with("copies", caller.openingsSent);
-        m_outcomes.push_back({caller.startedAt, false});
+        m_outcomes.push_back({caller.startedAt, false, {}});
         ++m_failedRequests;
     }
     m_callerByPort.erase(caller.flow.caller.port);
@@ -205,7 +234,8 @@
 void CallerSimulator::advance(TimePoint now, Caller &caller)
 {
     if (caller.idle) {
-        if (now >= caller.nextActionAt) {
+        const auto index = static_cast<std::size_t>(&caller - m_callers.data());
+        if (index < m_activeCallers && now >= caller.nextActionAt) {
             beginFlow(now, caller);
         }
     } else if (!caller.open && now >= caller.nextActionAt) {
@@ -237,14 +267,19 @@
     });
 }
 
-double CallerSimulator::recentSuccessRate(TimePoint now) const
+void CallerSimulator::setRateFactor(std::size_t factor)
+{
+    m_activeCallers = std::min(m_topology.callers * factor, m_callers.size());
+}
+
+double CallerSimulator::recentSuccessRate(TimePoint now, Duration maxTime) const
 {
     std::size_t total = 0;
     std::size_t succeeded = 0;
     for (const Outcome &outcome : m_outcomes) {
         if (now - outcome.startedAt >= OutcomeMinAge) {
             ++total;
-            succeeded += outcome.succeeded ? 1 : 0;
+            succeeded += outcome.succeeded && outcome.took <= maxTime ? 1 : 0;
         }
     }
     return total > 0 ? static_cast<double>(succeeded) / static_cast<double>(total) : 0;
@@ -265,6 +300,11 @@
     return m_failedRequests;
 }
 
+std::size_t CallerSimulator::refusedFlows() const
+{
+    return m_refusedFlows;
+}
+
 Fabric &CallerSimulator::fabric()
 {
     return m_fabric;
--- a/soak/fabric.cpp
+++ b/soak/fabric.cpp
@@ -24,13 +24,15 @@
 
 } // namespace
 
-Fabric::Fabric(boost::asio::io_context &io, const Topology &topology, std::uint64_t seed, DatagramSocket::ReceiveHandler receive)
+Fabric::Fabric(boost::asio::io_context &io, const Topology &topology, std::uint64_t seed, const DatagramSocket::ReceiveHandler &receive)
     : m_io(io)
     , m_topology(topology)
     , m_random(seed)
-    , m_socket(io, {topology.caller(), Topology::PacketPort}, std::move(receive))
     , m_balancers(topology.balancers)
 {
+    for (std::size_t i = 0; i < topology.callerAddresses(); ++i) {
+        m_sockets.emplace_back(io, Endpoint{topology.caller(i), Topology::PacketPort}, receive);
+    }
 }
 
 std::size_t Fabric::readyBalancers() const
@@ -60,6 +62,7 @@
 
 void Fabric::send(TimePoint now, std::uint16_t callerPort, BytesView packet)
 {
+    DatagramSocket &socket = m_sockets.front();
     const Endpoint to{m_topology.balancer(selectBalancer(callerPort)), Topology::PacketPort};
     if (chance(m_random, LossProbability)) {
         return;
@@ -68,16 +71,16 @@
         m_delayed.push_back({now + PacketDelay, to, Bytes(packet.begin(), packet.end())});
         return;
     }
-    m_socket.send(to, packet);
+    socket.send(to, packet);
     if (chance(m_random, DuplicateProbability)) {
-        m_socket.send(to, packet);
+        socket.send(to, packet);
     }
 }
 
 void Fabric::tick(TimePoint now)
 {
     while (!m_delayed.empty() && now >= m_delayed.front().sendAt) {
-        m_socket.send(m_delayed.front().to, BytesView(m_delayed.front().packet));
+        m_sockets.front().send(m_delayed.front().to, BytesView(m_delayed.front().packet));
         m_delayed.pop_front();
     }
     if (now >= m_nextProbeAt) {
--- a/soak/fabric.h
+++ b/soak/fabric.h
@@ -12,7 +12,7 @@
 class Fabric
 {
 public:
-    Fabric(boost::asio::io_context &io, const Topology &topology, std::uint64_t seed, DatagramSocket::ReceiveHandler receive);
+    Fabric(boost::asio::io_context &io, const Topology &topology, std::uint64_t seed, const DatagramSocket::ReceiveHandler &receive);
 
     // Sends a caller's packet to a balancer: usually the same one for a flow, occasionally a random one. A few packets are lost,
     // duplicated or delayed.
@@ -37,7 +37,7 @@
     boost::asio::io_context &m_io;
     Topology m_topology;
     Random m_random;
-    DatagramSocket m_socket; // Shared by all callers; balancers and targets answer to its port.
+    std::deque<DatagramSocket> m_sockets; // One for each address of callers; balancers and targets answer to their ports.
     std::vector<BalancerHealth> m_balancers;
     std::deque<DelayedPacket> m_delayed;
     TimePoint m_nextProbeAt;
--- a/soak/node_supervisor.cpp
+++ b/soak/node_supervisor.cpp
@@ -34,6 +34,10 @@
 
 constexpr int AnnounceIntervalMs = 770;
 
+// Link of a balancer in runs with overload: some ten times what a balancer needs at the usual rate, so that the limit of the link
+// applies in a part of the overloads.
+constexpr double OverloadLinkMbps = 1;
+
 // Where the data folder is moved while a plain file has its name, so that nothing can be opened in it.
 fs::path displacedDataPath(const fs::path &data)
 {
@@ -84,7 +88,7 @@
     }
     const bool replica = !node.data.empty();
     nlohmann::json settings = {{"node", node.name},
-                               {"dataCentre", DataCentres[node.address % DataCentres.size()]},
+                               {"dataCentre", DataCentres[dataCentreOfBalancer(node.address)]},
                                {"dataCentres", DataCentres},
                                {"seeds", seeds},
                                {"linkPort", Topology::LinkPort},
@@ -99,6 +103,9 @@
         settings["dataFolder"] = node.data.string();
     } else {
         settings["listen"]["packets"] = toText({node.address, Topology::PacketPort});
+        if (m_topology.overload) {
+            settings["linkMbps"] = OverloadLinkMbps;
+        }
     }
     std::ofstream(m_work / (node.name + ".json")) << settings.dump(4) << '\n';
 }
--- a/soak/routing_operator.cpp
+++ b/soak/routing_operator.cpp
@@ -48,6 +48,13 @@
     if (m_changingRoute) {
         table.routes.push_back({ChangingRoute, {{0, 1}}});
     }
+    if (m_topology.overload) {
+        constexpr Duration Timeout = seconds(3);
+        table.routes.insert(table.routes.begin(), {BulkRoute, {{0, 1}}});
+        for (std::size_t i = 0; i < 3; ++i) {
+            table.objectives.push_back({priorityOfRoute(table.routes[i].address), LatencyObjective, Timeout});
+        }
+    }
     return table;
 }
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -6,9 +6,11 @@
 #include "drain_operator.h"
 #include "fault_scheduler.h"
 #include "foreign_writer.h"
+#include "gone_target_checker.h"
 #include "log.h"
 #include "malformed_request_sender.h"
 #include "node_supervisor.h"
+#include "overload_scheduler.h"
 #include "replica_version_checker.h"
 #include "routing_operator.h"
 #include "target_simulator.h"
@@ -29,6 +31,14 @@
 // and opened again.
 constexpr Duration FinalChangeDeadline = RecoveryDeadline + FaultGracePeriod;
 
+// Time after the end of an overload within which service must be back to normal, and when the requests of the following
+// OutcomeWindow have ended.
+constexpr Duration OverloadRecoveryDeadline = seconds(2);
+constexpr Duration OverloadOutcomeDelay = OverloadRecoveryDeadline + CallerSimulator::OutcomeWindow + CallerSimulator::OutcomeMinAge;
+
+// Time limit until no fault has been active for FaultGracePeriod: a target may drain for 9 s, and its successor starts then.
+constexpr Duration CalmDeadline = seconds(20);
+
 // Each component draws from its own random stream, so that an additional draw in one doesn't affect the others.
 std::uint64_t streamSeed(std::uint64_t seed, std::uint64_t component)
 {
@@ -37,8 +47,9 @@
 }
 
 // From FirstRunWithPartialSeedNodes on, the settings of a restarted node list only a majority of the replicas.
-RunOptions withSeedNodes(RunOptions options)
+RunOptions withSeedOptions(RunOptions options)
 {
+    options.topology.overload = options.seed >= FirstRunWithOverload;
     const std::size_t replicas = options.topology.replicas;
     options.topology.seedNodes = options.seed >= FirstRunWithPartialSeedNodes ? replicas / 2 + 1 : replicas;
     return options;
@@ -48,17 +59,20 @@
 {
 public:
     explicit SoakRun(const RunOptions &options)
-        : m_options(withSeedNodes(options))
+        : m_options(withSeedOptions(options))
+        , m_admissionOrder(m_violations)
         , m_nodes(m_io, m_options.topology, m_faults, m_violations, options.programs, options.work)
-        , m_targets(m_io, options.topology, m_faults, m_violations, streamSeed(options.seed, 1))
-        , m_callers(m_io, options.topology, m_targets, m_violations, streamSeed(options.seed, 2))
-        , m_routingOperator(m_io, options.topology, m_violations, streamSeed(options.seed, 4))
+        , m_targets(m_io, m_options.topology, m_faults, m_admissionOrder, m_violations, streamSeed(options.seed, 1))
+        , m_callers(m_io, m_options.topology, m_targets, m_admissionOrder, m_violations, streamSeed(options.seed, 2))
+        , m_routingOperator(m_io, m_options.topology, m_violations, streamSeed(options.seed, 4))
         , m_drainOperator(m_io, options.topology, m_violations, streamSeed(options.seed, 6))
         , m_replicaVersions(m_io, options.topology, m_faults, m_violations)
         , m_foreignWriter(m_io, options.topology, streamSeed(options.seed, 8))
         , m_restartRandom(streamSeed(options.seed, 7))
         , m_lateAnswerRandom(streamSeed(options.seed, 9))
         , m_malformedRequests(m_io, options.topology, streamSeed(options.seed, 10))
+        , m_overloads(m_callers, m_targets, streamSeed(options.seed, 11))
+        , m_goneTargets(options.topology, m_targets, m_violations, options.work)
         , m_faultScheduler(options.topology, m_nodes, m_targets, m_routingOperator, m_faults, streamSeed(options.seed, 5))
         , m_timer(m_io)
     {
@@ -82,6 +96,10 @@
             .with("foreign-announcements", m_foreignWriter.announcements())
             .with("malformed-requests", m_malformedRequests.sentRequests())
             .with("versions-judged", m_replicaVersions.checkedAnswers())
+            .with("overloads", m_overloads.overloads())
+            .with("refused-flows", m_callers.refusedFlows())
+            .with("rejected-requests", m_targets.rejectedRequests())
+            .with("urgent-refusals", m_admissionOrder.urgentRefusals())
             .with("broken", m_violations.count());
         return m_violations.count() == 0;
     }
@@ -91,6 +109,8 @@
         Starting, // Until all balancers are ready and a request was answered.
         InjectingFaults,
         Recovering, // Until all faults have ended and requests are answered again.
+        Calming, // Until no fault has been active for FaultGracePeriod. In runs with overload only, as the next one.
+        RecoveringFromOverload, // An overload without another fault, until the requests after it have ended.
         VerifyingFinalChange, // Until the final change is in force and was read back.
         Ended,
     };
@@ -114,6 +134,11 @@
             m_drainOperator.tick(now);
             m_targets.setDrainedSince(m_drainOperator.drainedSince());
         }
+        if (m_options.topology.overload) {
+            m_admissionOrder.tick(now);
+            m_goneTargets.tick(now);
+            m_overloads.endIfDue(now);
+        }
         if (m_options.seed >= FirstRunWithForeignWriter) {
             m_foreignWriter.tick(now);
             m_malformedRequests.tick(now);
@@ -189,6 +214,9 @@
             m_faultScheduler.tick(now);
             restartTargets(now);
             delayAnswers(now);
+            if (m_options.topology.overload) {
+                m_overloads.tick(now);
+            }
             if (expired) {
                 m_nodes.endAllFaults(now);
                 m_drainOperator.finish();
@@ -197,12 +225,22 @@
             return;
         case Phase::Recovering:
             if (m_nodes.faultFree() && m_callers.recentSuccessRate(now) >= MinRecoveredSuccessRate) {
-                m_routingOperator.finish();
-                m_routingOperator.submitChange(now, true);
-                m_completedBeforeChange = m_callers.completedOnChangingRoute();
-                return enter(Phase::VerifyingFinalChange, FinalChangeDeadline);
+                m_calmSince = now;
+                return m_options.topology.overload ? enter(Phase::Calming, CalmDeadline) : submitFinalChange(now);
+            }
+            break;
+        case Phase::Calming:
+            if (isCalm(now)) {
+                m_overloads.begin(now);
+                return enter(Phase::RecoveringFromOverload, m_overloads.endAt() + OverloadOutcomeDelay - now);
             }
             break;
+        case Phase::RecoveringFromOverload:
+            if (expired) {
+                checkRecoveryFromOverload(now);
+                return submitFinalChange(now);
+            }
+            return;
         case Phase::VerifyingFinalChange:
             if (m_routingOperator.finalReadSucceeded() && m_drainOperator.idle() && m_callers.completedOnChangingRoute() > m_completedBeforeChange) {
                 return enter(Phase::Ended, Duration{0});
@@ -218,9 +256,37 @@
         }
     }
 
+    void submitFinalChange(TimePoint now)
+    {
+        m_routingOperator.finish();
+        m_routingOperator.submitChange(now, true);
+        m_completedBeforeChange = m_callers.completedOnChangingRoute();
+        enter(Phase::VerifyingFinalChange, FinalChangeDeadline);
+    }
+
+    // Whether neither a node nor a target has had a fault for a while, no data centre is drained, and requests are answered.
+    bool isCalm(TimePoint now)
+    {
+        const bool faultFree = m_nodes.faultFree() && m_targets.faultFree(now) && m_drainOperator.idle();
+        if (!faultFree || m_callers.recentSuccessRate(now, LatencyObjective) < MinRecoveredSuccessRate) {
+            m_calmSince = now;
+        }
+        return now - m_calmSince >= FaultGracePeriod;
+    }
+
+    void checkRecoveryFromOverload(TimePoint now)
+    {
+        const double rate = m_callers.recentSuccessRate(now, LatencyObjective);
+        LogLine(LogLevel::Info, "recovered-from-overload").with("success-rate", rate);
+        if (rate < MinRecoveredSuccessRate) {
+            m_violations.report("service is back to normal after an overload", "share answered within the latency objective: " + std::to_string(rate));
+        }
+    }
+
     RunOptions m_options;
     boost::asio::io_context m_io;
     Violations m_violations;
+    AdmissionOrderChecker m_admissionOrder;
     FaultTracker m_faults;
     NodeSupervisor m_nodes;
     TargetSimulator m_targets;
@@ -233,6 +299,9 @@
     TimePoint m_nextRestartAt;
     Random m_lateAnswerRandom;
     MalformedRequestSender m_malformedRequests;
+    OverloadScheduler m_overloads;
+    GoneTargetChecker m_goneTargets;
+    TimePoint m_calmSince;
     TimePoint m_nextLateAnswersAt;
     std::optional<TimePoint> m_nextStopAt; // Of a balancer.
     FaultScheduler m_faultScheduler;
--- a/soak/soak_types.h
+++ b/soak/soak_types.h
@@ -58,6 +58,7 @@
     std::size_t targets = 10;
     std::size_t callers = 30;
     std::size_t seedNodes = 3; // Number of replicas listed in the settings of a restarted node.
+    bool overload = false; // From FirstRunWithOverload on.
 
     static constexpr std::uint16_t ControlPort = 8166;
     static constexpr std::uint16_t ReadinessPort = 8167;
@@ -82,14 +83,26 @@
     {
         return address(3, number);
     }
-    std::uint32_t caller() const
+    // Admission control tells callers apart by their addresses, so they need several of them under overload.
+    std::size_t callerAddresses() const
     {
-        return address(4, 0);
+        constexpr std::size_t Addresses = 64;
+        return overload ? Addresses : 1;
+    }
+    std::uint32_t caller(std::size_t number = 0) const
+    {
+        return address(4, number % callerAddresses());
     }
 };
 
 inline const std::vector<std::string> DataCentres = {"here", "there"};
 
+// Index of a balancer's data centre, by its address.
+inline std::size_t dataCentreOfBalancer(std::uint32_t address)
+{
+    return address % DataCentres.size();
+}
+
 // The data centre that operators drain and restore.
 inline const std::string DrainedDataCentre = "there";
 
@@ -101,6 +114,10 @@
 // replica with an empty disk may have to catch up from a leader that its settings don't list.
 inline constexpr std::uint64_t FirstRunWithPartialSeedNodes = 2000;
 
+// In runs with this seed or a higher one, callers multiply their rate again and again beyond what the targets can process, targets
+// have slots and a queue, single ones are slow for some time, and documents specify priorities and latency objectives.
+inline constexpr std::uint64_t FirstRunWithOverload = 5000;
+
 // In runs with this seed or a higher one, targets answer opening packets late while balancers are stopped.
 inline constexpr std::uint64_t FirstRunWithLateAnswers = 4000;
 // Runs with this seed or a higher one have a foreign writer, which announces ids of its own at the targets' addresses, and a
@@ -113,6 +130,21 @@
 inline constexpr Endpoint SecondRoute{0xc6120002, 443};
 inline constexpr Endpoint ChangingRoute{0xc6120003, 443};
 
+// Runs with overload have a second route for the first service, with less urgent requests.
+inline constexpr Endpoint BulkRoute{0xc6120004, 443};
+
+// The priorities of the fixed routes, and the time within which their requests are to be answered. The changing route has no
+// latency objective, so that admission control never refuses its flows.
+inline constexpr std::uint8_t UrgentPriority = 0;
+inline constexpr std::uint8_t MiddlePriority = 1;
+inline constexpr std::uint8_t BulkPriority = 2;
+inline constexpr Duration LatencyObjective = milliseconds(500);
+
+inline std::uint8_t priorityOfRoute(Endpoint route)
+{
+    return route == BulkRoute ? BulkPriority : route == SecondRoute ? MiddlePriority : UrgentPriority;
+}
+
 // The service of a route, which is the same in all versions.
 inline const std::string &serviceForRoute(Endpoint route)
 {
--- a/soak/target_simulator.cpp
+++ b/soak/target_simulator.cpp
@@ -30,7 +30,12 @@
 constexpr Duration MaxResendDelay = milliseconds(1600);
 constexpr int MaxResends = 8;
 
-constexpr std::uint32_t SlotsPerTarget = 3;
+constexpr std::uint32_t SlotsPerTarget = 3; // As announced; without overload, any number of requests is processed.
+
+// Processing time of a request in runs with overload. The targets of the first service then process 250 requests per second, less
+// than half of what they are sent in an overload.
+constexpr milliseconds MinSlotTime{20};
+constexpr milliseconds MaxSlotTime{60};
 
 } // namespace
 
@@ -57,10 +62,21 @@
     return text;
 }
 
-TargetSimulator::TargetSimulator(boost::asio::io_context &io, const Topology &topology, const FaultTracker &faults, Violations &violations, std::uint64_t seed)
+std::string formatRejection(std::uint64_t number, const std::string &service)
+{
+    return std::to_string(number) + " " + service + " 503\n";
+}
+
+TargetSimulator::TargetSimulator(boost::asio::io_context &io,
+                                 const Topology &topology,
+                                 const FaultTracker &faults,
+                                 AdmissionOrderChecker &admissionOrder,
+                                 Violations &violations,
+                                 std::uint64_t seed)
     : m_io(io)
     , m_topology(topology)
     , m_faults(faults)
+    , m_admissionOrder(admissionOrder)
     , m_violations(violations)
     , m_random(seed)
     , m_hosts(topology.targets)
@@ -88,8 +104,9 @@
     target.record.service = Services[host < m_hosts.size() / 2 ? 0 : 1];
     target.record.address = {m_topology.target(host), Topology::TargetPort};
     target.record.dataCentre = DataCentreId{static_cast<std::uint8_t>(1 + host % DataCentres.size())};
-    target.record.slots = SlotsPerTarget;
+    target.record.slots = m_topology.overload ? SlotsUnderOverload : SlotsPerTarget;
     target.nextAnnounceAt = now;
+    target.startedAt = now;
     target.replica = uniformIndex(m_random, m_topology.replicas);
     const Endpoint address = target.record.address;
     m_hosts[host].target = std::move(target);
@@ -151,6 +168,16 @@
     }
 }
 
+void TargetSimulator::slowDown(TimePoint until, int slowness)
+{
+    std::optional<Target> &target = m_hosts[uniformIndex(m_random, m_hosts.size())].target;
+    if (target) {
+        LogLine(LogLevel::Info, "target-slow").with("target", value(target->record.key)).with("slowness", slowness);
+        target->slowUntil = until;
+        target->slowness = slowness;
+    }
+}
+
 void TargetSimulator::leave(TimePoint now, Host &host)
 {
     const Endpoint replica{m_topology.replica(host.target->replica), Topology::ControlPort};
@@ -271,6 +298,12 @@
     if (flow.open) {
         return;
     }
+    const bool firstCopy = packet.acknowledged == 0 && !flow.seenFirstCopy; // The field holds the number of the copy.
+    const bool ownDataCentre = value(target.record.dataCentre) == 1 + dataCentreOfBalancer(balancer.address);
+    if (firstCopy && ownDataCentre && !m_faults.recentlyFaulty(now, balancer.address)) {
+        m_admissionOrder.recordAdmission(now, balancer.address, packet.to);
+    }
+    flow.seenFirstCopy = flow.seenFirstCopy || firstCopy;
     if (flow.firstSequence == 0) {
         flow.firstSequence = static_cast<std::uint32_t>(m_random()) | 1U;
     }
@@ -332,12 +365,29 @@
 
 void TargetSimulator::execute(TimePoint now, Target &target, Flow &flow, const TargetRequest &request)
 {
+    const std::size_t answerBytes = uniformIndex(m_random, MaxAnswerBytes);
+    const std::optional<TimePoint> doneAt = scheduleWork(now, target);
+    if (!doneAt) {
+        ++m_rejectedRequests;
+        flow.pendingAnswer = formatRejection(request.number, target.record.service);
+        flow.nextActionAt = now;
+        return;
+    }
     ++m_executedRequests;
     if (!request.repeatable && !m_executedOnce.insert(request.number).second) {
         m_violations.report("a non-repeatable request is executed once", std::to_string(request.number));
     }
-    flow.pendingAnswer = formatAnswer(request.number, target.record.service, uniformIndex(m_random, MaxAnswerBytes));
-    flow.nextActionAt = now + uniformDuration(m_random, milliseconds(2), MaxWorkTime);
+    flow.pendingAnswer = formatAnswer(request.number, target.record.service, answerBytes);
+    flow.nextActionAt = *doneAt;
+}
+
+std::optional<TimePoint> TargetSimulator::scheduleWork(TimePoint now, Target &target)
+{
+    if (!m_topology.overload) {
+        return now + uniformDuration(m_random, milliseconds(2), MaxWorkTime);
+    }
+    const milliseconds work = uniformDuration(m_random, MinSlotTime, MaxSlotTime);
+    return target.slots.add(now, now < target.slowUntil ? work * target.slowness : work);
 }
 
 void TargetSimulator::advanceFlows(TimePoint now, Host &host)
@@ -380,14 +430,39 @@
 
 // ---- Queries ----
 
-bool TargetSimulator::isFlowOpen(const FlowKey &flow) const
+template<typename Predicate>
+bool TargetSimulator::anyHasFlow(const FlowKey &flow, Predicate holds) const
 {
-    return std::any_of(m_hosts.begin(), m_hosts.end(), [&flow](const Host &host) {
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
         if (!host.target) {
             return false;
         }
         const auto at = host.target->flows.find({flow.caller, flow.route});
-        return at != host.target->flows.end() && at->second.open;
+        return at != host.target->flows.end() && holds(at->second);
+    });
+}
+
+bool TargetSimulator::isFlowOpen(const FlowKey &flow) const
+{
+    return anyHasFlow(flow, std::mem_fn(&Flow::open));
+}
+
+bool TargetSimulator::hasSeenFirstCopy(const FlowKey &flow) const
+{
+    return anyHasFlow(flow, std::mem_fn(&Flow::seenFirstCopy));
+}
+
+bool TargetSimulator::hasRunFor(TimePoint now, TargetKey key, Duration age) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
+        return host.target && host.target->record.key == key && now - host.target->startedAt >= age;
+    });
+}
+
+bool TargetSimulator::faultFree(TimePoint now) const
+{
+    return std::all_of(m_hosts.begin(), m_hosts.end(), [now](const Host &host) {
+        return host.target && host.target->record.phase == TargetPhase::Serving && now >= std::max(host.target->slowUntil, host.target->lateUntil);
     });
 }
 
@@ -411,4 +486,9 @@
     return m_executedRequests;
 }
 
+std::size_t TargetSimulator::rejectedRequests() const
+{
+    return m_rejectedRequests;
+}
+
 } // namespace Robinrail::Soak
