Usual answer time: samples that may contain rejections count only until the first one that does not

Cause: a balancer that restarts under overload does not know the usual answer time, so it can't tell rejections of full targets from answers. Change: a sample whose fastest answer is below a third of its mean may contain rejections; it is replaced by the first that does not.

--- a/src/pool_admission.cpp
+++ b/src/pool_admission.cpp
@@ -200,6 +200,7 @@
     const bool faster = window.rejections > MaxRejectedShare * (window.answers + window.rejections);
     m_answers += window.answers + (faster ? window.rejections : 0);
     m_sum += window.sum + (faster ? window.rejectionSum : Duration{});
+    m_fastest = smallestKnown(m_fastest, window.lowest);
     const Duration length = now - m_sampleStart;
     const bool enough = (m_answers >= UsualTimeAnswers && length >= UsualTimeSample) || (m_answers >= MinWindowAnswers && length >= LongUsualTimeSample);
     const bool first = get() == Duration{} && m_answers >= MinWindowAnswers;
@@ -211,9 +212,13 @@
         m_lowest = {};
         m_periodStart = now;
     }
-    m_lowest = smallestKnown(m_lowest, mean(m_sum, m_answers));
+    const Duration sample = mean(m_sum, m_answers);
+    const bool mixed = m_fastest < scaled(sample, RejectionAnswerShare);
+    m_lowest = m_mixed && !mixed ? sample : smallestKnown(m_lowest, sample);
+    m_mixed = mixed && (m_mixed || first);
     m_answers = 0;
     m_sum = {};
+    m_fastest = {};
 }
 
 Duration UsualAnswerTime::get() const
--- a/src/pool_admission.h
+++ b/src/pool_admission.h
@@ -101,7 +101,8 @@
     bool m_growing = false; // Has not been overloaded since the overflow began.
 };
 
-// The usual answer time of a service: the lowest mean of the samples of the last one to two periods.
+// The usual answer time of a service: the lowest mean of the samples of the last one to two periods. While it is not known, rejections
+// by full targets can't be told from answers; a sample that may contain some counts until the first one that does not.
 class UsualAnswerTime
 {
 public:
@@ -114,9 +115,11 @@
     TimePoint m_sampleStart;
     std::uint32_t m_answers = 0;
     Duration m_sum{};
+    Duration m_fastest{}; // Of the sample; 0: no answer.
     TimePoint m_periodStart;
     Duration m_lowest{}; // Of this period; 0: no sample.
     Duration m_previous{}; // Of the period before.
+    bool m_mixed = false; // All samples so far may contain rejections.
 };
 
 } // namespace Robinrail
