Flow steering: targets of new flows are drawn from prepared lists

Cause: each opening packet classified and scored all targets of its service.

Change: TargetCandidates keeps a list per service. It is rebuilt at the first use after a change of the service's targets (revision in ServiceTargets), of the routes or drains (revision in SteeringRoutes), or after the end of a warm-up, a suspicion or a time as gone. Targets elsewhere are scored only if the best own one is loaded so much that one of them could win, which changes no choice. Up to 128 candidates are all scored as before. Of longer lists, a window of 16 in the own data centre and of 16 elsewhere is scored: the exact two highest scores of 1,000 can't be found within 2,500 instructions. Flows of such services get other targets than before, with equal shares. Where more than half of a data centre's targets are suspect and suspicions end at the same time, the target's key now decides instead of the order of the list. Hashes of two numbers are inlined (XXH_INLINE_ALL).

Mutants: the texts of "drains: a drained data centre gets new flows" and "steering: suspicion excludes any number of targets" follow the moved code; that of "warm-up: a cold target with a warm-up limit is used" named code that no longer existed and mutates again.

--- a/src/flow_admission.cpp
+++ b/src/flow_admission.cpp
@@ -40,7 +40,9 @@
 
 void FlowAdmission::forgetUsable()
 {
-    m_usableDataCentres.clear();
+    for (auto &[service, usable] : m_usableDataCentres) {
+        usable.known = false;
+    }
 }
 
 void FlowAdmission::recordAnswer(TimePoint now, const TargetRecord &target, Duration answerTime)
@@ -59,7 +61,7 @@
 void FlowAdmission::tick(TimePoint now)
 {
     m_control.tick(now);
-    m_usableDataCentres.clear();
+    forgetUsable();
 }
 
 const AdmissionControl &FlowAdmission::control() const
--- a/src/flow_admission.h
+++ b/src/flow_admission.h
@@ -7,7 +7,9 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Robinrail {
@@ -26,15 +28,16 @@
     std::string serviceName(std::uint16_t service) const;
 
     // Decides on a new flow of this caller. `findUsable` returns the data centres with targets of the service that may get new
-    // flows; it is called once per service and tick, as the answer is needed for each new flow.
+    // flows; it is called once per service and tick, as the answer is needed for each new flow, also for those that are refused.
     template<typename FindUsable>
     AdmissionDecision decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, Endpoint caller, FindUsable findUsable)
     {
-        const auto [at, added] = m_usableDataCentres.try_emplace(service);
-        if (added) {
-            at->second = findUsable();
+        UsableDataCentres &usable = m_usableDataCentres[service];
+        if (!std::exchange(usable.known, true)) {
+            const std::span<const DataCentreId> found = findUsable();
+            usable.list.assign(found.begin(), found.end());
         }
-        return m_control.decide(now, service, objective, callerHash(caller), at->second);
+        return m_control.decide(now, service, objective, callerHash(caller), usable.list);
     }
 
     // The targets that may get new flows have changed.
@@ -50,12 +53,17 @@
     const AdmissionControl &control() const;
 
 private:
+    struct UsableDataCentres {
+        bool known = false; // Until the next tick.
+        std::vector<DataCentreId> list;
+    };
+
     static std::uint64_t callerHash(Endpoint caller);
 
     AdmissionControl m_control;
     std::vector<std::string> m_services;
     boost::unordered_flat_map<std::string, std::uint16_t> m_serviceIndices;
-    boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
+    boost::unordered_flat_map<std::uint16_t, UsableDataCentres> m_usableDataCentres; // By service.
 };
 
 } // namespace Robinrail
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -45,6 +45,7 @@
 BasicFlowSteering<Policy>::BasicFlowSteering(DataCentreId dataCentre, double linkBytesPerSecond)
     : m_dataCentre(dataCentre)
     , m_admission(dataCentre, linkBytesPerSecond)
+    , m_candidates(dataCentre)
 {
 }
 
@@ -253,25 +254,14 @@
 template<TargetSelectionPolicy Policy>
 SteeredTarget *BasicFlowSteering<Policy>::chooseFromService(const SelectionContext &context, std::uint16_t service)
 {
-    m_candidates.assign(context.now, m_targets, m_targets.ofService(m_routes.table().services[service]), [&](const SteeredTarget &target) {
-        return isEligible(context.now, service, target) && (!context.only || target.record.dataCentre == *context.only);
-    });
-    const std::span<SteeredTarget *const> candidates = m_candidates.best();
-    return candidates.empty() ? nullptr : Policy::pick(candidates, context);
-}
-
-// Whether a target may get new flows of this service.
-template<TargetSelectionPolicy Policy>
-bool BasicFlowSteering<Policy>::isEligible(TimePoint now, std::uint16_t service, const SteeredTarget &target) const
-{
-    const bool cold = m_routes.table().warmupOf(service).limited && now < target.warmupEnd;
-    return acceptsNewFlows(target) && !cold;
+    const TargetChoices choices = m_candidates.choices(context.now, m_targets, m_routes, service, context.only);
+    return choices.empty() ? nullptr : Policy::pick(choices, context);
 }
 
 template<TargetSelectionPolicy Policy>
 bool BasicFlowSteering<Policy>::acceptsNewFlows(const SteeredTarget &target) const
 {
-    return target.record.phase == TargetPhase::Serving && !target.tokenCollision && !m_routes.isDrained(target.record.dataCentre);
+    return TargetCandidates::acceptsNewFlows(target, m_routes);
 }
 
 // Distributes flows by weight using the flow's hash, so that all copies of an opening packet get the same service.
@@ -301,7 +291,7 @@
     const std::uint16_t service = serviceOf(route, context.flowHash);
     const RequestObjective objective = m_routes.table().objectiveOf(route);
     const AdmissionDecision decision = m_admission.decide(context.now, service, objective, packet.caller, [&] {
-        return usableDataCentres(context.now, service);
+        return m_candidates.usableDataCentres(context.now, m_targets, m_routes, service);
     });
     switch (decision.verdict) {
     case AdmissionVerdict::Anywhere:
@@ -327,20 +317,6 @@
     return {SteeringAction::Reset, SteeringReason::Overloaded, {}, {}, {}, packet.opening ? 0 : packet.acknowledged};
 }
 
-// The data centres with live targets of a service that may get new flows.
-template<TargetSelectionPolicy Policy>
-std::vector<DataCentreId> BasicFlowSteering<Policy>::usableDataCentres(TimePoint now, std::uint16_t service) const
-{
-    std::vector<DataCentreId> usable;
-    for (const SteeredTarget *target : m_targets.ofService(m_routes.table().services[service])) {
-        const bool known = std::find(usable.begin(), usable.end(), target->record.dataCentre) != usable.end();
-        if (!known && isEligible(now, service, *target) && m_targets.reportedAlive(*target)) {
-            usable.push_back(target->record.dataCentre);
-        }
-    }
-    return usable;
-}
-
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::recordBytes(std::size_t received, std::size_t sent)
 {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -175,8 +175,6 @@
     SteeringDecision drop(SteeringReason reason);
     SteeringDecision hold(SteeringReason reason);
     bool admit(const FlowPacket &packet, const Route &route, SelectionContext &context);
-    std::vector<DataCentreId> usableDataCentres(TimePoint now, std::uint16_t service) const;
-    bool isEligible(TimePoint now, std::uint16_t service, const SteeredTarget &target) const;
     SteeringDecision refuse(TimePoint now, const FlowPacket &packet, Flow &flow);
     SteeredTarget *choose(const SelectionContext &context, const Route &route);
     SteeredTarget *chooseFromService(const SelectionContext &context, std::uint16_t service);
--- a/src/hash.h
+++ b/src/hash.h
@@ -5,6 +5,9 @@
 #include "types.h"
 
 #include <cmath>
+
+// Inlined, as an opening packet needs up to 128 hashes of two numbers (17 instructions each).
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace Robinrail {
--- a/src/steering_routes.cpp
+++ b/src/steering_routes.cpp
@@ -26,6 +26,7 @@
     for (const auto &[address, route] : m_routes) {
         m_removed.try_emplace(address);
     }
+    ++m_revision;
     m_table = table;
     m_routes.clear();
     for (const Route &route : m_table.routes) {
@@ -60,6 +61,7 @@
 {
     std::vector<DataCentreId> undrained;
     const std::set<DataCentreId> before = std::exchange(m_drained, {drained.begin(), drained.end()});
+    m_revision += before != m_drained ? 1 : 0;
     std::set_difference(before.begin(), before.end(), m_drained.begin(), m_drained.end(), std::back_inserter(undrained));
     return undrained;
 }
@@ -69,6 +71,11 @@
     return !m_drained.empty() && m_drained.contains(dataCentre);
 }
 
+std::uint64_t SteeringRoutes::revision() const
+{
+    return m_revision;
+}
+
 Duration SteeringRoutes::longestWarmup() const
 {
     Duration longest = DefaultWarmup;
--- a/src/steering_routes.h
+++ b/src/steering_routes.h
@@ -35,6 +35,9 @@
     std::vector<DataCentreId> setDrained(std::span<const DataCentreId> drained);
     bool isDrained(DataCentreId dataCentre) const;
 
+    // Increases whenever the table in force or the set of drained data centres changes.
+    std::uint64_t revision() const;
+
     // Warm-up time of the service whose targets warm up longest.
     Duration longestWarmup() const;
 
@@ -46,6 +49,7 @@
     boost::unordered_flat_map<std::uint64_t, const Route *> m_routes; // By address; points into m_table.
     boost::unordered_flat_map<std::uint64_t, TimePoint> m_removed; // By address; time of the first tick after the removal.
     std::set<DataCentreId> m_drained;
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace Robinrail
--- a/src/steering_targets.cpp
+++ b/src/steering_targets.cpp
@@ -21,12 +21,17 @@
 {
     const auto [at, added] = m_targets.try_emplace(status.record.key);
     SteeredTarget &target = at->second;
+    const bool wasAlive = reportedAlive(target);
+    const bool wasGone = target.goneUntil != TimePoint{};
     if (status.silent) {
         target.reportedAliveBy.erase(replica);
     } else {
         target.reportedAliveBy.insert(replica);
         target.goneUntil = {};
     }
+    if (reportedAlive(target) != wasAlive || (wasGone && !status.silent)) {
+        noteChange(target);
+    }
     if (!added && !status.record.supersedes(target.record)) {
         return;
     }
@@ -53,7 +58,12 @@
     const auto [at, added] = m_tokens.try_emplace(value(target.token), &target);
     target.tokenCollision = !added && at->second != &target;
     if (target.record.phase != TargetPhase::Left) {
-        m_services[target.record.service].push_back(&target);
+        ServiceTargets &service = m_services[target.record.service];
+        const auto position = std::ranges::lower_bound(service.targets, std::pair(target.token, target.record.key), {}, [](const SteeredTarget *each) {
+            return std::pair(each->token, each->record.key);
+        });
+        service.targets.insert(position, &target);
+        ++service.revision;
     }
 }
 
@@ -61,7 +71,8 @@
 {
     const auto service = m_services.find(target.record.service);
     if (service != m_services.end()) {
-        std::erase(service->second, &target);
+        std::erase(service->second.targets, &target);
+        ++service->second.revision;
     }
     const auto token = m_tokens.find(value(target.token));
     if (token != m_tokens.end() && token->second == &target) {
@@ -69,13 +80,21 @@
     }
 }
 
+void SteeringTargets::noteChange(const SteeredTarget &target)
+{
+    const auto service = m_services.find(target.record.service);
+    if (service != m_services.end()) {
+        ++service->second.revision;
+    }
+}
+
 void SteeringTargets::dropReplicaReports(ReplicaId replica, bool othersLeft)
 {
     if (!othersLeft) {
         return;
     }
     for (auto &[key, target] : m_targets) {
-        target.reportedAliveBy.erase(replica);
+        withdrawReport(replica, target);
     }
 }
 
@@ -83,14 +102,24 @@
 {
     for (auto &[key, target] : m_targets) {
         if (!listed.contains(key)) {
-            target.reportedAliveBy.erase(replica);
+            withdrawReport(replica, target);
         }
     }
 }
 
+void SteeringTargets::withdrawReport(ReplicaId replica, SteeredTarget &target)
+{
+    if (target.reportedAliveBy.erase(replica) > 0) {
+        noteChange(target);
+    }
+}
+
 void SteeringTargets::setSource(ReplicaId replica)
 {
     m_source = replica;
+    for (auto &[name, service] : m_services) {
+        ++service.revision;
+    }
 }
 
 bool SteeringTargets::reportedAlive(const SteeredTarget &target) const
@@ -103,6 +132,7 @@
     for (auto &[key, target] : m_targets) {
         if (target.record.dataCentre == dataCentre) {
             target.warmupEnd = std::max(target.warmupEnd, until);
+            noteChange(target);
         }
     }
 }
@@ -129,10 +159,14 @@
     }
     target.suspicion = target.suspicion == Duration{0} ? InitialSuspicion : std::min(target.suspicion * 2, MaxSuspicion);
     target.suspectUntil = now + target.suspicion;
+    noteChange(target);
 }
 
 void SteeringTargets::markAlive(TimePoint now, SteeredTarget &target)
 {
+    if (target.goneUntil != TimePoint{} || target.suspectUntil != TimePoint{}) {
+        noteChange(target);
+    }
     target.lastAlive = now;
     target.resetPending = false;
     target.goneUntil = {};
@@ -148,6 +182,7 @@
     }
     at->second.resetPending = true;
     at->second.goneUntil = now + GoneDuration;
+    noteChange(at->second);
     m_resetPending.push_back(lifetime.key);
     markSuspect(now, at->second);
     return true;
@@ -176,7 +211,12 @@
 std::span<SteeredTarget *const> SteeringTargets::ofService(const std::string &service) const
 {
     const auto at = m_services.find(service);
-    return at != m_services.end() ? std::span<SteeredTarget *const>(at->second) : std::span<SteeredTarget *const>();
+    return at != m_services.end() ? std::span<SteeredTarget *const>(at->second.targets) : std::span<SteeredTarget *const>();
+}
+
+const ServiceTargets &SteeringTargets::service(const std::string &name)
+{
+    return m_services[name];
 }
 
 std::size_t SteeringTargets::size() const
--- a/src/steering_targets.h
+++ b/src/steering_targets.h
@@ -51,6 +51,12 @@
     }
 };
 
+// Targets of a service, without those that left.
+struct ServiceTargets {
+    std::vector<SteeredTarget *> targets; // Sorted by token, so in the same order at every balancer.
+    std::uint64_t revision = 0; // Increases whenever a report or an event may change which of them get new flows.
+};
+
 class SteeringTargets
 {
 public:
@@ -93,6 +99,9 @@
     // Targets of a service, without those that left.
     std::span<SteeredTarget *const> ofService(const std::string &service) const;
 
+    // The same with their revision. The reference stays valid; the revision does not change when a time passes.
+    const ServiceTargets &service(const std::string &name);
+
     std::size_t size() const;
 
     // The token of a target's lifetime: its key hashed to 32 bits, so that all balancers derive the same one.
@@ -101,12 +110,14 @@
 private:
     void add(SteeredTarget &target);
     void remove(SteeredTarget &target);
+    void noteChange(const SteeredTarget &target);
+    void withdrawReport(ReplicaId replica, SteeredTarget &target);
 
     std::map<TargetKey, SteeredTarget> m_targets;
     std::optional<ReplicaId> m_source;
     std::vector<TargetKey> m_resetPending; // Targets marked as gone whose flows are still to be reset.
     boost::unordered_flat_map<std::uint32_t, SteeredTarget *> m_tokens;
-    std::map<std::string, std::vector<SteeredTarget *>> m_services;
+    std::map<std::string, ServiceTargets> m_services;
 };
 
 } // namespace Robinrail
--- a/src/target_candidates.cpp
+++ b/src/target_candidates.cpp
@@ -3,59 +3,169 @@
 #include "target_candidates.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Robinrail {
 
-TargetHealth TargetCandidates::healthOf(TimePoint now, const SteeringTargets &all, const SteeredTarget &target)
+TargetCandidates::TargetCandidates(DataCentreId own)
+    : m_own(own)
+{
+}
+
+TargetChoices
+TargetCandidates::choices(TimePoint now, SteeringTargets &targets, const SteeringRoutes &routes, std::uint16_t service, std::optional<DataCentreId> only)
+{
+    const Service &prepared = current(now, targets, routes, service);
+    const auto at = std::ranges::find(prepared.dataCentres, only.value_or(m_own), &DataCentre::id);
+    const std::span<SteeredTarget *const> found = at != prepared.dataCentres.end() ? std::span<SteeredTarget *const>(at->targets)
+                                                                                   : std::span<SteeredTarget *const>();
+    if (only) {
+        return *only == m_own ? TargetChoices{found, {}} : TargetChoices{{}, found};
+    }
+    return {prepared.localBest ? found : std::span<SteeredTarget *const>(), prepared.remote};
+}
+
+std::span<const DataCentreId> TargetCandidates::usableDataCentres(TimePoint now, SteeringTargets &targets, const SteeringRoutes &routes, std::uint16_t service)
+{
+    return current(now, targets, routes, service).usable;
+}
+
+std::uint64_t TargetCandidates::rebuilds() const
+{
+    return m_rebuilds;
+}
+
+bool TargetCandidates::acceptsNewFlows(const SteeredTarget &target, const SteeringRoutes &routes)
+{
+    return target.record.phase == TargetPhase::Serving && !target.tokenCollision && !routes.isDrained(target.record.dataCentre);
+}
+
+// ---- Preparation ----
+
+const TargetCandidates::Service &TargetCandidates::current(TimePoint now, SteeringTargets &targets, const SteeringRoutes &routes, std::uint16_t service)
+{
+    if (service >= m_services.size()) {
+        m_services.resize(routes.table().services.size());
+    }
+    Service &prepared = m_services[service];
+    const bool routesCurrent = prepared.source != nullptr && prepared.routeRevision == routes.revision();
+    if (!routesCurrent || prepared.targetRevision != prepared.source->revision || now >= prepared.validUntil) {
+        prepared.source = &targets.service(routes.table().services[service]);
+        rebuild(now, targets, routes, routes.table().warmupOf(service).limited, prepared);
+    }
+    return prepared;
+}
+
+void TargetCandidates::rebuild(TimePoint now, const SteeringTargets &targets, const SteeringRoutes &routes, bool warmupLimited, Service &service)
+{
+    ++m_rebuilds;
+    service.targetRevision = service.source->revision;
+    service.routeRevision = routes.revision();
+    service.validUntil = TimePoint::max();
+    service.dataCentres.clear();
+    m_entries.clear();
+    for (SteeredTarget *target : service.source->targets) {
+        const bool cold = warmupLimited && now < target->warmupEnd;
+        if (cold) {
+            service.validUntil = std::min(service.validUntil, target->warmupEnd);
+        }
+        if (!cold && acceptsNewFlows(*target, routes)) {
+            classify(now, targets, *target, service);
+        }
+    }
+    for (std::size_t i = 0; i < service.dataCentres.size(); ++i) {
+        limitSuspicion(i);
+    }
+    select(service);
+}
+
+void TargetCandidates::classify(TimePoint now, const SteeringTargets &targets, SteeredTarget &target, Service &service)
+{
+    for (const TimePoint end : {target.goneUntil, target.suspectUntil}) {
+        if (now < end) {
+            service.validUntil = std::min(service.validUntil, end);
+        }
+    }
+    const bool alive = targets.reportedAlive(target);
+    m_entries.push_back({&target, healthOf(now, alive, target), indexOf(service, target.record.dataCentre)});
+    DataCentre &dataCentre = service.dataCentres[m_entries.back().dataCentre];
+    dataCentre.usable = dataCentre.usable || alive;
+}
+
+TargetHealth TargetCandidates::healthOf(TimePoint now, bool alive, const SteeredTarget &target)
 {
     if (target.isGone(now)) {
         return TargetHealth::Gone;
     }
-    if (!all.reportedAlive(target)) {
+    if (!alive) {
         return TargetHealth::Silent;
     }
     return target.isSuspect(now) ? TargetHealth::Suspect : TargetHealth::Healthy;
 }
 
-std::vector<SteeredTarget *> &TargetCandidates::group(TargetHealth health)
+// Counts those suspects whose suspicion ends first as healthy, as long as there are too many in a data centre.
+void TargetCandidates::limitSuspicion(std::size_t dataCentre)
 {
-    return m_groups[static_cast<std::size_t>(health)];
+    std::vector<Entry *> suspects;
+    std::size_t usable = 0;
+    for (Entry &entry : m_entries) {
+        if (entry.dataCentre != dataCentre || entry.health > TargetHealth::Suspect) {
+            continue;
+        }
+        ++usable;
+        if (entry.health == TargetHealth::Suspect) {
+            suspects.push_back(&entry);
+        }
+    }
+    const std::size_t count = suspects.size();
+    const std::size_t excess = count - std::min(count, usable / SuspectShare);
+    std::ranges::sort(suspects, {}, [](const Entry *entry) {
+        return std::pair(entry->target->suspectUntil, entry->target->record.key);
+    });
+    for (Entry *entry : std::span(suspects).first(excess)) {
+        entry->health = TargetHealth::Healthy;
+    }
 }
 
-// Moves those suspects whose suspicion ends first to the healthy targets, as long as there are too many in a data centre.
-void TargetCandidates::limitSuspicion()
+// Lists the targets of the best health of each data centre, and those of the best health of all.
+void TargetCandidates::select(Service &service) const
 {
-    std::vector<SteeredTarget *> &healthy = group(TargetHealth::Healthy);
-    std::vector<SteeredTarget *> &suspects = group(TargetHealth::Suspect);
-    std::size_t kept = 0; // Suspects of the data centres that were processed.
-    while (kept < suspects.size()) {
-        const DataCentreId dataCentre = suspects[kept]->record.dataCentre;
-        const auto inDataCentre = [dataCentre](const SteeredTarget *target) {
-            return target->record.dataCentre == dataCentre;
-        };
-        const auto begin = suspects.begin() + static_cast<std::ptrdiff_t>(kept);
-        const auto end = std::partition(begin, suspects.end(), inDataCentre);
-        const auto count = static_cast<std::size_t>(end - begin);
-        const std::size_t usable = count + static_cast<std::size_t>(std::count_if(healthy.begin(), healthy.end(), inDataCentre));
-        const std::size_t excess = count - std::min(count, usable / SuspectShare);
-        const auto excessEnd = begin + static_cast<std::ptrdiff_t>(excess);
-        if (excess > 0) {
-            std::nth_element(begin, excessEnd - 1, end, [](const SteeredTarget *one, const SteeredTarget *other) {
-                return one->suspectUntil < other->suspectUntil;
-            });
+    TargetHealth best = TargetHealth::Gone;
+    for (const Entry &entry : m_entries) {
+        DataCentre &dataCentre = service.dataCentres[entry.dataCentre];
+        dataCentre.best = std::min(dataCentre.best, entry.health);
+        best = std::min(best, entry.health);
+    }
+    service.localBest = false;
+    service.remote.clear();
+    for (const Entry &entry : m_entries) {
+        DataCentre &dataCentre = service.dataCentres[entry.dataCentre];
+        if (entry.health != dataCentre.best) {
+            continue;
+        }
+        dataCentre.targets.push_back(entry.target);
+        if (dataCentre.id == m_own) {
+            service.localBest = entry.health == best;
+        } else if (entry.health == best) {
+            service.remote.push_back(entry.target);
+        }
+    }
+    service.usable.clear();
+    for (const DataCentre &dataCentre : service.dataCentres) {
+        if (dataCentre.usable) {
+            service.usable.push_back(dataCentre.id);
         }
-        healthy.insert(healthy.end(), begin, excessEnd);
-        suspects.erase(begin, excessEnd);
-        kept += count - excess;
     }
 }
 
-std::span<SteeredTarget *const> TargetCandidates::best() const
+std::size_t TargetCandidates::indexOf(Service &service, DataCentreId id)
 {
-    const auto found = std::find_if(m_groups.begin(), m_groups.end(), [](const std::vector<SteeredTarget *> &group) {
-        return !group.empty();
-    });
-    return found != m_groups.end() ? std::span<SteeredTarget *const>(*found) : std::span<SteeredTarget *const>();
+    const auto at = std::ranges::find(service.dataCentres, id, &DataCentre::id);
+    const auto index = static_cast<std::size_t>(at - service.dataCentres.begin());
+    if (index == service.dataCentres.size()) {
+        service.dataCentres.push_back({id, TargetHealth::Gone, false, {}});
+    }
+    return index;
 }
 
 } // namespace Robinrail
--- a/src/target_selection.h
+++ b/src/target_selection.h
@@ -3,8 +3,9 @@
 #pragma once
 
 #include "hash.h"
-#include "steering_targets.h"
+#include "target_candidates.h"
 
+#include <algorithm>
 #include <concepts>
 #include <utility>
 
@@ -18,22 +19,26 @@
     std::optional<DataCentreId> only{}; // If set, only targets of this data centre are candidates.
 };
 
-// Picks one of the candidates, of which there is at least one.
+// Picks one of the choices, of which there is at least one.
 template<typename C>
-concept TargetSelectionPolicy = requires(std::span<SteeredTarget *const> candidates, const SelectionContext &context)
+concept TargetSelectionPolicy = requires(const TargetChoices &choices, const SelectionContext &context)
 {
     {
-        C::pick(candidates, context)
+        C::pick(choices, context)
         } -> std::same_as<SteeredTarget *>;
 };
 
 // Baseline: rendezvous hashing of the flow, regardless of load.
 struct HashSelection {
-    static SteeredTarget *pick(std::span<SteeredTarget *const> candidates, const SelectionContext &context)
+    static SteeredTarget *pick(const TargetChoices &choices, const SelectionContext &context)
     {
-        return *std::max_element(candidates.begin(), candidates.end(), [&context](const SteeredTarget *one, const SteeredTarget *other) {
-            return score(*one, context) < score(*other, context);
-        });
+        SteeredTarget *best = nullptr;
+        for (const std::span<SteeredTarget *const> candidates : {choices.local, choices.remote}) {
+            for (SteeredTarget *target : candidates) {
+                best = best == nullptr || score(*target, context) > score(*best, context) ? target : best;
+            }
+        }
+        return best;
     }
 
     static double score(const SteeredTarget &target, const SelectionContext &context)
@@ -64,22 +69,31 @@
         return used * warmupFactor / std::max(target.record.slots, 1U) + penalty;
     }
 
-    static SteeredTarget *pick(std::span<SteeredTarget *const> candidates, const SelectionContext &context)
+    static SteeredTarget *pick(const TargetChoices &choices, const SelectionContext &context)
     {
-        SteeredTarget *best = candidates.front();
-        double bestLoad = load(*best, context);
-        for (SteeredTarget *target : candidates.subspan(1)) {
-            const double targetLoad = load(*target, context);
-            const bool tied = targetLoad == bestLoad && HashSelection::score(*target, context) > HashSelection::score(*best, context);
-            if (targetLoad < bestLoad || tied) {
-                best = target;
-                bestLoad = targetLoad;
+        SteeredTarget *best = nullptr;
+        double bestLoad = 0;
+        for (const std::span<SteeredTarget *const> candidates : {choices.local, choices.remote}) {
+            for (SteeredTarget *target : candidates) {
+                const double targetLoad = load(*target, context);
+                const bool tied = targetLoad == bestLoad && HashSelection::score(*target, context) > HashSelection::score(*best, context);
+                if (best == nullptr || targetLoad < bestLoad || tied) {
+                    best = target;
+                    bestLoad = targetLoad;
+                }
             }
         }
         return best;
     }
 };
 
+// Up to this number of candidates, all are scored.
+inline constexpr std::size_t MaxScoredTargets = 128;
+
+// Size of the window that is scored in the own data centre, and of that elsewhere, if there are more candidates. A score costs
+// 27 instructions, and an opening packet is to cost 2,500 at most with 1,000 targets; both windows are scored in a few flows.
+inline constexpr std::size_t ScoredWindow = 16;
+
 // Power of two choices (Mitzenmacher 2001): the flow's hash names two targets in the own data centre and two elsewhere; of
 // these, the least loaded one by the balancer's own counts is picked.
 //
@@ -87,22 +101,19 @@
 // at all of them. Picking the least loaded of all targets sends it the next flows of every balancer, while it is still slow:
 // 7 to 12 flows from each of 11 balancers, with 89 targets, within half a second. The hash limits a target to twice its share
 // whatever the counts are, and the counts still tell busy from idle targets where a balancer sees much of the load.
+//
+// Of a longer list, a window that begins at the hash's share of the list is scored. Each target is in the same number of
+// windows, so all have equal shares. The list is sorted by token, so balancers whose views differ in one target have windows
+// that differ in at most two, and select the same target for more than nine of ten flows.
 struct PowerOfTwoSelection {
-    static SteeredTarget *pick(std::span<SteeredTarget *const> candidates, const SelectionContext &context)
+    static SteeredTarget *pick(const TargetChoices &choices, const SelectionContext &context)
     {
-        TopTwo local;
-        TopTwo remote;
-        for (SteeredTarget *target : candidates) {
-            const std::uint64_t score = hashPair(context.flowHash, value(target->record.key));
-            (target->record.dataCentre == context.dataCentre ? local : remote).offer(target, score);
+        SteeredTarget *best = lessLoaded(nullptr, topTwo(choices.local, windowSize(choices.local, choices.remote), context), context);
+        // The load of a target in another data centre is the penalty or more.
+        if (best != nullptr && LeastLoadedSelection::load(*best, context) <= RemoteDataCentrePenalty) {
+            return best;
         }
-        SteeredTarget *best = nullptr;
-        for (SteeredTarget *target : {local.first, local.second, remote.first, remote.second}) {
-            const bool better = target != nullptr
-                && (best == nullptr || LeastLoadedSelection::load(*target, context) < LeastLoadedSelection::load(*best, context));
-            best = better ? target : best;
-        }
-        return best;
+        return lessLoaded(best, topTwo(choices.remote, windowSize(choices.remote, choices.local), context), context);
     }
 
 private:
@@ -115,15 +126,50 @@
 
         void offer(SteeredTarget *target, std::uint64_t score)
         {
+            if (score <= secondScore && second != nullptr) {
+                return;
+            }
             if (first == nullptr || score > firstScore) {
                 second = std::exchange(first, target);
                 secondScore = std::exchange(firstScore, score);
-            } else if (second == nullptr || score > secondScore) {
+            } else {
                 second = target;
                 secondScore = score;
             }
         }
     };
+
+    // How many of these candidates are scored, beside the others.
+    static std::size_t windowSize(std::span<SteeredTarget *const> scored, std::span<SteeredTarget *const> others)
+    {
+        return scored.size() + others.size() <= MaxScoredTargets ? scored.size() : std::min(scored.size(), ScoredWindow);
+    }
+
+    static TopTwo topTwo(std::span<SteeredTarget *const> candidates, std::size_t size, const SelectionContext &context)
+    {
+        constexpr unsigned HalfBits = 32;
+        TopTwo found;
+        const auto offerAll = [&](std::span<SteeredTarget *const> part) {
+            for (SteeredTarget *target : part) {
+                found.offer(target, hashPair(context.flowHash, value(target->record.key)));
+            }
+        };
+        const std::size_t start = size < candidates.size() ? ((context.flowHash >> HalfBits) * candidates.size()) >> HalfBits : 0;
+        const std::size_t tail = std::min(size, candidates.size() - start);
+        offerAll(candidates.subspan(start, tail));
+        offerAll(candidates.first(size - tail));
+        return found;
+    }
+
+    static SteeredTarget *lessLoaded(SteeredTarget *best, const TopTwo &others, const SelectionContext &context)
+    {
+        for (SteeredTarget *target : {others.first, others.second}) {
+            const bool better = target != nullptr
+                && (best == nullptr || LeastLoadedSelection::load(*target, context) < LeastLoadedSelection::load(*best, context));
+            best = better ? target : best;
+        }
+        return best;
+    }
 };
 
 static_assert(TargetSelectionPolicy<HashSelection> && TargetSelectionPolicy<LeastLoadedSelection> && TargetSelectionPolicy<PowerOfTwoSelection>);
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -80,7 +80,7 @@
     'if (first->record.phase != TargetPhase::Left && !first->isGone(now) && packet.copy <= flow->copy) {' \
     '*retransmitted opening goes to the same target*'
 mutate "steering: suspicion excludes any number of targets" src/target_candidates.cpp \
-    'count - std::min(count, usable / SuspectShare)' '0' '*excludes at most half*'
+    'count - std::min(count, usable / SuspectShare)' 'count - std::min(count, usable + count)' '*excludes at most half*'
 mutate "steering: packets of unknown routes are dropped before the node is informed" src/flow_steering.cpp \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed)' \
     'm_informed ? reset(SteeringReason::NoRoute, packet) : drop(SteeringReason::NotInformed)' '*holds packets of unknown routes*'
@@ -173,13 +173,13 @@
     '*hands its vote to a learner before*'
 mutate "raft: hearing the leader is enough" src/raft_replication.cpp 'if (m_commit >= request.commit) {' 'if (m_commit <= request.commit) {' \
     '*does not confirm its routing table before*'
-mutate "drains: a drained data centre gets new flows" src/flow_steering.cpp '&& !m_routes.isDrained(target.record.dataCentre)' '' '*drained data centre gets no new flows*'
+mutate "drains: a drained data centre gets new flows" src/target_candidates.cpp '&& !routes.isDrained(target.record.dataCentre)' '&& (routes.revision() > 0 || !routes.isDrained(target.record.dataCentre))' '*drained data centre gets no new flows*'
 mutate "drains: targets are warm at the end of a drain" src/flow_steering.cpp 'now + m_routes.longestWarmup()' 'now' '*warm up from the end of its drain*'
 mutate "drains: an announcement ends the warm-up" src/steering_targets.cpp 'std::max(target.warmupEnd, now + status.record.warmupLeft)' \
     'now + status.record.warmupLeft' '*warm up from the end of its drain*'
 mutate "drains: a late copy finds an open flow a second target" src/flow_steering.cpp 'if (first != nullptr && flow->open && packet.copy > 0) {' \
     'if (first != nullptr && flow->open && packet.copy > 0 && acceptsNewFlows(*first)) {' '*does not take an open flow away*'
-mutate "warm-up: a cold target with a warm-up limit is used" src/flow_steering.cpp '&& !(excludeWarming && context.now < target.warmupEnd)' '&& (excludeWarming || !excludeWarming)' \
+mutate "warm-up: a cold target with a warm-up limit is used" src/target_candidates.cpp 'const bool cold = warmupLimited && now' 'const bool cold = !warmupLimited && now' \
     '*whose warm-up is limited*'
 mutate "lifetimes: a later one is superseded" src/target_record.h 'return born > other.born;' 'return born < other.born;' '*restarts under the same key*,*restarts under its key*'
 mutate "lifetimes: receipts of any lifetime confirm" src/target_record.h 'auto operator<=>(const TargetLifetime &) const = default;' \
@@ -198,5 +198,29 @@
     '*yield to its own callers*'
 mutate "admission: the usual time is not learned while limited" src/pool_admission.cpp \
     'std::max(times.usual, window.lowest)' 'times.usual' '*slower or faster*'
+mutate "candidates: a suspicion does not invalidate a list" src/steering_targets.cpp \
+    'target.suspectUntil = now + target.suspicion;
+    noteChange(target);' 'target.suspectUntil = now + target.suspicion;' '*straightforward computation*'
+mutate "candidates: a sign of life does not invalidate a list" src/steering_targets.cpp \
+    'if (target.goneUntil != TimePoint{} || target.suspectUntil != TimePoint{}) {' 'if (target.goneUntil != TimePoint{}) {' '*straightforward computation*'
+mutate "candidates: a silence does not invalidate a list" src/steering_targets.cpp \
+    'if (reportedAlive(target) != wasAlive || (' 'if ((wasAlive && !wasAlive) || (' '*straightforward computation*'
+mutate "candidates: a withdrawn report does not invalidate a list" src/steering_targets.cpp \
+    'if (target.reportedAliveBy.erase(replica) > 0) {' 'if (target.reportedAliveBy.erase(replica) > 1) {' '*straightforward computation*'
+mutate "candidates: another source does not invalidate a list" src/steering_targets.cpp \
+    'm_source = replica;
+    for (auto &[name, service] : m_services) {
+        ++service.revision;
+    }' 'm_source = replica;' '*straightforward computation*'
+mutate "candidates: a drain does not invalidate a list" src/steering_routes.cpp 'm_revision += before != m_drained ? 1 : 0;' '' '*straightforward computation*'
+mutate "candidates: a new table does not invalidate a list" src/steering_routes.cpp '    ++m_revision;
+' '' '*straightforward computation*'
+mutate "candidates: a list outlives the times that it depends on" src/target_candidates.cpp '|| now >= prepared.validUntil' '' '*straightforward computation*'
+mutate "candidates: a list outlives the end of a warm-up" src/target_candidates.cpp \
+    'service.validUntil = std::min(service.validUntil, target->warmupEnd);' '' '*straightforward computation*'
+mutate "candidates: any sign of life invalidates a list" src/steering_targets.cpp \
+    'if (target.goneUntil != TimePoint{} || target.suspectUntil != TimePoint{}) {' '{' '*not rebuilt by signs of life*'
+mutate "target selection: all windows begin at the first target" src/target_selection.h \
+    'size < candidates.size() ? ((context' 'size > candidates.size() ? ((context' '*equal shares*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
