Packet port: packets that the receive queue dropped are counted

Cause: packets that the socket's receive queue had no room for were lost without a trace, and a refused send was counted but not logged.

Change: the packet port asks for SO_RXQ_OVFL and reads the kernel's count from the ancillary data of recvmmsg, which it already used on the native handle. PacketLoss holds both counters (robinrail_receive_drops_total, robinrail_send_failures_total) and writes rate-limited log lines "receive-queue-full" and "send-failed". The kernel attaches its count to packets that are queued after a drop, so drops are counted with the next packet.

--- a/src/packet_port.h
+++ b/src/packet_port.h
@@ -5,6 +5,7 @@
 
 #include "net.h"
 #include "packet_hold_queue.h"
+#include "receive_drops.h"
 #include "steering_node.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -75,6 +76,9 @@
             return false;
         }
         m_socket.non_blocking(true, error);
+        if (!ReceiveDrops::enable(m_socket.native_handle())) {
+            m_node.packetLoss().logUnsupported();
+        }
         m_replyPort = endpoint.port;
         m_node.setRoutingDataHandler([this] {
             releaseHeld();
@@ -116,6 +120,7 @@
     {
         for (std::size_t i = 0; i < PacketBatch; ++i) {
             m_inParts[i] = {m_slots[i].data() + Codec::PrefixSize, Codec::MaxPacket};
+            ReceiveDrops::prepare(m_in[i].msg_hdr, m_inControl[i]);
         }
         const int received = ::recvmmsg(m_socket.native_handle(), m_in.data(), PacketBatch, MSG_DONTWAIT, nullptr);
         if (received <= 0) {
@@ -123,11 +128,16 @@
         }
         m_outCount = 0;
         std::size_t bytes = 0;
+        std::uint64_t dropped = 0;
         for (std::size_t i = 0; i < static_cast<std::size_t>(received); ++i) {
             bytes += m_in[i].msg_len + UdpOverhead;
+            dropped += m_receiveDrops.take(m_in[i].msg_hdr);
             handle(m_slots[i], m_in[i].msg_len, std::nullopt);
         }
         m_node.countBytes(bytes, 0);
+        if (dropped > 0) {
+            m_node.packetLoss().countReceiveDrops(monotonicNow(), dropped);
+        }
         flush();
         return static_cast<std::size_t>(received);
     }
@@ -212,7 +222,7 @@
         while (sent < m_outCount) {
             const int count = ::sendmmsg(m_socket.native_handle(), m_out.data() + sent, static_cast<unsigned>(m_outCount - sent), MSG_DONTWAIT);
             if (count <= 0) {
-                m_node.countSendFailure();
+                m_node.packetLoss().countSendFailure(monotonicNow(), errno);
                 ++sent;
             } else {
                 sent += static_cast<std::size_t>(count);
@@ -227,6 +237,8 @@
     std::array<mmsghdr, PacketBatch> m_in{};
     std::array<mmsghdr, PacketBatch> m_out{};
     std::array<iovec, PacketBatch> m_inParts{};
+    std::array<ReceiveDrops::Buffer, PacketBatch> m_inControl{};
+    ReceiveDrops m_receiveDrops;
     std::array<iovec, PacketBatch> m_outParts{};
     std::array<sockaddr_in, PacketBatch> m_outAddresses{};
     std::size_t m_outCount = 0;
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -164,9 +164,9 @@
     ++m_malformed;
 }
 
-void SteeringNode::countSendFailure()
+PacketLoss &SteeringNode::packetLoss()
 {
-    ++m_sendFailures;
+    return m_packetLoss;
 }
 
 // ---- Replicas ----
@@ -491,7 +491,7 @@
     text.counter("robinrail_flows_reset_total", "Flows that were reset as their targets were gone", static_cast<double>(m_flowsReset));
     text.counter("robinrail_malformed_packets_total", "Packets without a readable head", static_cast<double>(m_malformed));
     text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(m_heldTooLong));
-    text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
+    m_packetLoss.writeMetrics(text);
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     writeAdmissionMetrics(text);
     m_links.writeMetrics(text);
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -7,6 +7,7 @@
 #include "flow_steering.h"
 #include "log_rate_limiter.h"
 #include "node_links.h"
+#include "packet_loss.h"
 #include "replica_selector.h"
 #include "settings.h"
 #include "stall_detector.h"
@@ -71,7 +72,7 @@
 
     // Counters of the packet port.
     void countMalformed();
-    void countSendFailure();
+    PacketLoss &packetLoss();
     void countHeldTooLong(std::uint64_t packets);
     void countBytes(std::size_t received, std::size_t sent);
 
@@ -131,7 +132,7 @@
     bool m_linkLimited = false;
     LogRateLimiter m_admissionLog;
     std::uint64_t m_malformed = 0;
-    std::uint64_t m_sendFailures = 0;
+    PacketLoss m_packetLoss;
     std::uint64_t m_heldTooLong = 0;
 };
 
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -222,5 +222,7 @@
     'if (target.goneUntil != TimePoint{} || target.suspectUntil != TimePoint{}) {' '{' '*not rebuilt by signs of life*'
 mutate "target selection: all windows begin at the first target" src/target_selection.h \
     'size < candidates.size() ? ((context' 'size > candidates.size() ? ((context' '*equal shares*'
+mutate "lost packets: each count of the receive queue is added" src/receive_drops.h 'm_count = count;' '' '*had no room for*'
+mutate "lost packets: only the last drops are counted" src/packet_loss.h 'm_receiveDrops += packets;' 'm_receiveDrops = packets;' '*are in the metrics*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
