--- a/src/flow_admission.h
+++ b/src/flow_admission.h
@@ -8,6 +8,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <map>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,15 +36,16 @@
     std::string serviceName(std::uint16_t service) const;
 
     // Decides on a new flow of this caller. `findUsable` returns the data centres with targets of the service that may get new
-    // flows; it is called once per service and tick, as the answer is needed for each new flow.
+    // flows; it is called once per service and tick, as the answer is needed for each new flow, also for those that are refused.
     template<typename FindUsable>
     AdmissionDecision decide(TimePoint now, std::uint16_t service, const RequestObjective &objective, Endpoint caller, FindUsable findUsable)
     {
-        const auto [at, added] = m_usableDataCentres.try_emplace(service);
-        if (added) {
-            at->second = findUsable();
+        UsableDataCentres &usable = m_usableDataCentres[service];
+        if (!std::exchange(usable.known, true)) {
+            const std::span<const DataCentreId> found = findUsable();
+            usable.list.assign(found.begin(), found.end());
         }
-        const AdmissionDecision decision = m_control.decide(now, service, objective, callerHash(caller), at->second);
+        const AdmissionDecision decision = m_control.decide(now, service, objective, callerHash(caller), usable.list);
         count(service, objective.priority, decision.verdict);
         return decision;
     }
@@ -65,6 +67,11 @@
     const std::map<CountKey, AdmissionCounts> &counts() const;
 
 private:
+    struct UsableDataCentres {
+        bool known = false; // Until the next tick.
+        std::vector<DataCentreId> list;
+    };
+
     void count(std::uint16_t service, std::uint8_t priority, AdmissionVerdict verdict);
     static std::uint64_t callerHash(Endpoint caller);
 
@@ -72,7 +79,7 @@
     std::map<CountKey, AdmissionCounts> m_counts;
     std::vector<std::string> m_services;
     boost::unordered_flat_map<std::string, std::uint16_t> m_serviceIndices;
-    boost::unordered_flat_map<std::uint16_t, std::vector<DataCentreId>> m_usableDataCentres; // By service, until the next tick.
+    boost::unordered_flat_map<std::uint16_t, UsableDataCentres> m_usableDataCentres; // By service.
 };
 
 } // namespace Robinrail
--- a/src/steering_metrics.cpp
+++ b/src/steering_metrics.cpp
@@ -136,7 +136,6 @@
     text.counter("robinrail_flows_reset_total", "Flows that were reset as their targets were gone", static_cast<double>(counters.flowsReset));
     text.counter("robinrail_malformed_packets_total", "Packets without a readable head", static_cast<double>(counters.malformed));
     text.counter("robinrail_held_too_long_total", "Packets that were held for too long, or were too many", static_cast<double>(counters.heldTooLong));
-    text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(counters.sendFailures));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(counters.droppedLogLines));
     writeTargetMetrics(text, now, steering);
     writeAdmissionMetrics(text, steering.admission());
--- a/src/steering_metrics.h
+++ b/src/steering_metrics.h
@@ -17,7 +17,6 @@
     std::uint64_t flowsReset = 0;
     std::uint64_t malformed = 0;
     std::uint64_t heldTooLong = 0;
-    std::uint64_t sendFailures = 0;
     std::uint64_t droppedLogLines = 0;
 };
 
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -164,9 +164,9 @@
     ++m_malformed;
 }
 
-void SteeringNode::countSendFailure()
+PacketLoss &SteeringNode::packetLoss()
 {
-    ++m_sendFailures;
+    return m_packetLoss;
 }
 
 // ---- Replicas ----
@@ -465,10 +465,10 @@
     counters.flowsReset = m_flowsReset;
     counters.malformed = m_malformed;
     counters.heldTooLong = m_heldTooLong;
-    counters.sendFailures = m_sendFailures;
     counters.droppedLogLines = droppedLogLines();
     PrometheusWriter text;
     writeSteeringMetrics(text, monotonicNow(), m_file, counters, m_steering);
+    m_packetLoss.writeMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
