--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -353,6 +353,42 @@
     return m_admission;
 }
 
+// ---- Opening pins ----
+
+template<TargetSelectionPolicy Policy>
+std::vector<OpeningPin> BasicFlowSteering<Policy>::takePins(TimePoint now)
+{
+    return m_pins.take(now, m_flows, m_admission.control().link().limiter().refusesAny());
+}
+
+template<TargetSelectionPolicy Policy>
+std::vector<OpeningPin> BasicFlowSteering<Policy>::takeAllPins(TimePoint now)
+{
+    return m_pins.takeAll(now, m_flows);
+}
+
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::learnPin(TimePoint now, const OpeningPin &pin)
+{
+    m_pins.learn(now, pin, m_flows, m_targets);
+}
+
+template<TargetSelectionPolicy Policy>
+const OpeningPinCounts &BasicFlowSteering<Policy>::pinCounts() const
+{
+    return m_pins.counts();
+}
+
+// Takes over what another balancer has reported of a flow that this one does not know.
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::adoptPin(TimePoint now, const FlowKey &key, Flow &flow, bool opening)
+{
+    if (m_pins.applies(now, key, flow, opening)) {
+        release(flow);
+        m_pins.adopt(key, flow);
+    }
+}
+
 // ---- Flows ----
 
 template<TargetSelectionPolicy Policy>
@@ -460,6 +496,7 @@
     m_sweepDue = now + FlowSweepInterval;
     const Duration tableIdle = m_routes.table().idleTimeout;
     const Duration idle = tableIdle > Duration{0} ? tableIdle : DefaultIdleTimeout;
+    m_pins.expire(now, idle);
     boost::unordered::erase_if(m_flows, [&](auto &each) {
         Flow &flow = each.second;
         if (flow.busy && flow.sentAt.elapsed(now) >= MaxBusyTime) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -7,6 +7,8 @@
 
 #include "flow_admission.h"
 #include "metrics.h"
+#include "opening_pins.h"
+#include "steered_flow.h"
 #include "steering_routes.h"
 #include "target_candidates.h"
 #include "target_selection.h"
@@ -33,9 +35,6 @@
 // network, and the later one is no evidence that the target did not answer the first.
 inline constexpr Duration MinRetransmitInterval = std::chrono::milliseconds(120);
 
-// A caller gives up an opening after 1.4 s. An opening packet for the same flow that arrives later belongs to a new flow.
-inline constexpr Duration MaxOpeningTime = std::chrono::milliseconds(1400);
-
 // Interval at which the flow table is searched for idle flows.
 inline constexpr Duration FlowSweepInterval = std::chrono::seconds(2);
 
@@ -86,34 +85,6 @@
 // Most resets per call of takeResets(); the rest follow with the next call.
 inline constexpr std::size_t MaxResetsPerTick = 512;
 
-namespace detail {
-
-struct SteeredFlow {
-    FlowToken target{};
-    CoarseTime lastSeen;
-    CoarseTime sentAt; // When the newest data was forwarded first; before any data, the opening packet.
-    std::uint32_t sequence = 0; // Of the newest data.
-    std::uint32_t acknowledged = 0;
-    std::uint8_t copy = 0; // The newest copy of the opening packet.
-    bool open = false;
-    bool busy = false;
-    bool counted = false; // Included in SteeredTarget::flows.
-    bool refused = false; // Its opening packet was refused before any target has seen it.
-    bool openingSeenHere = false; // Its opening packet came through here, at sentAt, and no other packet has since.
-};
-
-struct FlowKeyHash {
-    std::size_t operator()(const FlowKey &key) const
-    {
-        const auto pack = [](Endpoint endpoint) {
-            return std::uint64_t{endpoint.address} << 16U | endpoint.port;
-        };
-        return hashPair(pack(key.caller), pack(key.route));
-    }
-};
-
-} // namespace detail
-
 template<TargetSelectionPolicy Policy>
 class BasicFlowSteering
 {
@@ -148,6 +119,14 @@
     // retransmission of data, ReportsForProbe per retransmission of an opening packet.
     std::vector<TargetKey> takeUnanswered();
 
+    // Pins to be sent to the other balancers: at each tick, and when this balancer is stopped.
+    std::vector<OpeningPin> takePins(TimePoint now);
+    std::vector<OpeningPin> takeAllPins(TimePoint now);
+
+    // Handles a pin that another balancer sent.
+    void learnPin(TimePoint now, const OpeningPin &pin);
+    const OpeningPinCounts &pinCounts() const;
+
     std::size_t flowCount() const;
     std::uint64_t count(SteeringReason reason) const;
     std::uint64_t suspicions() const;
@@ -185,6 +164,7 @@
     void observe(TimePoint now, const FlowPacket &packet, Flow &flow);
     void observeRepeatedOpening(TimePoint now, const FlowPacket &packet, Flow &flow, SteeredTarget &target);
     Flow *findOrAdd(TimePoint now, const FlowKey &key);
+    void adoptPin(TimePoint now, const FlowKey &key, Flow &flow, bool opening);
     void assign(Flow &flow, SteeredTarget &target);
     void release(Flow &flow);
     void setBusy(Flow &flow, bool busy);
@@ -196,7 +176,8 @@
     SteeringRoutes m_routes;
     SteeringTargets m_targets;
     FlowAdmission m_admission;
-    boost::unordered_flat_map<FlowKey, Flow, detail::FlowKeyHash> m_flows;
+    SteeredFlows m_flows;
+    OpeningPinExchange m_pins;
     TimePoint m_sweepDue;
     TargetCandidates m_candidates;
     std::array<std::uint64_t, SteeringReasonCount> m_counts{};
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -126,8 +126,9 @@
     if (tag != 0) {
         dial->second.link = handle;
     }
-    m_links[handle] = {std::nullopt, replica, {m_clock.now(), m_clock.now()}};
+    m_links[handle] = {std::nullopt, replica, {m_clock.now(), m_clock.now()}, false};
     send(handle, m_self);
+    send(handle, m_self); // See NodeHello.
 }
 
 void NodeLinks::received(LinkHandle handle, const std::vector<std::uint8_t> &bytes)
@@ -154,6 +155,7 @@
 void NodeLinks::handleHello(LinkHandle handle, Link &link, const NodeHello &hello)
 {
     if (link.peer) {
+        link.readsPins = true;
         return; // The identity of a peer is fixed for the lifetime of the connection.
     }
     link.peer = hello;
@@ -233,12 +235,23 @@
 void NodeLinks::sendEncoded(LinkHandle link, const Bytes &message)
 {
     if (const auto at = m_links.find(link); at != m_links.end()) {
+        if (!canRead(at->second, message)) {
+            ++m_withheld;
+            return;
+        }
         at->second.activity.lastSent = m_clock.now();
         m_hub.send(link, message);
         m_traffic.count(LinkDirection::Sent, distanceOf(at->second), message);
     }
 }
 
+// Earlier releases close a link on a message of a kind that they do not know.
+bool NodeLinks::canRead(const Link &link, BytesView message)
+{
+    static const std::size_t pins = NodeMessage(OpeningPins{}).index();
+    return link.readsPins || messageTypeIndex(message) != pins;
+}
+
 LinkHandle NodeLinks::linkTo(ReplicaId replica) const
 {
     const auto at = m_replicaLinks.find(replica);
@@ -267,6 +280,15 @@
     return handles;
 }
 
+std::vector<LinkHandle> NodeLinks::acceptedFrom(NodeRole role, DataCentreId dataCentre) const
+{
+    std::vector<LinkHandle> handles = acceptedFrom(role);
+    std::erase_if(handles, [&](LinkHandle handle) {
+        return m_links.at(handle).peer->dataCentre != dataCentre;
+    });
+    return handles;
+}
+
 bool NodeLinks::isDialled(LinkHandle link) const
 {
     const auto at = m_links.find(link);
@@ -306,6 +328,7 @@
 {
     text.gauge("robinrail_links", "Links to other nodes", static_cast<double>(m_links.size()));
     text.counter("robinrail_links_refused_total", "Links closed as one too many, or for a message that can't be read", static_cast<double>(m_refused));
+    text.counter("robinrail_link_messages_withheld_total", "Messages not sent to peers of earlier releases", static_cast<double>(m_withheld));
     text.counter("robinrail_link_bytes_sent_total", "Bytes sent on links", static_cast<double>(m_hub.bytesSent()));
     m_traffic.writeMetrics(text);
 }
--- a/src/node_links.h
+++ b/src/node_links.h
@@ -60,8 +60,9 @@
     // LinkPingInterval instead of LinkTimeout, and another link is in use before a leader steps down.
     LinkHandle linkTo(ReplicaId replica) const;
 
-    // Established links that were dialled by peers of this role.
+    // Established links that were dialled by peers of this role, in any or in one data centre.
     std::vector<LinkHandle> acceptedFrom(NodeRole role) const;
+    std::vector<LinkHandle> acceptedFrom(NodeRole role, DataCentreId dataCentre) const;
 
     // Whether this node dialled a link.
     bool isDialled(LinkHandle link) const;
@@ -80,6 +81,7 @@
         std::optional<NodeHello> peer; // Set when the hello is received; the link is established from then on.
         ReplicaId dialledTo{}; // 0: accepted.
         LinkActivity activity;
+        bool readsPins = false; // The peer repeated its hello, so it is of a release that reads OpeningPins.
 
         // The replica at the other end; 0 if the peer is a balancer or has not sent its hello.
         ReplicaId replica() const
@@ -98,6 +100,7 @@
     void closed(LinkHandle handle, std::uint64_t tag);
     void removeReplicaLink(ReplicaId replica, LinkHandle handle);
     void refuse(LinkHandle handle, std::string_view reason);
+    static bool canRead(const Link &link, BytesView message);
     LinkDistance distanceOf(const Link &link) const;
     void closeLink(LinkHandle handle);
     void dial(ReplicaId replica, Dial &dial);
@@ -113,6 +116,7 @@
     LinkActivityClock m_clock;
     LinkTraffic m_traffic;
     TimePoint m_trafficLogDue;
+    std::uint64_t m_withheld = 0; // Messages not sent, as the peer could not read them.
     std::uint64_t m_refused = 0; // Links closed by this node: above MaxNodeLinks, or after an undecodable message.
     LogRateLimiter m_refusedLog;
     WebsocketHub m_hub;
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "directory_digest.h"
+#include "flow_packet.h"
 #include "link_message.h"
 #include "routing_table.h"
 #include "target_leases.h"
@@ -19,7 +20,8 @@
     Balancer,
 };
 
-// First message on each link, in both directions.
+// First message on each link, in both directions. A node that reads OpeningPins sends it twice: earlier releases close a link on
+// a message of a kind or with a member that they do not know, but ignore a second hello.
 struct NodeHello {
     NodeRole role = NodeRole::Balancer;
     ReplicaId replica{}; // 0 for a balancer.
@@ -200,6 +202,35 @@
     }
 };
 
+// One entry of OpeningPins; about 20 bytes.
+struct OpeningPinEntry {
+    std::uint32_t callerAddress = 0;
+    std::uint16_t callerPort = 0;
+    std::uint16_t route = 0; // Index into OpeningPins::routes.
+    FlowToken target{};
+    std::uint16_t ageMs = 0; // Of the first copy of the opening packet, milliseconds.
+    bool open = false; // Whether the flow is known to be open at the target.
+
+    auto fields()
+    {
+        return std::tie(callerAddress, callerPort, route, target, ageMs, open);
+    }
+};
+
+// Tells the other balancers of a data centre to which targets flows belong whose opening was not answered yet, or whose token
+// changed. A balancer sends it to the replica that it follows, which passes it on to its balancers in that data centre and to the
+// other replicas. Only sent to peers that repeated their hello, see NodeLinks.
+struct OpeningPins {
+    DataCentreId dataCentre{};
+    std::vector<Endpoint> routes;
+    std::vector<OpeningPinEntry> pins;
+
+    auto fields()
+    {
+        return std::tie(dataCentre, routes, pins);
+    }
+};
+
 using NodeMessage = std::variant<NodeHello,
                                  NodePing,
                                  RaftEnvelope,
@@ -217,7 +248,8 @@
                                  DirectoryPage,
                                  DirectoryQuery,
                                  DirectoryQueryDone,
-                                 DirectoryCompare>;
+                                 DirectoryCompare,
+                                 OpeningPins>;
 
 // Names of the kinds of messages in metrics and logs, in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<NodeMessage>> NodeMessageNames{"hello",
@@ -237,6 +269,7 @@
                                                                                                  "directory-page",
                                                                                                  "directory-query",
                                                                                                  "directory-answered",
-                                                                                                 "directory-compare"};
+                                                                                                 "directory-compare",
+                                                                                                 "opening-pins"};
 
 } // namespace Robinrail
--- /dev/null
+++ b/src/opening_pin_forwarder.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: MIT
+// Opening pin forwarder: the bound on the opening pins that a replica passes on, without I/O.
+#pragma once
+
+#include "opening_pins.h"
+
+#include <map>
+
+namespace Robinrail {
+
+// Maximum number of pins that a replica passes on per interval and data centre. 16 pins of about 20 bytes per 50 ms are 6.4 KB/s
+// of the 24 KB/s that a node may use.
+inline constexpr std::size_t MaxForwardedPins = 16;
+inline constexpr Duration PinForwardInterval = std::chrono::milliseconds(50);
+
+class OpeningPinForwarder
+{
+public:
+    // The pins of one message that may be passed on to a data centre now. If they are too many, those of unanswered openings come
+    // first, and among these the newest: the callers' next copies are the furthest away, so the pins are the most likely to arrive
+    // before them.
+    std::vector<OpeningPin> admit(TimePoint now, DataCentreId dataCentre, std::vector<OpeningPin> pins);
+
+    std::uint64_t forwarded() const;
+    std::uint64_t dropped() const;
+
+private:
+    struct Budget {
+        TimePoint start;
+        std::size_t used = 0;
+    };
+
+    std::map<DataCentreId, Budget> m_budgets;
+    std::uint64_t m_forwarded = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -366,6 +366,8 @@
         onUnanswered(peer, *unanswered);
     } else if (const auto *follow = std::get_if<FollowDirectory>(&message)) {
         m_targets.follow(monotonicNow(), link, *follow);
+    } else if (const auto *pins = std::get_if<OpeningPins>(&message)) {
+        onPins(link, peer, *pins);
     }
     if (peer.role != NodeRole::Replica) {
         return;
@@ -495,6 +497,7 @@
     }
     text.counter("robinrail_notes_not_written_total", "Times that the recovery notes could not be written", static_cast<double>(m_notes.failures()));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
+    addPinMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
--- a/src/replica_node.h
+++ b/src/replica_node.h
@@ -6,6 +6,7 @@
 #include "async_file_writer.h"
 #include "log_rate_limiter.h"
 #include "node_links.h"
+#include "opening_pin_forwarder.h"
 #include "reachability_tracker.h"
 #include "replica_driver.h"
 #include "routing_state.h"
@@ -127,6 +128,8 @@
     void onClosed(LinkHandle link, const NodeHello &peer);
     void onUnanswered(const NodeHello &peer, const TargetsUnanswered &list);
     void probe(const TargetsUnanswered &list);
+    void onPins(LinkHandle link, const NodeHello &peer, const OpeningPins &message);
+    void addPinMetrics(PrometheusWriter &text) const;
     ReplicaLocation ownPlace() const;
     std::vector<ReplicaLocation> reachableReplicas() const;
     void reportUnreachableTargets(TimePoint now);
@@ -149,6 +152,9 @@
     BasicTargetExchange<NodeLinks> m_targets;
     std::uint64_t m_servicesVersion = 0; // Version of the document whose services m_targets knows.
     TargetProber m_prober;
+    OpeningPinForwarder m_pins;
+    std::uint64_t m_malformedPins = 0; // Lists of opening pins.
+    LogRateLimiter m_malformedPinsLog;
     AsyncFileWriter m_notes;
     bool m_notesDue = false;
     boost::asio::steady_timer m_timer;
--- /dev/null
+++ b/src/steered_flow.h
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+// Steered flow: what a balancer's flow table knows of one flow.
+#pragma once
+
+#include "flow_packet.h"
+#include "hash.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+namespace Robinrail {
+
+// A caller gives up an opening after 1.4 s. An opening packet for the same flow that arrives later belongs to a new flow.
+inline constexpr Duration MaxOpeningTime = std::chrono::milliseconds(1400);
+
+namespace detail {
+
+struct SteeredFlow {
+    FlowToken target{};
+    CoarseTime lastSeen;
+    CoarseTime sentAt; // When the newest data was forwarded first; before any data, the opening packet.
+    std::uint32_t sequence = 0; // Of the newest data.
+    std::uint32_t acknowledged = 0;
+    std::uint8_t copy = 0; // The newest copy of the opening packet.
+    bool open = false;
+    bool busy = false;
+    bool counted = false; // Included in SteeredTarget::flows.
+    bool refused = false; // Its opening packet was refused before any target has seen it.
+    bool openingSeenHere = false; // Its opening packet came through here, at sentAt, and no other packet has since.
+    bool openElsewhere = false; // Another balancer reported that it is open at the target.
+    bool openPinSent = false; // The other balancers know at which target it is open.
+
+    // Whether the flow is open at `target`, whatever its token names.
+    bool isFixed() const
+    {
+        return open || openElsewhere;
+    }
+
+    // Whether a copy of the opening packet may have opened the flow at `target`.
+    bool isOpening(TimePoint now) const
+    {
+        return !isFixed() && value(target) != 0 && sentAt.elapsed(now) < MaxOpeningTime;
+    }
+};
+
+struct FlowKeyHash {
+    std::size_t operator()(const FlowKey &key) const
+    {
+        const auto pack = [](Endpoint endpoint) {
+            return std::uint64_t{endpoint.address} << 16U | endpoint.port;
+        };
+        return hashPair(pack(key.caller), pack(key.route));
+    }
+};
+
+} // namespace detail
+
+using SteeredFlows = boost::unordered_flat_map<FlowKey, detail::SteeredFlow, detail::FlowKeyHash>;
+
+} // namespace Robinrail
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -64,6 +64,8 @@
     m_stopping = true;
     LogLine(LogLevel::Info, "stopping").with("flows", m_steering.flowCount());
     m_links.logTraffic();
+    // The callers' next copies go to other balancers.
+    sendPins(m_steering.takeAllPins(monotonicNow()));
     updateReadiness();
 }
 
@@ -101,6 +103,7 @@
     m_steering.tick(m_now);
     logAdmission();
     reportUnanswered(m_now);
+    sendPins(m_steering.takePins(m_now));
     resetFlows();
     requestTableIfBehind(m_now);
     updateReadiness();
@@ -259,6 +262,8 @@
         selectReplicas();
     } else if (const auto *update = std::get_if<RoutingUpdate>(&message)) {
         onUpdate(*update);
+    } else if (const auto *pins = std::get_if<OpeningPins>(&message)) {
+        onPins(peer, *pins);
     }
     updateReadiness();
 }
@@ -494,6 +499,7 @@
     text.counter("robinrail_send_failures_total", "Packets that the kernel refused", static_cast<double>(m_sendFailures));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
     writeAdmissionMetrics(text);
+    writePinMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
--- a/src/steering_node.h
+++ b/src/steering_node.h
@@ -86,6 +86,8 @@
     void onPage(LinkHandle link, ReplicaId replica, const DirectoryPage &page);
     void onUnreachable(const TargetsUnreachable &list);
     void reportUnanswered(TimePoint now);
+    void sendPins(std::span<const OpeningPin> pins);
+    void onPins(const NodeHello &peer, const OpeningPins &message);
     void resetFlows();
     void logReset(TimePoint now, const FlowReset &reset);
     void onOffer(LinkHandle link, const RoutingOffer &offer);
@@ -99,6 +101,7 @@
     void logDecision(TimePoint now, const FlowPacket &packet, const SteeringDecision &decision);
     void updateReadiness();
     void writeAdmissionMetrics(PrometheusWriter &text) const;
+    void writePinMetrics(PrometheusWriter &text) const;
 
     SteeringSettings m_file;
     NodeLinks m_links;
@@ -130,6 +133,8 @@
     std::set<PoolKey> m_limitedPools; // Pools whose new flows were limited at the last tick.
     bool m_linkLimited = false;
     LogRateLimiter m_admissionLog;
+    std::uint64_t m_malformedPins = 0; // Lists of opening pins.
+    LogRateLimiter m_malformedPinsLog;
     std::uint64_t m_malformed = 0;
     std::uint64_t m_sendFailures = 0;
     std::uint64_t m_heldTooLong = 0;
