Opening pins: flow steering sends and follows them

Change: a balancer reports an opening that stays unanswered for 50 ms, and a flow whose token changed; one that does not know a flow takes its target from such a pin. Of two learned pins, that of an open flow counts, else that of the earlier first copy (the tests found that an unanswered one replaced an open one).

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -105,16 +105,19 @@
     }
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = findOrAdd(now, key);
+    if (flow != nullptr) {
+        adoptPin(now, key, *flow, true);
+    }
     if (flow != nullptr && flow->refused && packet.copy > 0) {
         return refuse(now, packet, *flow);
     }
     SteeringReason reason = SteeringReason::NewFlow;
     SteeredTarget *first = flow != nullptr ? m_targets.find(flow->target) : nullptr;
-    if (first != nullptr && flow->open && packet.copy > 0) {
+    if (first != nullptr && flow->isFixed() && packet.copy > 0) {
         // A retransmission for an open flow must not open it at a second target. A first copy is a new flow that reuses the port.
         return acceptsNewFlows(*first) ? forward(SteeringReason::RepeatedOpening, *first) : drop(SteeringReason::LateOpening);
     }
-    if (first != nullptr && !flow->open && flow->sentAt.elapsed(now) < MaxOpeningTime) {
+    if (first != nullptr && flow->isOpening(now)) {
         if (first->record.phase != TargetPhase::Left && !first->isGone(now)) {
             assign(*flow, *first);
             observeRepeatedOpening(now, packet, *flow, *first);
@@ -137,7 +140,12 @@
         flow->sentAt = CoarseTime(now);
         flow->openingSeenHere = true;
         flow->open = false;
+        flow->openElsewhere = false;
+        flow->openPinSent = false;
         flow->refused = false;
+        if (packet.copy == 0) {
+            m_pins.openingForwarded(now, key);
+        }
     }
     return forward(reason, *target);
 }
@@ -169,12 +177,17 @@
     }
     FlowToken token = packet.token;
     SteeringReason reason = SteeringReason::OpenFlow;
-    Flow *flow = findOrAdd(now, {packet.caller, packet.route});
-    if (flow != nullptr && flow->open && flow->target != token && m_targets.find(flow->target) != nullptr) {
+    const FlowKey key{packet.caller, packet.route};
+    Flow *flow = findOrAdd(now, key);
+    if (flow != nullptr) {
+        adoptPin(now, key, *flow, false);
+    }
+    if (flow != nullptr && flow->isFixed() && flow->target != token && m_targets.find(flow->target) != nullptr) {
         // Two targets answered copies of the opening packet. The flow is open at the one that its first further packet
         // named; the caller changed the token when the other answer arrived late.
         token = flow->target;
         reason = SteeringReason::PinnedFlow;
+        m_pins.tokenChanged(key, *flow);
     }
     SteeredTarget *target = m_targets.find(token);
     if (target == nullptr) {
--- a/src/node_links.cpp
+++ b/src/node_links.cpp
@@ -248,8 +248,8 @@
 // Earlier releases close a link on a message of a kind that they do not know.
 bool NodeLinks::canRead(const Link &link, BytesView message)
 {
-    static const std::size_t pins = NodeMessage(OpeningPins{}).index();
-    return link.readsPins || messageTypeIndex(message) != pins;
+    static const std::size_t Pins = NodeMessage(OpeningPins{}).index();
+    return link.readsPins || messageTypeIndex(message) != Pins;
 }
 
 LinkHandle NodeLinks::linkTo(ReplicaId replica) const
--- a/src/opening_pins.cpp
+++ b/src/opening_pins.cpp
@@ -149,7 +149,7 @@
     } else {
         const Learned &before = at->second;
         const bool valid = before.open || now - before.firstCopyAt < MaxOpeningTime;
-        if (valid && (before.open || !pin.open) && before.firstCopyAt <= learned.firstCopyAt) {
+        if (valid && (before.open || (!pin.open && before.firstCopyAt <= learned.firstCopyAt))) {
             ++m_counts.known;
             return;
         }
--- a/tests/test_opening_pins.cpp
+++ b/tests/test_opening_pins.cpp
@@ -246,6 +246,7 @@
 TEST_CASE("a pinned target gets the copies while it drains, and none when it has left or is gone")
 {
     SteeringBalancer balancer;
+    balancer.now += std::chrono::seconds(1); // Without a sign of life since then.
     const FlowToken pinned = tokenOf(101);
     balancer.steering.learnPin(balancer.now, pinOf(1, 101));
     TargetRecord record = targetOf(101, "quotes");
@@ -276,6 +277,7 @@
 TEST_CASE("a pin makes its target suspect when a copy arrives without a sign of life since the first one")
 {
     SteeringBalancer balancer;
+    balancer.now += std::chrono::seconds(1);
     balancer.steering.learnPin(balancer.now, pinOf(1, 101));
     balancer.now += milliseconds(140);
     CHECK(balancer.open(1, 1).token == tokenOf(101));
