--- a/spec/check.sh
+++ b/spec/check.sh
@@ -68,6 +68,8 @@
 for mutation in OTHER_TARGET EARLY_GONE MOVE_OPENING; do
     expect 1 openings.pml "openings-$mutation" "-DMUTATE_$mutation"
 done
+expect 0 openings.pml openings-PINS -DPINS
+expect 1 openings.pml openings-LATE_PIN -DPINS -DMUTATE_LATE_PIN
 expect 0 heard.pml heard
 for mutation in KEEP_WORD OTHER_LINK NO_WHOLE; do
     expect 1 heard.pml "heard-$mutation" "-DMUTATE_$mutation"
--- a/spec/openings.pml
+++ b/spec/openings.pml
@@ -5,7 +5,10 @@
  * at any time. The caller's flow is with the target whose answer arrives first; its packets carry the token of the answer that
  * arrived last. One target may die. A balancer that restarts forgets the flow.
  *
- * Assumptions: all copies pass through one balancer; a target is found gone only after it died and after its last answers
+ * Variant PINS: copies pass through two balancers, and the first one tells the other, in a pin, which target got the first copy.
+ *
+ * Assumptions: all copies pass through one balancer, or with PINS, each copy and each pin arrives or is lost before the next
+ * copy is sent, pins are not lost, and a restart takes longer than an opening; a target is found gone only after it died and after its last answers
  * arrived, as a probe takes longer than the network delays a packet; a restart takes longer than that, too.
  *
  * Properties (assertions):
@@ -14,8 +17,8 @@
  *       unless that target has died
  *
  * Mutations: MUTATE_OTHER_TARGET: copies go to a target other than the first one; MUTATE_EARLY_GONE: a live target is found
- * gone; MUTATE_MOVE_OPENING: copies pass through two balancers, which shows that the first assumption is needed. With
- * O1_ONLY, O2 is not checked, so that a mutation must violate O1.
+ * gone; MUTATE_MOVE_OPENING: copies pass through two balancers, which shows that the first assumption is needed;
+ * MUTATE_LATE_PIN, with PINS: a pin may arrive after the next copy. With O1_ONLY, O2 is not checked, so that a mutation must violate O1.
  */
 
 #ifndef COPIES
@@ -26,6 +29,18 @@
 #endif
 #define NONE 2 /* No target; 0 and 1 are the targets. */
 
+#ifdef PINS
+#ifdef MUTATE_LATE_PIN
+#define NEXT_COPY (openingsTo[0] == 0 && openingsTo[1] == 0)
+#else
+#define NEXT_COPY (openingsTo[0] == 0 && openingsTo[1] == 0 && pin == NONE)
+#endif
+#define RESTART (peer != NONE || copies == COPIES)
+#else
+#define NEXT_COPY true
+#define RESTART true
+#endif
+
 /* The caller. */
 byte copies = 0;       /* Opening packets sent. */
 byte sent = 0;         /* Data packets sent. */
@@ -50,6 +65,7 @@
 byte copiesTo[2];      /* Targets. */
 byte answersOf[2];
 byte dataTo[4];        /* 2 * balancer + token. */
+byte pin = NONE;       /* From the first balancer to the second one. */
 
 inline choose(balancer) {
     if
@@ -61,7 +77,15 @@
 inline steerOpening(balancer) {
     if
     :: open[balancer] -> skip /* Goes to the target of the open flow. */
-    :: !open[balancer] && target[balancer] == NONE -> choose(balancer)
+    :: !open[balancer] && target[balancer] == NONE ->
+        choose(balancer)
+#ifdef PINS
+        ;
+        if
+        :: balancer == 0 -> pin = target[0]
+        :: else -> skip
+        fi
+#endif
 #ifdef MUTATE_OTHER_TARGET
     :: !open[balancer] && target[balancer] != NONE -> target[balancer] = 1 - target[balancer]
 #else
@@ -108,7 +132,7 @@
     byte i;
     do
     /* The caller. */
-    :: atomic { copies < COPIES && peer == NONE -> copies++; openingsTo[via]++ }
+    :: atomic { copies < COPIES && peer == NONE && NEXT_COPY -> copies++; openingsTo[via]++ }
     :: atomic { sent < DATA && peer != NONE -> sent++; dataTo[2 * via + token]++ }
     /* Each packet in flight arrives or is lost. */
     :: atomic {
@@ -136,6 +160,16 @@
         fi;
         i = 0
     }
+#ifdef PINS
+    :: atomic {
+        pin != NONE ->
+        if
+        :: !open[1] && target[1] == NONE -> target[1] = pin
+        :: else -> skip
+        fi;
+        pin = NONE
+    }
+#endif
     /* A target dies, and is found gone. */
     :: atomic { !dead[0] && !dead[1] -> dead[0] = true }
 #ifdef MUTATE_EARLY_GONE
@@ -144,13 +178,13 @@
     :: atomic { dead[0] && !gone[0] && answersOf[0] == 0 -> gone[0] = true }
 #endif
     /* Work on the first balancer moves the flow to the second one, and back after the restart. */
-#ifdef MUTATE_MOVE_OPENING
+#if defined(MUTATE_MOVE_OPENING) || defined(PINS)
     :: atomic { via == 0 && moves == 0 && copies > 0 -> via = 1; moves++ }
 #else
     :: atomic { via == 0 && moves == 0 && peer != NONE -> via = 1; moves++ }
 #endif
     :: atomic {
-        via == 1 && moves == 1 ->
+        via == 1 && moves == 1 && RESTART ->
         via = 0;
         moves++;
         target[0] = NONE;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -198,5 +198,23 @@
     '*yield to its own callers*'
 mutate "admission: the usual time is not learned while limited" src/pool_admission.cpp \
     'std::max(times.usual, window.lowest)' 'times.usual' '*slower or faster*'
+mutate "pins: unanswered openings are not reported" src/flow_steering.cpp 'm_pins.openingForwarded(now, key);' 'static_cast<void>(now);' \
+    '*copies of an unanswered opening*'
+mutate "pins: answered openings are reported" src/opening_pins.cpp 'return flow.openingSeenHere && flow.isOpening(now);' 'return flow.sentAt.elapsed(now) < MaxOpeningTime;' \
+    '*stays unanswered for 50 ms*'
+mutate "pins: an opening is reported after its next copy" src/opening_pins.cpp 'if (now - opening.forwardedAt > MaxPinAge) {' \
+    'if (now - opening.forwardedAt > MaxOpeningTime) {' '*none after 190 ms*'
+mutate "pins: a limited link sends them" src/opening_pins.cpp 'if (linkLimited) {' 'if (linkLimited && pins.empty()) {' '*whose link is limited*'
+mutate "pins: balancers that were told tell it again" src/opening_pins.cpp 'flow.openPinSent = pin.open;' 'flow.openPinSent = false;' '*whose token changed*'
+mutate "pins: a pin replaces an opening that was forwarded" src/opening_pins.cpp 'own->second.isFixed() || own->second.isOpening(now)' 'own->second.isFixed()' \
+    '*takes precedence over a pin*'
+mutate "pins: an unanswered opening decides on further packets" src/opening_pins.cpp '(opening && now' '((opening || !opening) && now' '*ends the refusal*'
+mutate "pins: a pin of any age is kept" src/opening_pins.cpp '!pin.open && pin.age >= MaxOpeningTime' '!pin.open && pin.age > 2 * MaxOpeningTime' '*expires 1.4 s*'
+mutate "pins: the newest of two pins counts" src/opening_pins.cpp 'before.firstCopyAt <= learned.firstCopyAt' 'before.firstCopyAt == learned.firstCopyAt' '*earlier first copy*'
+mutate "pins: a stopped balancer sends the oldest first" src/opening_pins.cpp 'return one.age < other.age;' 'return one.age > other.age;' '*balancer that is stopped*'
+mutate "pins: a replica passes on the oldest" src/opening_pin_forwarder.cpp 'std::pair(one.open, one.age) < std::pair(other.open, other.age)' \
+    'std::pair(one.open, other.age) < std::pair(other.open, one.age)' '*balancer that is stopped*'
+mutate "pins: one budget for all data centres" src/opening_pin_forwarder.cpp 'm_budgets[dataCentre]' 'm_budgets[DataCentreId(value(dataCentre) / 256)]' '*per 50 ms and data centre*'
+mutate "pins: sent to earlier releases" src/node_links.cpp 'return link.readsPins ||' 'return true || link.readsPins ||' '*release without opening pins*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
