--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -216,5 +216,8 @@
     'std::pair(one.open, other.age) < std::pair(other.open, one.age)' '*balancer that is stopped*'
 mutate "pins: one budget for all data centres" src/opening_pin_forwarder.cpp 'm_budgets[dataCentre]' 'm_budgets[DataCentreId(value(dataCentre) / 256)]' '*per 50 ms and data centre*'
 mutate "pins: sent to earlier releases" src/node_links.cpp 'return link.readsPins ||' 'return true || link.readsPins ||' '*release without opening pins*'
+mutate "pins: returned to their sender" src/replica_pins.cpp 'std::erase(balancers, link);' 'std::erase(balancers, link + 1000);' '*a replica passes pins on*'
+mutate "pins: passed on among replicas" src/replica_pins.cpp 'if (!fromReplica) {' 'if (fromReplica || !fromReplica) {' '*a replica passes pins on*'
+mutate "pins: the sender names its data centre" src/replica_pins.cpp 'fromReplica ? message.dataCentre : peer.dataCentre' 'message.dataCentre' '*a replica passes pins on*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
