--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -106,16 +106,19 @@
     }
     const FlowKey key{packet.caller, packet.route};
     Flow *flow = findOrAdd(now, key);
+    if (flow != nullptr) {
+        adoptPin(now, key, *flow, true);
+    }
     if (flow != nullptr && flow->refused && packet.copy > 0) {
         return refuse(now, packet, *flow);
     }
     SteeringReason reason = SteeringReason::NewFlow;
     SteeredTarget *first = flow != nullptr ? m_targets.find(flow->target) : nullptr;
-    if (first != nullptr && flow->open && packet.copy > 0) {
+    if (first != nullptr && flow->isFixed() && packet.copy > 0) {
         // A retransmission for an open flow must not open it at a second target. A first copy is a new flow that reuses the port.
         return acceptsNewFlows(*first) ? forward(SteeringReason::RepeatedOpening, *first) : drop(SteeringReason::LateOpening);
     }
-    if (first != nullptr && !flow->open && flow->sentAt.elapsed(now) < MaxOpeningTime) {
+    if (first != nullptr && flow->isOpening(now)) {
         if (first->record.phase != TargetPhase::Left && !first->isGone(now)) {
             assign(*flow, *first);
             observeRepeatedOpening(now, packet, *flow, *first);
@@ -138,7 +141,12 @@
         flow->sentAt = CoarseTime(now);
         flow->openingSeenHere = true;
         flow->open = false;
+        flow->openElsewhere = false;
+        flow->openPinSent = false;
         flow->refused = false;
+        if (packet.copy == 0) {
+            m_pins.openingForwarded(now, key);
+        }
     }
     return forward(reason, *target);
 }
@@ -170,12 +178,17 @@
     }
     FlowToken token = packet.token;
     SteeringReason reason = SteeringReason::OpenFlow;
-    Flow *flow = findOrAdd(now, {packet.caller, packet.route});
-    if (flow != nullptr && flow->open && flow->target != token && m_targets.find(flow->target) != nullptr) {
+    const FlowKey key{packet.caller, packet.route};
+    Flow *flow = findOrAdd(now, key);
+    if (flow != nullptr) {
+        adoptPin(now, key, *flow, false);
+    }
+    if (flow != nullptr && flow->isFixed() && flow->target != token && m_targets.find(flow->target) != nullptr) {
         // Two targets answered copies of the opening packet. The flow is open at the one that its first further packet
         // named; the caller changed the token when the other answer arrived late.
         token = flow->target;
         reason = SteeringReason::PinnedFlow;
+        m_pins.tokenChanged(key, *flow);
     }
     SteeredTarget *target = m_targets.find(token);
     if (target == nullptr) {
@@ -332,6 +345,42 @@
     return m_admission;
 }
 
+// ---- Opening pins ----
+
+template<TargetSelectionPolicy Policy>
+std::vector<OpeningPin> BasicFlowSteering<Policy>::takePins(TimePoint now)
+{
+    return m_pins.take(now, m_flows, m_admission.control().link().limiter().refusesAny());
+}
+
+template<TargetSelectionPolicy Policy>
+std::vector<OpeningPin> BasicFlowSteering<Policy>::takeAllPins(TimePoint now)
+{
+    return m_pins.takeAll(now, m_flows);
+}
+
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::learnPin(TimePoint now, const OpeningPin &pin)
+{
+    m_pins.learn(now, pin, m_flows, m_targets);
+}
+
+template<TargetSelectionPolicy Policy>
+const OpeningPinCounts &BasicFlowSteering<Policy>::pinCounts() const
+{
+    return m_pins.counts();
+}
+
+// Takes over what another balancer has reported of a flow that this one does not know.
+template<TargetSelectionPolicy Policy>
+void BasicFlowSteering<Policy>::adoptPin(TimePoint now, const FlowKey &key, Flow &flow, bool opening)
+{
+    if (m_pins.applies(now, key, flow, opening)) {
+        release(flow);
+        m_pins.adopt(key, flow);
+    }
+}
+
 // ---- Flows ----
 
 template<TargetSelectionPolicy Policy>
@@ -439,6 +488,7 @@
     m_sweepDue = now + FlowSweepInterval;
     const Duration tableIdle = m_routes.table().idleTimeout;
     const Duration idle = tableIdle > Duration{0} ? tableIdle : DefaultIdleTimeout;
+    m_pins.expire(now, idle);
     boost::unordered::erase_if(m_flows, [&](auto &each) {
         Flow &flow = each.second;
         if (flow.busy && flow.sentAt.elapsed(now) >= MaxBusyTime) {
--- a/src/node_message.h
+++ b/src/node_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "directory_digest.h"
+#include "flow_packet.h"
 #include "link_message.h"
 #include "routing_table.h"
 #include "target_leases.h"
@@ -19,7 +20,8 @@
     Balancer,
 };
 
-// First message on each link, in both directions.
+// First message on each link, in both directions. A node that reads OpeningPins and later kinds sends it twice: earlier releases close a link on
+// a message of a kind or with a member that they do not know, but ignore a second hello.
 struct NodeHello {
     NodeRole role = NodeRole::Balancer;
     ReplicaId replica{}; // 0 for a balancer.
@@ -152,20 +154,15 @@
     }
 };
 
-// Reports that the reporter has just failed to connect to these targets. A replica sends it to the other replicas, and each
-// replica to its balancers.
-// `births`: of the lifetimes that were probed, by index. A message of an earlier release has none; it names no lifetime, so
-// it is not used.
+// Reports that the reporter has just failed to connect to these targets. Earlier releases send it; it names no lifetime, so it is
+// not used: a target may have restarted since under its key.
 struct TargetsUnreachable {
     ReplicaLocation reporter;
     std::vector<TargetKey> keys;
-    std::vector<std::uint64_t> births;
-
-    static constexpr std::size_t OldestFields = 2;
 
     auto fields()
     {
-        return std::tie(reporter, keys, births);
+        return std::tie(reporter, keys);
     }
 };
 
@@ -200,6 +197,47 @@
     }
 };
 
+// One entry of OpeningPins; about 20 bytes.
+struct OpeningPinEntry {
+    std::uint32_t callerAddress = 0;
+    std::uint16_t callerPort = 0;
+    std::uint16_t route = 0; // Index into OpeningPins::routes.
+    FlowToken target{};
+    std::uint16_t ageMs = 0; // Of the first copy of the opening packet, milliseconds.
+    bool open = false; // Whether the flow is known to be open at the target.
+
+    auto fields()
+    {
+        return std::tie(callerAddress, callerPort, route, target, ageMs, open);
+    }
+};
+
+// Tells the other balancers of a data centre to which targets flows belong whose opening was not answered yet, or whose token
+// changed. A balancer sends it to the replica that it follows, which passes it on to its balancers in that data centre and to the
+// other replicas. Only sent to peers that repeated their hello, see NodeLinks.
+struct OpeningPins {
+    DataCentreId dataCentre{};
+    std::vector<Endpoint> routes;
+    std::vector<OpeningPinEntry> pins;
+
+    auto fields()
+    {
+        return std::tie(dataCentre, routes, pins);
+    }
+};
+
+// Reports that the reporter has just failed to connect to these targets in these lifetimes. A replica sends it to the other
+// replicas, and each replica to its balancers. Only sent to peers that repeated their hello, see NodeLinks.
+struct LifetimesUnreachable {
+    ReplicaLocation reporter;
+    std::vector<TargetLifetime> lifetimes;
+
+    auto fields()
+    {
+        return std::tie(reporter, lifetimes);
+    }
+};
+
 using NodeMessage = std::variant<NodeHello,
                                  NodePing,
                                  RaftEnvelope,
@@ -217,7 +255,9 @@
                                  DirectoryPage,
                                  DirectoryQuery,
                                  DirectoryQueryDone,
-                                 DirectoryCompare>;
+                                 DirectoryCompare,
+                                 OpeningPins,
+                                 LifetimesUnreachable>;
 
 // Names of the kinds of messages in metrics and logs, in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<NodeMessage>> NodeMessageNames{"hello",
@@ -237,6 +277,8 @@
                                                                                                  "directory-page",
                                                                                                  "directory-query",
                                                                                                  "directory-answered",
-                                                                                                 "directory-compare"};
+                                                                                                 "directory-compare",
+                                                                                                 "opening-pins",
+                                                                                                 "lifetimes-unreachable"};
 
 } // namespace Robinrail
--- /dev/null
+++ b/src/opening_pin_forwarder.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: MIT
+// Opening pin forwarder: implementation.
+#include "opening_pin_forwarder.h"
+
+#include <algorithm>
+
+namespace Robinrail {
+
+std::vector<OpeningPin> OpeningPinForwarder::admit(TimePoint now, DataCentreId dataCentre, std::vector<OpeningPin> pins)
+{
+    Budget &budget = m_budgets[dataCentre];
+    if (now - budget.start >= PinForwardInterval) {
+        budget = {now, 0};
+    }
+    std::stable_sort(pins.begin(), pins.end(), [](const OpeningPin &one, const OpeningPin &other) {
+        return std::pair(one.open, one.age) < std::pair(other.open, other.age);
+    });
+    const std::size_t admitted = std::min(pins.size(), room(now, dataCentre));
+    m_dropped += pins.size() - admitted;
+    m_forwarded += admitted;
+    budget.used += admitted;
+    pins.resize(admitted);
+    return pins;
+}
+
+std::size_t OpeningPinForwarder::used(TimePoint now, DataCentreId dataCentre) const
+{
+    const auto at = m_budgets.find(dataCentre);
+    return at != m_budgets.end() && now - at->second.start < PinForwardInterval ? at->second.used : 0;
+}
+
+std::size_t OpeningPinForwarder::room(TimePoint now, DataCentreId dataCentre) const
+{
+    std::size_t taken = used(now, AllDataCentres);
+    if (dataCentre != AllDataCentres) {
+        taken += used(now, dataCentre);
+    } else {
+        std::size_t most = 0;
+        for (const auto &[id, budget] : m_budgets) {
+            most = std::max(most, id != AllDataCentres ? used(now, id) : 0);
+        }
+        taken += most;
+    }
+    return MaxForwardedPins - std::min(taken, MaxForwardedPins);
+}
+
+std::uint64_t OpeningPinForwarder::forwarded() const
+{
+    return m_forwarded;
+}
+
+std::uint64_t OpeningPinForwarder::dropped() const
+{
+    return m_dropped;
+}
+
+} // namespace Robinrail
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -300,15 +300,11 @@
 void ReplicaNode::reportUnreachableTargets(TimePoint now)
 {
     m_prober.tick(now);
-    TargetsUnreachable found{ownPlace(), {}, {}};
-    for (const TargetLifetime &lifetime : m_prober.takeUnreachable()) {
-        found.keys.push_back(lifetime.key);
-        found.births.push_back(lifetime.born);
-    }
-    if (!found.keys.empty()) {
+    const LifetimesUnreachable found{ownPlace(), m_prober.takeUnreachable()};
+    if (!found.lifetimes.empty()) {
         m_links.sendAll(m_links.dialled(), found);
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
-        LogLine(LogLevel::Info, "targets-unreachable").with("targets", found.keys.size()).with("first", value(found.keys.front()));
+        LogLine(LogLevel::Info, "targets-unreachable").with("targets", found.lifetimes.size()).with("first", value(found.lifetimes.front().key));
     }
 }
 
@@ -366,6 +362,8 @@
         onUnanswered(peer, *unanswered);
     } else if (const auto *follow = std::get_if<FollowDirectory>(&message)) {
         m_targets.follow(monotonicNow(), link, *follow);
+    } else if (const auto *pins = std::get_if<OpeningPins>(&message)) {
+        onPins(link, peer, *pins);
     }
     if (peer.role != NodeRole::Replica) {
         return;
@@ -388,7 +386,7 @@
         m_targets.onQuery(monotonicNow(), link, *query);
     } else if (const auto *answered = std::get_if<DirectoryQueryDone>(&message)) {
         m_targets.onAnswered(link, *answered);
-    } else if (const auto *gone = std::get_if<TargetsUnreachable>(&message); gone != nullptr && gone->reporter.replica == peer.replica) {
+    } else if (const auto *gone = std::get_if<LifetimesUnreachable>(&message); gone != nullptr && gone->reporter.replica == peer.replica) {
         m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), *gone);
     }
 }
@@ -495,6 +493,7 @@
     }
     text.counter("robinrail_notes_not_written_total", "Times that the recovery notes could not be written", static_cast<double>(m_notes.failures()));
     text.counter("robinrail_log_lines_dropped_total", "Log lines that standard output could not take", static_cast<double>(droppedLogLines()));
+    addPinMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
--- a/src/steering_node.cpp
+++ b/src/steering_node.cpp
@@ -64,6 +64,8 @@
     m_stopping = true;
     LogLine(LogLevel::Info, "stopping").with("flows", m_steering.flowCount());
     m_links.logTraffic();
+    // The callers' next copies go to other balancers.
+    sendPins(m_steering.takeAllPins(monotonicNow()));
     updateReadiness();
 }
 
@@ -101,6 +103,7 @@
     m_steering.tick(m_now);
     logAdmission();
     reportUnanswered(m_now);
+    sendPins(m_steering.takePins(m_now));
     resetFlows();
     requestTableIfBehind(m_now);
     updateReadiness();
@@ -246,7 +249,7 @@
 {
     if (const auto *page = std::get_if<DirectoryPage>(&message)) {
         onPage(link, peer.replica, *page);
-    } else if (const auto *unreachable = std::get_if<TargetsUnreachable>(&message)) {
+    } else if (const auto *unreachable = std::get_if<LifetimesUnreachable>(&message)) {
         onUnreachable(*unreachable);
     } else if (const auto *list = std::get_if<ReplicaList>(&message)) {
         m_replicaLists[peer.replica] = list->replicas;
@@ -259,6 +262,8 @@
         selectReplicas();
     } else if (const auto *update = std::get_if<RoutingUpdate>(&message)) {
         onUpdate(*update);
+    } else if (const auto *pins = std::get_if<OpeningPins>(&message)) {
+        onPins(peer, *pins);
     }
     updateReadiness();
 }
@@ -293,11 +298,10 @@
     m_sendResets = std::move(sendResets);
 }
 
-void SteeringNode::onUnreachable(const TargetsUnreachable &list)
+void SteeringNode::onUnreachable(const LifetimesUnreachable &list)
 {
     const TimePoint now = monotonicNow();
-    for (std::size_t i = 0; i < std::min(list.keys.size(), list.births.size()); ++i) {
-        const TargetLifetime lifetime{list.keys[i], list.births[i]};
+    for (const TargetLifetime &lifetime : list.lifetimes) {
         if (m_probeFindings.unreachable(now, list.reporter, lifetime) && m_steering.targets().declareGone(now, lifetime)) {
             LogLine(LogLevel::Info, "target-gone").with("target", value(lifetime.key)).with("replica", toText(list.reporter.replica));
         }
@@ -469,6 +473,7 @@
     PrometheusWriter text;
     writeSteeringMetrics(text, monotonicNow(), m_file, counters, m_steering);
     m_packetLoss.writeMetrics(text);
+    writePinMetrics(text);
     m_links.writeMetrics(text);
     return text.text();
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -224,5 +224,26 @@
     'size < candidates.size() ? ((context' 'size > candidates.size() ? ((context' '*equal shares*'
 mutate "lost packets: each count of the receive queue is added" src/receive_drops.h 'm_count = count;' '' '*had no room for*'
 mutate "lost packets: only the last drops are counted" src/packet_loss.h 'm_receiveDrops += packets;' 'm_receiveDrops = packets;' '*are in the metrics*'
+mutate "pins: unanswered openings are not reported" src/flow_steering.cpp 'm_pins.openingForwarded(now, key);' 'static_cast<void>(now);' \
+    '*copies of an unanswered opening*'
+mutate "pins: answered openings are reported" src/opening_pins.cpp 'return flow.openingSeenHere && flow.isOpening(now);' 'return flow.sentAt.elapsed(now) < MaxOpeningTime;' \
+    '*stays unanswered for 50 ms*'
+mutate "pins: an opening is reported after its next copy" src/opening_pins.cpp 'if (now - opening.forwardedAt > MaxPinAge) {' \
+    'if (now - opening.forwardedAt > MaxOpeningTime) {' '*none after 190 ms*'
+mutate "pins: a limited link sends them" src/opening_pins.cpp 'if (linkLimited) {' 'if (linkLimited && pins.empty()) {' '*whose link is limited*'
+mutate "pins: balancers that were told tell it again" src/opening_pins.cpp 'flow.openPinSent = pin.open;' 'flow.openPinSent = false;' '*whose token changed*'
+mutate "pins: a pin replaces an opening that was forwarded" src/opening_pins.cpp 'own->second.isFixed() || own->second.isOpening(now)' 'own->second.isFixed()' \
+    '*takes precedence over a pin*'
+mutate "pins: an unanswered opening decides on further packets" src/opening_pins.cpp '(opening && now' '((opening || !opening) && now' '*ends the refusal*'
+mutate "pins: a pin of any age is kept" src/opening_pins.cpp '!pin.open && pin.age >= MaxOpeningTime' '!pin.open && pin.age > 2 * MaxOpeningTime' '*expires 1.4 s*'
+mutate "pins: the newest of two pins counts" src/opening_pins.cpp 'before.firstCopyAt <= learned.firstCopyAt' 'before.firstCopyAt == learned.firstCopyAt' '*earlier first copy*'
+mutate "pins: a stopped balancer sends the oldest first" src/opening_pins.cpp 'return one.age < other.age;' 'return one.age > other.age;' '*balancer that is stopped*'
+mutate "pins: a replica passes on the oldest" src/opening_pin_forwarder.cpp 'std::pair(one.open, one.age) < std::pair(other.open, other.age)' \
+    'std::pair(one.open, other.age) < std::pair(other.open, one.age)' '*balancer that is stopped*'
+mutate "pins: one budget for all data centres" src/opening_pin_forwarder.cpp 'm_budgets[dataCentre]' 'm_budgets[DataCentreId(value(dataCentre) / 256)]' '*per 50 ms and data centre*'
+mutate "pins: sent to earlier releases" src/node_links.cpp 'return link.repeatedHello ||' 'return true || link.repeatedHello ||' '*release without opening pins*'
+mutate "pins: returned to their sender" src/replica_pins.cpp 'std::erase(balancers, link);' 'std::erase(balancers, link + 1000);' '*a replica passes pins on*'
+mutate "pins: passed on among replicas" src/replica_pins.cpp 'if (!fromReplica) {' 'if (fromReplica || !fromReplica) {' '*a replica passes pins on*'
+mutate "pins: the sender names its data centre" src/replica_pins.cpp 'fromReplica || all ? message.dataCentre : peer.dataCentre' 'message.dataCentre' '*a replica passes pins on*'
 echo "mutations that were wrong: $wrong"
 [ "$wrong" -eq 0 ]
