Flow steering and replica: the flow table, decisions and probes are modules of their own

Change: steered_flow_table (flows and the load they add to targets), steering_decision (reasons and their names), the choice of a service beside the routes, replica_probes. FlowSteering can't be copied any more, as its table refers to its targets. No behaviour.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -2,7 +2,6 @@
 // Flow steering: implementation.
 #include "flow_steering.h"
 
-#include "hash.h"
 #include "target_directory.h"
 #include "target_probe.h"
 
@@ -19,31 +18,12 @@
     return static_cast<std::int32_t>(one - other) < 0;
 }
 
-constexpr std::array<std::string_view, SteeringReasonCount> ReasonNames = {"new-flow",
-                                                                           "repeated-opening",
-                                                                           "other-target",
-                                                                           "open-flow",
-                                                                           "pinned-flow",
-                                                                           "no-route",
-                                                                           "no-target",
-                                                                           "route-dropped",
-                                                                           "target-left",
-                                                                           "target-gone",
-                                                                           "unknown-token",
-                                                                           "not-informed",
-                                                                           "overloaded",
-                                                                           "late-opening"};
-
 } // namespace
 
-std::string_view nameOf(SteeringReason reason)
-{
-    return ReasonNames[static_cast<std::size_t>(reason)];
-}
-
 template<TargetSelectionPolicy Policy>
 BasicFlowSteering<Policy>::BasicFlowSteering(DataCentreId dataCentre, double linkBytesPerSecond)
     : m_dataCentre(dataCentre)
+    , m_flows(m_targets)
     , m_admission(dataCentre, linkBytesPerSecond)
     , m_candidates(dataCentre)
 {
@@ -105,7 +85,7 @@
         return m_informed ? reset(SteeringReason::NoRoute, packet) : hold(SteeringReason::NotInformed);
     }
     const FlowKey key{packet.caller, packet.route};
-    Flow *flow = findOrAdd(now, key);
+    Flow *flow = m_flows.findOrAdd(now, key);
     if (flow != nullptr) {
         adoptPin(now, key, *flow, true);
     }
@@ -120,7 +100,7 @@
     }
     if (first != nullptr && flow->isOpening(now)) {
         if (first->record.phase != TargetPhase::Left && !first->isGone(now)) {
-            assign(*flow, *first);
+            m_flows.assign(*flow, *first);
             observeRepeatedOpening(now, packet, *flow, *first);
             return forward(SteeringReason::RepeatedOpening, *first);
         }
@@ -136,7 +116,7 @@
         return m_informed ? reset(SteeringReason::NoTarget, packet) : hold(SteeringReason::NotInformed);
     }
     if (flow != nullptr) {
-        assign(*flow, *target);
+        m_flows.assign(*flow, *target);
         flow->copy = packet.copy;
         flow->sentAt = CoarseTime(now);
         flow->openingSeenHere = true;
@@ -179,7 +159,7 @@
     FlowToken token = packet.token;
     SteeringReason reason = SteeringReason::OpenFlow;
     const FlowKey key{packet.caller, packet.route};
-    Flow *flow = findOrAdd(now, key);
+    Flow *flow = m_flows.findOrAdd(now, key);
     if (flow != nullptr) {
         adoptPin(now, key, *flow, false);
     }
@@ -201,7 +181,7 @@
         return reset(SteeringReason::TargetGone, packet);
     }
     if (flow != nullptr) {
-        assign(*flow, *target);
+        m_flows.assign(*flow, *target);
         observe(now, packet, *flow);
     }
     return forward(reason, *target);
@@ -230,7 +210,7 @@
     flow.refused = false; // A later copy of the opening packet was admitted by another balancer.
     if (answered) {
         flow.acknowledged = packet.acknowledged;
-        setBusy(flow, false);
+        m_flows.setBusy(flow, false);
     }
     if (answered && !openedElsewhere) {
         m_targets.markAlive(now, target);
@@ -245,10 +225,10 @@
             markSuspect(now, target);
             report(target, 1);
         }
-        setBusy(flow, true);
+        m_flows.setBusy(flow, true);
     }
     if (packet.closing || packet.reset) {
-        release(flow);
+        m_flows.release(flow);
     }
 }
 
@@ -280,24 +260,6 @@
     return TargetCandidates::acceptsNewFlows(target, m_routes);
 }
 
-// Distributes flows by weight using the flow's hash, so that all copies of an opening packet get the same service.
-template<TargetSelectionPolicy Policy>
-std::uint16_t BasicFlowSteering<Policy>::serviceOf(const Route &route, std::uint64_t flowHash)
-{
-    std::uint64_t total = 0;
-    for (const WeightedService &service : route.services) {
-        total += service.weight;
-    }
-    std::uint64_t point = total > 0 ? hashPair(flowHash, total) % total : 0;
-    for (const WeightedService &service : route.services) {
-        if (point < service.weight) {
-            return service.service;
-        }
-        point -= service.weight;
-    }
-    return route.services.front().service;
-}
-
 // ---- Admission ----
 
 // Whether a new flow is admitted. Limits the choice of its target to a data centre if only that one has room.
@@ -326,7 +288,7 @@
 template<TargetSelectionPolicy Policy>
 SteeringDecision BasicFlowSteering<Policy>::refuse(TimePoint now, const FlowPacket &packet, Flow &flow)
 {
-    release(flow);
+    m_flows.release(flow);
     flow = Flow{};
     flow.lastSeen = CoarseTime(now);
     flow.refused = true;
@@ -350,19 +312,19 @@
 template<TargetSelectionPolicy Policy>
 std::vector<OpeningPin> BasicFlowSteering<Policy>::takePins(TimePoint now)
 {
-    return m_pins.take(now, m_flows, m_admission.control().link().limiter().refusesAny());
+    return m_pins.take(now, m_flows.all(), m_admission.control().link().limiter().refusesAny());
 }
 
 template<TargetSelectionPolicy Policy>
 std::vector<OpeningPin> BasicFlowSteering<Policy>::takeAllPins(TimePoint now)
 {
-    return m_pins.takeAll(now, m_flows);
+    return m_pins.takeAll(now, m_flows.all());
 }
 
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::learnPin(TimePoint now, const OpeningPin &pin)
 {
-    m_pins.learn(now, pin, m_flows, m_targets);
+    m_pins.learn(now, pin, m_flows.all(), m_targets);
 }
 
 template<TargetSelectionPolicy Policy>
@@ -376,59 +338,12 @@
 void BasicFlowSteering<Policy>::adoptPin(TimePoint now, const FlowKey &key, Flow &flow, bool opening)
 {
     if (m_pins.applies(now, key, flow, opening)) {
-        release(flow);
+        m_flows.release(flow);
         m_pins.adopt(key, flow);
     }
 }
 
-// ---- Flows ----
-
-template<TargetSelectionPolicy Policy>
-detail::SteeredFlow *BasicFlowSteering<Policy>::findOrAdd(TimePoint now, const FlowKey &key)
-{
-    auto at = m_flows.find(key);
-    if (at == m_flows.end()) {
-        if (m_flows.size() >= MaxSteeredFlows) {
-            return nullptr;
-        }
-        at = m_flows.emplace(key, Flow{}).first;
-    }
-    at->second.lastSeen = CoarseTime(now);
-    return &at->second;
-}
-
-template<TargetSelectionPolicy Policy>
-void BasicFlowSteering<Policy>::assign(Flow &flow, SteeredTarget &target)
-{
-    if (flow.counted && flow.target == target.token) {
-        return;
-    }
-    release(flow);
-    flow.target = target.token;
-    flow.counted = true;
-    ++target.flows;
-}
-
-template<TargetSelectionPolicy Policy>
-void BasicFlowSteering<Policy>::release(Flow &flow)
-{
-    setBusy(flow, false);
-    SteeredTarget *target = flow.counted ? m_targets.find(flow.target) : nullptr;
-    if (target != nullptr && target->flows > 0) {
-        --target->flows;
-    }
-    flow.counted = false;
-}
-
-template<TargetSelectionPolicy Policy>
-void BasicFlowSteering<Policy>::setBusy(Flow &flow, bool busy)
-{
-    SteeredTarget *target = flow.busy != busy ? m_targets.find(flow.target) : nullptr;
-    if (target != nullptr) {
-        target->busy = busy ? target->busy + 1 : std::max(target->busy, 1U) - 1;
-    }
-    flow.busy = busy;
-}
+// ---- Unanswered targets ----
 
 template<TargetSelectionPolicy Policy>
 void BasicFlowSteering<Policy>::markSuspect(TimePoint now, SteeredTarget &target)
@@ -453,29 +368,12 @@
     return std::exchange(m_unanswered, {});
 }
 
+// ---- Flows ----
+
 template<TargetSelectionPolicy Policy>
 std::vector<FlowReset> BasicFlowSteering<Policy>::takeResets()
 {
-    std::vector<FlowReset> resets;
-    if (!m_targets.anyResetPending()) {
-        return resets;
-    }
-    boost::unordered::erase_if(m_flows, [&](auto &each) {
-        auto &[key, flow] = each;
-        const SteeredTarget *target = flow.counted ? m_targets.find(flow.target) : nullptr;
-        if (target == nullptr || !target->resetPending || resets.size() >= MaxResetsPerTick) {
-            return false;
-        }
-        release(flow);
-        if (flow.open) {
-            resets.push_back({key, target->record.key, flow.acknowledged});
-        }
-        return flow.open; // Further copies of an opening packet must still find its first target.
-    });
-    if (resets.size() < MaxResetsPerTick) {
-        m_targets.clearResetPending();
-    }
-    return resets;
+    return m_flows.takeResets();
 }
 
 template<TargetSelectionPolicy Policy>
@@ -489,17 +387,7 @@
     const Duration tableIdle = m_routes.table().idleTimeout;
     const Duration idle = tableIdle > Duration{0} ? tableIdle : DefaultIdleTimeout;
     m_pins.expire(now, idle);
-    boost::unordered::erase_if(m_flows, [&](auto &each) {
-        Flow &flow = each.second;
-        if (flow.busy && flow.sentAt.elapsed(now) >= MaxBusyTime) {
-            setBusy(flow, false);
-        }
-        if (flow.lastSeen.elapsed(now) < idle) {
-            return false;
-        }
-        release(flow);
-        return true;
-    });
+    m_flows.sweep(now, idle);
     m_targets.tick(now);
     m_routes.tick(now);
 }
@@ -515,11 +403,7 @@
 template<TargetSelectionPolicy Policy>
 SteeringDecision BasicFlowSteering<Policy>::reset(SteeringReason reason, const FlowPacket &packet)
 {
-    const auto flow = m_flows.find(FlowKey{packet.caller, packet.route});
-    if (flow != m_flows.end()) {
-        release(flow->second);
-        m_flows.erase(flow);
-    }
+    m_flows.remove({packet.caller, packet.route});
     return {SteeringAction::Reset, reason, {}, {}, {}, packet.opening ? 0 : packet.acknowledged};
 }
 
@@ -558,7 +442,7 @@
 template<TargetSelectionPolicy Policy>
 std::size_t BasicFlowSteering<Policy>::flowCount() const
 {
-    return m_flows.size();
+    return m_flows.all().size();
 }
 
 template<TargetSelectionPolicy Policy>
--- a/src/replica_node.cpp
+++ b/src/replica_node.cpp
@@ -5,7 +5,6 @@
 #include "log.h"
 #include "metrics.h"
 #include "net.h"
-#include "prober_choice.h"
 #include "replica_storage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -297,17 +296,6 @@
     m_links.sendEncoded(link, m_encodedTable);
 }
 
-void ReplicaNode::reportUnreachableTargets(TimePoint now)
-{
-    m_prober.tick(now);
-    const LifetimesUnreachable found{ownPlace(), m_prober.takeUnreachable()};
-    if (!found.lifetimes.empty()) {
-        m_links.sendAll(m_links.dialled(), found);
-        m_links.sendAll(m_links.acceptedFrom(NodeRole::Balancer), found);
-        LogLine(LogLevel::Info, "targets-unreachable").with("targets", found.lifetimes.size()).with("first", value(found.lifetimes.front().key));
-    }
-}
-
 void ReplicaNode::sendPeriodicUpdate(TimePoint now)
 {
     if (now < m_nextUpdate) {
@@ -391,57 +379,13 @@
     }
 }
 
-// A balancer reports unanswered targets to one replica, which selects the replicas that probe them: several must agree
-// before a target counts as unreachable.
-void ReplicaNode::onUnanswered(const NodeHello &peer, const TargetsUnanswered &list)
-{
-    if (peer.role == NodeRole::Replica) {
-        return probe(list);
-    }
-    const std::size_t probers = 2 * m_file.maxLostReplicas + 1; // Enough remain after the number of losses that must be tolerated.
-    const std::vector<ReplicaLocation> reachable = reachableReplicas();
-    std::map<ReplicaId, TargetsUnanswered> shares;
-    for (const TargetKey key : list.keys) {
-        for (const ReplicaId replica : chooseProbers(key, reachable, probers)) {
-            shares[replica].keys.push_back(key);
-        }
-    }
-    for (const auto &[replica, share] : shares) {
-        if (replica == m_self) {
-            probe(share);
-        } else {
-            m_links.send(m_links.linkTo(replica), share);
-        }
-    }
-}
-
-void ReplicaNode::probe(const TargetsUnanswered &list)
-{
-    const TimePoint now = monotonicNow();
-    m_targets.onUnanswered(now, list, [this, now](const ReportedTarget &target) {
-        m_prober.reported(now, target);
-    });
-}
+// ---- Accessors ----
 
 ReplicaLocation ReplicaNode::ownPlace() const
 {
     return {m_self, m_file.dataCentreId(m_file.dataCentre)};
 }
 
-// This replica and those that it has a link to.
-std::vector<ReplicaLocation> ReplicaNode::reachableReplicas() const
-{
-    std::vector<ReplicaLocation> reachable{ownPlace()};
-    for (const auto &[replica, dataCentre] : m_dataCentres) {
-        if (replica != m_self && m_links.linkTo(replica) != 0) {
-            reachable.push_back({replica, dataCentre});
-        }
-    }
-    return reachable;
-}
-
-// ---- Accessors ----
-
 const RoutingDocument &ReplicaNode::document() const
 {
     static const RoutingDocument None;
--- a/src/steering_routes.cpp
+++ b/src/steering_routes.cpp
@@ -2,6 +2,8 @@
 // Steering routes: implementation.
 #include "steering_routes.h"
 
+#include "hash.h"
+
 #include "target_directory.h"
 
 #include <algorithm>
@@ -98,4 +100,20 @@
     });
 }
 
+std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash)
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &service : route.services) {
+        total += service.weight;
+    }
+    std::uint64_t point = total > 0 ? hashPair(flowHash, total) % total : 0;
+    for (const WeightedService &service : route.services) {
+        if (point < service.weight) {
+            return service.service;
+        }
+        point -= service.weight;
+    }
+    return route.services.front().service;
+}
+
 } // namespace Robinrail
--- a/src/steering_routes.h
+++ b/src/steering_routes.h
@@ -52,4 +52,8 @@
     std::uint64_t m_revision = 0;
 };
 
+// The service of a new flow: distributes flows by weight using the flow's hash, so that all copies of an opening packet get the same
+// service.
+std::uint16_t serviceOf(const Route &route, std::uint64_t flowHash);
+
 } // namespace Robinrail
