End-to-end tests: the platform's formats in platform/, checks in one place

Cause: tests/load_command.sh held names of the platform's formats, and repeated the checks of tests/daemons.sh. Change: platform/standin_calls.sh with the calls of an operator and of targets; scripts/checks.sh.

--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -6,20 +6,9 @@
 bin=$PWD/build/release
 work=$(mktemp -d)
 source scripts/deployment.sh
+source scripts/checks.sh
 trap 'stop_all; rm -rf "$work"' EXIT
 
-wrong=0
-check() {
-    local what=$1
-    shift
-    if "$@"; then
-        echo "ok: $what"
-    else
-        echo "failed: $what"
-        wrong=$((wrong + 1))
-    fi
-}
-
 # field JSON KEY: prints a number or word from JSON text with one level.
 field() {
     sed -n "s/.*\"$2\": *\"\{0,1\}\([A-Za-z0-9.-]*\).*/\1/p" <<< "$1" | head -n 1
--- a/tests/load_command.sh
+++ b/tests/load_command.sh
@@ -6,20 +6,10 @@
 bin=$PWD/build/release
 work=$(mktemp -d)
 source scripts/deployment.sh
+source scripts/checks.sh
+source platform/standin_calls.sh
 trap 'stop_all; rm -rf "$work"' EXIT
 
-wrong=0
-check() {
-    local what=$1
-    shift
-    if "$@"; then
-        echo "ok: $what"
-    else
-        echo "failed: $what"
-        wrong=$((wrong + 1))
-    fi
-}
-
 replica=127.7.0.1:7080
 balancers=(127.7.0.2:8080 127.7.0.3:8080)
 
@@ -30,27 +20,12 @@
           \"drainMs\": 2000, \"graceMs\": 2000, \"dataFolder\": \"$work/$1.data\"}"
 }
 
-# put PATH BODY: sends a call to the replica and succeeds if it is accepted.
-put() {
-    local line
-    exec 9<> "/dev/tcp/${replica%:*}/${replica#*:}" || return 1
-    printf 'PUT %s HTTP/1.1\r\nHost: r\r\nContent-Length: %s\r\nConnection: close\r\n\r\n%s' "$1" "${#2}" "$2" >&9
-    read -r line <&9
-    exec 9>&-
-    [[ $line == *" 20"* ]]
-}
-
-announce() {
-    put "/instances/i-$1" "{\"service\": \"quotes\", \"address\": \"127.7.1.$1:9000\", \"zone\": \"$2\", \"version\": \"v1\", \"capacity\": 2,
-        \"state\": \"$3\", \"warmup_left_ms\": 0, \"sequence\": $4, \"born\": 1000}"
-}
-
 announce_all() {
     local sequence=0
     while sequence=$((sequence + 1)); do
-        announce 1 ktm-lalit ready "$sequence"
-        announce 2 ktm-lalit draining "$sequence"
-        announce 3 ktm-thamel ready "$sequence"
+        announce "$replica" 1 quotes ktm-lalit ready "$sequence"
+        announce "$replica" 2 quotes ktm-lalit draining "$sequence"
+        announce "$replica" 3 quotes ktm-thamel ready "$sequence"
         sleep 0.5
     done
 }
@@ -78,9 +53,7 @@
     settings "balancer-$id" "{\"admin\": \"${balancers[$id]}\", \"packets\": \"${balancers[$id]%:*}:4000\"}" > "$work/balancer-$id.json"
     start "balancer-$id" "$bin/robinrail-platform-balancer" --settings="$work/balancer-$id.json"
 done
-check "a routing document is accepted" wait_for 10 put /config '{"version": 1, "services": [{"name": "quotes"}], "limits": {"idle_timeout_ms": 15000},
-    "routes": [{"name": "q", "host": "198.18.0.1", "path_prefix": "/443/", "type": "idempotent", "priority": 1, "target_latency_ms": 400,
-    "timeout_ms": 4000, "backends": [{"service": "quotes", "weight": 1}]}]}'
+check "a routing document is accepted" wait_for 10 put_document "$replica" quotes
 announce_all > /dev/null 2>&1 &
 pids+=("$!")
 check "both balancers are ready" wait_for 10 eval 'ready "${balancers[0]}" && ready "${balancers[1]}"'
