--- a/src/link_load.h
+++ b/src/link_load.h
@@ -9,8 +9,8 @@
 namespace Robinrail {
 
 // Share of the own link from which on new flows are refused. The rest is for packets of open flows and for bursts: at 2 Mbit/s the
-// bytes of a window vary by a sixth, as it holds some 30 flows. With 0.85, a tenth of the windows of an overloaded link lost
-// packets, readiness probes among them, so that the fabric took the balancer out and sent its flows to the others.
+// bytes of a window vary by a sixth, as it holds some 30 flows. With 0.85, a link used up to 113% in the first second of an overload
+// and lost readiness probes, so that the fabric excluded the balancer and sent its flows to the others.
 inline constexpr double MaxLinkShare = 0.7;
 
 // From this share on packets may be lost in bursts within the window.
--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -193,10 +193,11 @@
     report.uncountedTargets = std::max(report.uncountedTargets, balancer.uncountedTargets);
 }
 
-// Counts are written as integers.
+// Counts are written as integers, up to those that a double holds exactly.
 Json numberJson(double number)
 {
-    return std::trunc(number) == number ? Json(static_cast<std::int64_t>(number)) : Json(number);
+    constexpr double MaxExactInteger = 9007199254740992; // 2^53.
+    return std::trunc(number) == number && std::abs(number) <= MaxExactInteger ? Json(static_cast<std::int64_t>(number)) : Json(number);
 }
 
 Json rangeJson(const CountRange &range)
--- a/tests/test_target_gone.cpp
+++ b/tests/test_target_gone.cpp
@@ -75,6 +75,17 @@
     }
 };
 
+// Declares a target with 10 flows more than one tick resets gone, and resets those of the first tick.
+void resetFirstFlows(Balancer &balancer)
+{
+    for (std::uint32_t caller = 1; caller <= MaxResetsPerTick + 10; ++caller) {
+        balancer.request(caller, Silent, 100, 1);
+    }
+    balancer.now += seconds(1);
+    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
+    CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
+}
+
 } // namespace
 
 TEST_CASE("idle flows of a target that lost power are reset once, and flows of other targets are not")
@@ -99,12 +110,7 @@
 TEST_CASE("many flows are reset over several ticks, each once")
 {
     Balancer balancer;
-    for (std::uint32_t caller = 1; caller <= MaxResetsPerTick + 10; ++caller) {
-        balancer.request(caller, Silent, 100, 1);
-    }
-    balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
-    CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
+    resetFirstFlows(balancer);
     CHECK(balancer.steering.takeResets().size() == 10);
     CHECK(balancer.steering.takeResets().empty());
 }
@@ -112,12 +118,7 @@
 TEST_CASE("a target that shows a sign of life while its flows are being reset keeps the remaining ones")
 {
     Balancer balancer;
-    for (std::uint32_t caller = 1; caller <= MaxResetsPerTick + 10; ++caller) {
-        balancer.request(caller, Silent, 100, 1);
-    }
-    balancer.now += seconds(1);
-    REQUIRE(balancer.steering.targets().declareGone(balancer.now, {Silent}));
-    CHECK(balancer.steering.takeResets().size() == MaxResetsPerTick);
+    resetFirstFlows(balancer);
     balancer.acknowledge(MaxResetsPerTick + 11, Silent, 50);
     CHECK(balancer.steering.takeResets().empty());
 }
