Opening pins: the replica's bound counts the size of messages

Cause: single pins come in messages of 40 bytes, not 20: at 1.5 times all slots a balancer received 17 KB of pins in 8 s, so a replica with 26 followers sent some 55 KB/s with a bound of 24 KB/s.

--- a/src/opening_pin_forwarder.cpp
+++ b/src/opening_pin_forwarder.cpp
@@ -17,11 +17,11 @@
     std::stable_sort(pins.begin(), pins.end(), [](const OpeningPin &one, const OpeningPin &other) {
         return std::pair(one.open, one.age) < std::pair(other.open, other.age);
     });
-    const std::size_t admitted = std::min({pins.size(), room(now, dataCentre), sendsLeft(now, receivers)});
+    const std::size_t admitted = std::min({pins.size(), room(now, dataCentre), pinsLeft(now, receivers)});
     m_dropped += pins.size() - admitted;
     m_forwarded += admitted;
     budget.used += admitted;
-    m_sends -= static_cast<double>(admitted * receivers);
+    m_bytesLeft -= admitted > 0 ? static_cast<double>((PinMessageBytes + admitted * PinBytes) * receivers) : 0;
     pins.resize(admitted);
     return pins;
 }
@@ -47,11 +47,15 @@
     return MaxForwardedPins - std::min(taken, MaxForwardedPins);
 }
 
-std::size_t OpeningPinForwarder::sendsLeft(TimePoint now, std::size_t receivers)
+std::size_t OpeningPinForwarder::pinsLeft(TimePoint now, std::size_t receivers)
 {
-    m_sends = std::min(MaxPinSends, m_sends + MaxPinSends * detail::toSeconds(now - m_sendsAt));
-    m_sendsAt = now;
-    return receivers > 0 ? static_cast<std::size_t>(m_sends) / receivers : MaxForwardedPins;
+    m_bytesLeft = std::min(MaxPinBytesPerSecond, m_bytesLeft + MaxPinBytesPerSecond * detail::toSeconds(now - m_bytesLeftAt));
+    m_bytesLeftAt = now;
+    if (receivers == 0) {
+        return MaxForwardedPins;
+    }
+    const std::size_t bytes = static_cast<std::size_t>(m_bytesLeft) / receivers;
+    return (bytes - std::min(bytes, PinMessageBytes)) / PinBytes;
 }
 
 std::uint64_t OpeningPinForwarder::forwarded() const
--- a/src/opening_pin_forwarder.h
+++ b/src/opening_pin_forwarder.h
@@ -13,9 +13,12 @@
 inline constexpr std::size_t MaxForwardedPins = 16;
 inline constexpr Duration PinForwardInterval = std::chrono::milliseconds(50);
 
-// Maximum number of pins to single nodes that a replica sends per second, on average and at once: 1,200 of about 20 bytes are the
-// 24 KB/s that a node may use.
-inline constexpr double MaxPinSends = 1200;
+// Bytes of pins that a replica sends per second, on average and at once: what a node may use for control.
+inline constexpr double MaxPinBytesPerSecond = 24'000;
+
+// Size of a pin, and of a message besides its pins.
+inline constexpr std::size_t PinBytes = 20;
+inline constexpr std::size_t PinMessageBytes = 20;
 
 // Instead of a data centre: the pins go to all of them.
 inline constexpr DataCentreId AllDataCentres{0};
@@ -41,12 +44,12 @@
     std::size_t used(TimePoint now, DataCentreId dataCentre) const;
     std::size_t room(TimePoint now, DataCentreId dataCentre) const;
 
-    // Pins that the sending of this replica leaves, for this many receivers.
-    std::size_t sendsLeft(TimePoint now, std::size_t receivers);
+    // Pins for which a message to each of so many receivers has room.
+    std::size_t pinsLeft(TimePoint now, std::size_t receivers);
 
     std::map<DataCentreId, Budget> m_budgets;
-    double m_sends = MaxPinSends;
-    TimePoint m_sendsAt;
+    double m_bytesLeft = MaxPinBytesPerSecond; // At m_bytesLeftAt.
+    TimePoint m_bytesLeftAt;
     std::uint64_t m_forwarded = 0;
     std::uint64_t m_dropped = 0;
 };
