--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -14,6 +14,9 @@
 }
 
 end_all() {
+    if [ -f "$work/pids" ]; then
+        mapfile -t -O "${#pids[@]}" pids < "$work/pids"
+    fi
     for pid in "${pids[@]}"; do
         kill -CONT "$pid" 2> /dev/null || true
         kill -KILL "$pid" 2> /dev/null || true
