--- a/review/standins-2/invalid_manifest.cpp
+++ b/review/standins-2/invalid_manifest.cpp
@@ -5,6 +5,7 @@
 // Arguments: network octet, work folder with the settings of the control nodes, process id of each control node.
 // Environment: TROUBLE, RECORD.
 #include "layout.h"
+#include "process.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -28,25 +29,6 @@
     long long startAt = 0; // When to start it again; 0: it runs.
 };
 
-// Starts a control node again, as the platform does; its settings say that this is not the first start.
-pid_t startAgain(const std::string &folder, std::size_t index)
-{
-    const std::string settings = folder + "/core-" + std::to_string(index) + ".json";
-    const std::string log = folder + "/core-" + std::to_string(index) + ".log";
-    const pid_t child = ::fork();
-    if (child == 0) {
-        std::FILE *const output = std::freopen(log.c_str(), "a", stdout);
-        if (output != nullptr) {
-            ::dup2(::fileno(stdout), STDERR_FILENO);
-        }
-        ::setenv("ROBINRAIL_CONFIG", settings.c_str(), 1);
-        ::execl("target/robinrail-platform-control", "target/robinrail-platform-control", static_cast<char *>(nullptr));
-        ::_exit(127);
-    }
-    std::ofstream(folder + "/pids", std::ios::app) << child << '\n'; // run.sh ends what is still running.
-    return child;
-}
-
 bool runs(pid_t process)
 {
     int status = 0;
@@ -105,7 +87,7 @@
                     node.startAt = elapsedMs() + RestartDelayMs;
                     Record::line("control node %zu has ended by itself, for the %d. time", i, node.ends);
                 } else if (node.startAt != 0 && elapsedMs() >= node.startAt) {
-                    node.process = startAgain(folder, i);
+                    node.process = startAgain(folder, "core-" + std::to_string(i), "target/robinrail-platform-control");
                     node.startAt = 0;
                 }
             }
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -370,8 +370,13 @@
         m_full = full;
     }
 
-    // Times, from the start, at which the host took the opening packets of flows, with their copy numbers: those of flows that
-    // were opened.
+    // A slow host answers opening packets this much later.
+    void setSlow(long long openingDelayMs)
+    {
+        m_openingDelayMs = openingDelayMs;
+    }
+
+    // The number of requests that the host has run.
     std::size_t runs() const
     {
         return m_runs;
@@ -448,9 +453,10 @@
     void servePackets()
     {
         while (!m_ending) {
-            if (const auto datagram = m_socket.receive(20)) {
+            if (const auto datagram = m_socket.receive(5)) {
                 handle(datagram->first, datagram->second);
             }
+            sendLateAnswers();
         }
     }
 
@@ -509,7 +515,20 @@
         }
         flow.expected = packet.sequence + 1;
         Record::line("%s takes opening copy %u of %s from %s", m_name.c_str(), packet.acknowledged, packet.source.text().c_str(), from.text().c_str());
-        reply(packet, Syn | Ack, flow.own - 1, flow.expected, {});
+        const Packet answer{packet.destination, packet.source, flow.own - 1, flow.expected, packet.echo, Syn | Ack, {}};
+        m_lateAnswers.push_back({elapsedMs() + m_openingDelayMs, answer});
+        sendLateAnswers();
+    }
+
+    void sendLateAnswers()
+    {
+        std::erase_if(m_lateAnswers, [this](const auto &late) {
+            if (elapsedMs() < late.first) {
+                return false;
+            }
+            m_socket.send({late.second.destination.ip, m_requesterPort}, late.second.encode());
+            return true;
+        });
     }
 
     void handleFlow(const Packet &packet, Flow &flow)
@@ -557,6 +576,8 @@
     DatagramSocket m_socket;
     std::map<std::pair<Address, Address>, Flow> m_flows; // Used by the packet thread only.
     std::uint32_t m_lastSequence = 1000;
+    std::vector<std::pair<long long, Packet>> m_lateAnswers; // With the time to send them. Used by the packet thread only.
+    std::atomic<long long> m_openingDelayMs = 0;
     std::atomic<bool> m_ending = false;
     std::atomic<bool> m_registered = false;
     std::atomic<bool> m_full = false;
@@ -755,6 +776,17 @@
         return Outcome::Silent;
     }
 
+    // Reads what arrives for a while; the flow carries the last echo that arrived.
+    void rest(long long ms)
+    {
+        const long long start = elapsedMs();
+        while (elapsedMs() - start < ms) {
+            if (const auto packet = receive(10)) {
+                m_echo = packet->has(Rst) ? m_echo : packet->echo;
+            }
+        }
+    }
+
     std::size_t balancer() const
     {
         return m_router.nodeOf(m_source, m_route);
