--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -14,6 +14,7 @@
 #include <cstdarg>
 #include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <functional>
 #include <map>
@@ -376,6 +377,26 @@
         m_openingDelayMs = openingDelayMs;
     }
 
+    // Each request takes this much work.
+    void setWork(long long workMs)
+    {
+        m_workMs = workMs;
+    }
+
+    // The host is about to leave: it says so in its heartbeats and closes each flow after that flow's next answer. As in an ordinary
+    // graceful shutdown it takes no further connections for liveness checks, unless it `listens` on.
+    void drain(bool listens)
+    {
+        m_listens = listens;
+        m_draining = true;
+    }
+
+    // Whether a heartbeat that says that the host drains was confirmed.
+    bool drainConfirmed() const
+    {
+        return m_drainConfirmed;
+    }
+
     // The number of requests that the host has run.
     std::size_t runs() const
     {
@@ -390,6 +411,8 @@
         bool ended = false;
         std::string lastAnswer;
         std::uint32_t lastRequest = 0;
+        long long workEnds = 0; // Of the request; 0: none is running.
+        Packet request;
     };
 
     void announce()
@@ -397,20 +420,23 @@
         unsigned sequence = 0;
         std::size_t node = m_id % m_control.size();
         while (!m_ending) {
+            const bool draining = m_draining;
             char path[64];
             std::snprintf(path, sizeof path, "/instances/i-%llx", static_cast<unsigned long long>(m_id));
             char body[512];
             std::snprintf(body,
                           sizeof body,
-                          R"({"service":"%s","address":"%s","zone":"%s","version":"v1","capacity":3,"state":"ready","warmup_left_ms":0,"sequence":%u})",
+                          R"({"service":"%s","address":"%s","zone":"%s","version":"v1","capacity":3,"state":"%s","warmup_left_ms":0,"sequence":%u})",
                           m_service.c_str(),
                           m_address.text().c_str(),
                           m_zone.c_str(),
+                          draining ? "draining" : "ready",
                           ++sequence);
             const HttpReply reply = http(m_control[node], "PUT", path, body);
             if (reply.status / 100 == 2) {
                 m_registered = true;
-                pause(770);
+                m_drainConfirmed = draining;
+                pause(draining == m_draining ? 770 : 0);
             } else {
                 node = (node + 1) % m_control.size();
                 pause(50);
@@ -420,7 +446,8 @@
 
     void pause(int ms)
     {
-        for (int waited = 0; waited < ms && !m_ending; waited += 10) {
+        const bool draining = m_draining;
+        for (int waited = 0; waited < ms && !m_ending && draining == m_draining; waited += 10) {
             sleepMs(10);
         }
     }
@@ -433,7 +460,7 @@
         const sockaddr_in address = m_address.socketAddress();
         ::bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof address);
         ::listen(listener, 64);
-        while (!m_ending) {
+        while (!m_ending && (!m_draining || m_listens)) {
             pollfd waiting{listener, POLLIN, 0};
             if (::poll(&waiting, 1, 50) <= 0) {
                 continue;
@@ -457,6 +484,7 @@
                 handle(datagram->first, datagram->second);
             }
             sendLateAnswers();
+            finishWork();
         }
     }
 
@@ -554,7 +582,35 @@
         } else if (packet.sequence != flow.lastRequest) {
             return;
         }
-        const bool closes = packet.data.size() > 6 && packet.data.compare(packet.data.size() - 6, 6, " close") == 0;
+        if (m_workMs > 0) {
+            return work(packet, flow);
+        }
+        answerRequest(packet, flow);
+    }
+
+    // Answers a request after its work. A copy that arrives meanwhile is acknowledged.
+    void work(const Packet &packet, Flow &flow)
+    {
+        if (flow.workEnds != 0) {
+            return reply(packet, Ack, flow.own, flow.expected, {});
+        }
+        flow.workEnds = elapsedMs() + m_workMs;
+        flow.request = packet;
+    }
+
+    void finishWork()
+    {
+        for (auto &[key, flow] : m_flows) {
+            if (flow.workEnds != 0 && elapsedMs() >= flow.workEnds) {
+                flow.workEnds = 0;
+                answerRequest(flow.request, flow);
+            }
+        }
+    }
+
+    void answerRequest(const Packet &packet, Flow &flow)
+    {
+        const bool closes = m_draining || (packet.data.size() > 6 && packet.data.compare(packet.data.size() - 6, 6, " close") == 0);
         reply(packet, static_cast<std::uint8_t>(Ack | (closes ? Fin : 0)), flow.own, flow.expected, flow.lastAnswer);
         flow.own += static_cast<std::uint32_t>(flow.lastAnswer.size());
         flow.ended = closes;
@@ -578,6 +634,10 @@
     std::uint32_t m_lastSequence = 1000;
     std::vector<std::pair<long long, Packet>> m_lateAnswers; // With the time to send them. Used by the packet thread only.
     std::atomic<long long> m_openingDelayMs = 0;
+    std::atomic<long long> m_workMs = 0;
+    std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_listens = false;
+    std::atomic<bool> m_drainConfirmed = false;
     std::atomic<bool> m_ending = false;
     std::atomic<bool> m_registered = false;
     std::atomic<bool> m_full = false;
@@ -713,6 +773,7 @@
     {
         m_source = {m_socketAddress.ip, port};
         m_route = route;
+        m_open = false;
         m_sequence = 0x10000U + static_cast<std::uint32_t>(elapsedMs()) * 64;
         m_echo = 0;
         static constexpr long long CopyAt[] = {0, 200, 600};
@@ -734,6 +795,7 @@
                 ++m_sequence;
                 m_acknowledged = packet->sequence + 1;
                 m_echo = packet->echo;
+                m_open = true;
                 send(Ack, m_sequence, m_acknowledged, {});
                 return Outcome::Answered;
             }
@@ -761,6 +823,9 @@
                 return Outcome::Reset;
             }
             m_echo = packet->echo;
+            if (packet->data.empty() && packet->acknowledged == m_sequence + text.size()) {
+                resendAt = start + budgetMs; // The host has the request.
+            }
             if (packet->sequence == m_acknowledged && !packet->data.empty()) {
                 answer = packet->data;
                 m_sequence += static_cast<std::uint32_t>(text.size());
@@ -776,15 +841,18 @@
         return Outcome::Silent;
     }
 
-    // Reads what arrives for a while; the flow carries the last echo that arrived.
-    void rest(long long ms)
+    // Reads what arrives for a while; the flow carries the last echo that arrived. Returns whether the flow was reset.
+    bool rest(long long ms)
     {
         const long long start = elapsedMs();
         while (elapsedMs() - start < ms) {
-            if (const auto packet = receive(10)) {
-                m_echo = packet->has(Rst) ? m_echo : packet->echo;
+            const auto packet = receive(10);
+            if (packet && packet->has(Rst)) {
+                return true;
             }
+            m_echo = packet ? packet->echo : m_echo;
         }
+        return false;
     }
 
     std::size_t balancer() const
@@ -822,13 +890,21 @@
         if (!packet || packet->destination != m_source || packet->source != m_route) {
             return std::nullopt;
         }
+        // On an open flow a reset is taken only if its sequence number is near the last one that was acknowledged.
+        const std::int64_t distance = static_cast<std::int32_t>(packet->sequence - m_acknowledged);
+        if (packet->has(Rst) && m_open && std::abs(distance) > ResetWindow) {
+            return std::nullopt;
+        }
         m_lastSender = datagram->first;
         return packet;
     }
 
+    static constexpr std::int64_t ResetWindow = 76800;
+
     Address m_socketAddress;
     DatagramSocket m_socket;
     const Router &m_router;
+    bool m_open = false;
     Address m_source;
     Address m_route;
     Address m_lastSender;
